--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,121 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/oriolepost/oriolepost/peer"
+	"github.com/oriolepost/oriolepost/service"
+)
+
+// Client talks to the administration API of an instance.
+type Client struct {
+	// Address is the IP:port of the API.
+	Address string
+	// Token is the bearer token; empty for loopback without tokens.
+	Token string
+}
+
+// ChangeOptions are what a change carries besides its content.
+type ChangeOptions struct {
+	ChangeID string
+	// WaitMS is how long to wait until the change is in force.
+	WaitMS int64
+}
+
+// Apply replaces a service document.
+func (c Client) Apply(ctx context.Context, d service.Document, o ChangeOptions) (Change, error) {
+	var change Change
+	err := c.do(ctx, http.MethodPut, "/v1/services/"+url.PathEscape(d.Name), d, o, &change)
+	return change, err
+}
+
+// Order gives an order about a failure domain or a server: kind is "domains"
+// or "servers", order is "out", "in", "drain" or "undrain".
+func (c Client) Order(ctx context.Context, kind, name, order string, o ChangeOptions) (Change, error) {
+	var change Change
+	path := fmt.Sprintf("/v1/%s/%s/%s", kind, url.PathEscape(name), order)
+	err := c.do(ctx, http.MethodPost, path, nil, o, &change)
+	return change, err
+}
+
+// Document reads a service document.
+func (c Client) Document(ctx context.Context, name string) (service.Document, error) {
+	var d service.Document
+	err := c.do(ctx, http.MethodGet, "/v1/services/"+url.PathEscape(name), nil, ChangeOptions{}, &d)
+	return d, err
+}
+
+// Documents reads all service documents.
+func (c Client) Documents(ctx context.Context) (Documents, error) {
+	var d Documents
+	err := c.do(ctx, http.MethodGet, "/v1/services", nil, ChangeOptions{}, &d)
+	return d, err
+}
+
+// Status reads the state of the system.
+func (c Client) Status(ctx context.Context) (peer.StatusResponse, error) {
+	var s peer.StatusResponse
+	err := c.do(ctx, http.MethodGet, "/v1/status", nil, ChangeOptions{}, &s)
+	return s, err
+}
+
+func (c Client) do(ctx context.Context, method, path string, body any, o ChangeOptions, answer any) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("%s %s at %s: %w", method, path, c.Address, err)
+		}
+	}()
+	var reader io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return err
+		}
+		reader = bytes.NewReader(data)
+	}
+	u := url.URL{Scheme: "http", Host: c.Address, Path: path}
+	if o.ChangeID != "" {
+		u.RawQuery = "wait_ms=" + strconv.FormatInt(o.WaitMS, 10)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, u.String(), reader)
+	if err != nil {
+		return err
+	}
+	if o.ChangeID != "" {
+		r.Header.Set(HeaderChangeID, o.ChangeID)
+	}
+	if c.Token != "" {
+		r.Header.Set("Authorization", "Bearer "+c.Token)
+	}
+	return receive(r, answer)
+}
+
+// maxAnswer bounds an answer of the API in bytes.
+const maxAnswer = 64 << 20
+
+func receive(r *http.Request, answer any) error {
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil {
+		return err
+	}
+	if response.StatusCode == http.StatusOK {
+		return json.Unmarshal(data, answer)
+	}
+	e := &Error{Status: response.StatusCode}
+	if err := json.Unmarshal(data, e); err != nil {
+		return fmt.Errorf("status %d: %s", response.StatusCode, data)
+	}
+	return e
+}
--- /dev/null
+++ b/peer/wire.go
@@ -0,0 +1,210 @@
+package peer
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/oriolepost/oriolepost/jsonform"
+	"github.com/oriolepost/oriolepost/slot"
+)
+
+// The method names of JSON-RPC.
+const (
+	methodReplica  = "replica"
+	methodReport   = "report"
+	methodPropose  = "propose"
+	methodBorrow   = "borrow"
+	methodReturn   = "return"
+	methodPoke     = "poke"
+	methodIdentify = "identify"
+	methodJoin     = "join"
+	methodStatus   = "status"
+	methodConfirm  = "confirm"
+)
+
+// replicaParams is the JSON form of a ReplicaMessage.
+type replicaParams struct {
+	From    string            `json:"from"`
+	To      string            `json:"to"`
+	Message jsonform.Envelope `json:"message"`
+}
+
+// proposeParams is the JSON form of a ProposeRequest.
+type proposeParams struct {
+	Command     json.RawMessage `json:"command"`
+	TraceParent string          `json:"trace_parent,omitempty"`
+}
+
+// proposeResult is the JSON form of a ProposeResponse.
+type proposeResult struct {
+	Result jsonform.Envelope `json:"result"`
+}
+
+// errorData is what an error of JSON-RPC carries besides its message.
+type errorData struct {
+	Leader string `json:"leader,omitempty"`
+}
+
+// encodeRequest gives the method, the parameters, and whether the request
+// wants no response.
+func encodeRequest(r Request) (method string, params any, notify bool, err error) {
+	switch r := r.(type) {
+	case ReplicaMessage:
+		e, err := jsonform.SealMessage(r.Message)
+		return methodReplica, replicaParams{From: r.From, To: r.To, Message: e}, true, err
+	case ReportRequest:
+		return methodReport, r.Report, false, nil
+	case ProposeRequest:
+		data, err := jsonform.EncodeCommand(r.Command)
+		return methodPropose, proposeParams{Command: data, TraceParent: r.TraceParent}, false, err
+	case BorrowRequest:
+		return methodBorrow, r, false, nil
+	case ReturnRequest:
+		return methodReturn, r, true, nil
+	case PokeRequest:
+		return methodPoke, r, true, nil
+	case IdentifyRequest:
+		return methodIdentify, r, false, nil
+	case JoinRequest:
+		return methodJoin, r, false, nil
+	case StatusRequest:
+		return methodStatus, r, false, nil
+	case ConfirmRequest:
+		return methodConfirm, r, false, nil
+	}
+	return "", nil, false, fmt.Errorf("request %T has no method", r)
+}
+
+// decodeRequest reads a request.
+func decodeRequest(method string, params json.RawMessage) (Request, error) {
+	switch method {
+	case methodReplica:
+		return decodeReplica(params)
+	case methodReport:
+		return decode(params, func(r slot.Report) Request { return ReportRequest{Report: r} })
+	case methodPropose:
+		return decodePropose(params)
+	case methodBorrow:
+		return decode(params, func(r BorrowRequest) Request { return r })
+	case methodReturn:
+		return decode(params, func(r ReturnRequest) Request { return r })
+	case methodPoke:
+		return PokeRequest{}, nil
+	case methodIdentify:
+		return IdentifyRequest{}, nil
+	case methodJoin:
+		return decode(params, func(r JoinRequest) Request { return r })
+	case methodStatus:
+		return StatusRequest{}, nil
+	case methodConfirm:
+		return decode(params, func(r ConfirmRequest) Request { return r })
+	}
+	return nil, &RefusedError{Code: CodeMalformed, Reason: fmt.Sprintf("method %q is not known", method)}
+}
+
+func decode[T any, S any](params json.RawMessage, as func(T) S) (S, error) {
+	var body T
+	if err := json.Unmarshal(params, &body); err != nil {
+		var zero S
+		return zero, &RefusedError{Code: CodeMalformed, Reason: err.Error()}
+	}
+	return as(body), nil
+}
+
+func decodeReplica(params json.RawMessage) (Request, error) {
+	var p replicaParams
+	if err := json.Unmarshal(params, &p); err != nil {
+		return nil, &RefusedError{Code: CodeMalformed, Reason: err.Error()}
+	}
+	m, err := jsonform.OpenMessage(p.Message)
+	if err != nil {
+		return nil, &RefusedError{Code: CodeMalformed, Reason: err.Error()}
+	}
+	return ReplicaMessage{From: p.From, To: p.To, Message: m}, nil
+}
+
+func decodePropose(params json.RawMessage) (Request, error) {
+	var p proposeParams
+	if err := json.Unmarshal(params, &p); err != nil {
+		return nil, &RefusedError{Code: CodeMalformed, Reason: err.Error()}
+	}
+	c, err := jsonform.DecodeCommand(p.Command)
+	if err != nil {
+		return nil, &RefusedError{Code: CodeMalformed, Reason: err.Error()}
+	}
+	return ProposeRequest{Command: c, TraceParent: p.TraceParent}, nil
+}
+
+// encodeResponse gives a response its JSON form.
+func encodeResponse(r Response) (any, error) {
+	switch r := r.(type) {
+	case ProposeResponse:
+		e, err := jsonform.SealResult(r.Result)
+		return proposeResult{Result: e}, err
+	case Nothing, ReportResponse, BorrowResponse, IdentifyResponse, ConfirmResponse, StatusResponse:
+		return r, nil
+	}
+	return nil, fmt.Errorf("response %T has no form", r)
+}
+
+// decodeResponse reads the response to a request.
+func decodeResponse(to Request, result json.RawMessage) (Response, error) {
+	switch to.(type) {
+	case ReportRequest:
+		return decode(result, func(r ReportResponse) Response { return r })
+	case ProposeRequest:
+		return decodeProposeResult(result)
+	case BorrowRequest:
+		return decode(result, func(r BorrowResponse) Response { return r })
+	case IdentifyRequest:
+		return decode(result, func(r IdentifyResponse) Response { return r })
+	case StatusRequest:
+		return decode(result, func(r StatusResponse) Response { return r })
+	case ConfirmRequest:
+		return decode(result, func(r ConfirmResponse) Response { return r })
+	case ReplicaMessage, ReturnRequest, PokeRequest, JoinRequest:
+		return Nothing{}, nil
+	}
+	return Nothing{}, nil
+}
+
+func decodeProposeResult(data json.RawMessage) (Response, error) {
+	var p proposeResult
+	if err := json.Unmarshal(data, &p); err != nil {
+		return nil, fmt.Errorf("decode result: %w", err)
+	}
+	r, err := jsonform.OpenResult(p.Result)
+	if err != nil {
+		return nil, err
+	}
+	return ProposeResponse{Result: r}, nil
+}
+
+// wireError turns an error of a handler into one of JSON-RPC.
+func wireError(err error) *jsonrpc2.Error {
+	var refused *RefusedError
+	if !errors.As(err, &refused) {
+		return &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
+	}
+	out := &jsonrpc2.Error{Code: refused.Code, Message: refused.Reason}
+	out.SetError(errorData{Leader: refused.Leader})
+	return out
+}
+
+// peerError turns an error of JSON-RPC back into that of the handler.
+func peerError(err error) error {
+	var wire *jsonrpc2.Error
+	if !errors.As(err, &wire) {
+		return err
+	}
+	var data errorData
+	if wire.Data != nil {
+		if err := json.Unmarshal(*wire.Data, &data); err != nil {
+			return fmt.Errorf("decode error data: %w", err)
+		}
+	}
+	return &RefusedError{Code: wire.Code, Reason: wire.Message, Leader: data.Leader}
+}
