--- /dev/null
+++ b/proofs/verbs_test.go
@@ -0,0 +1,181 @@
+package proofs
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+const (
+	// awaitLimit bounds the wait for a state.
+	awaitLimit = 25 * time.Second
+	awaitPause = 25 * time.Millisecond
+)
+
+// verbs are the commands of the test language besides those of testscript.
+func verbs() map[string]func(*testscript.TestScript, bool, []string) {
+	return map[string]func(*testscript.TestScript, bool, []string){
+		"expand":    expand,
+		"cluster":   cluster,
+		"await":     await,
+		"fetch":     fetch,
+		"terminate": terminate,
+		"jsonfield": jsonField,
+	}
+}
+
+// expand FILE replaces the variables in a file.
+func expand(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		text := os.Expand(ts.ReadFile(name), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(name), []byte(text), 0o600))
+	}
+}
+
+// cluster N VOTERS writes the settings n1.json to nN.json of a system.
+func cluster(ts *testscript.TestScript, _ bool, args []string) {
+	total, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	voters, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	address := func(node, listener int) string {
+		return ts.Getenv("A" + strconv.Itoa((node-1)*4+listener))
+	}
+	domains := []string{"palermo", "catania", "ragusa"}
+	name := func(i int) string { return "n" + strconv.Itoa(i) }
+	var control []map[string]any
+	for i := 1; i <= voters; i++ {
+		control = append(control, map[string]any{
+			"instance": name(i), "failure_domain": domains[(i-1)%3], "address": address(i, 4), "voter": true,
+		})
+	}
+	for i := 1; i <= total; i++ {
+		s := map[string]any{
+			"instance": name(i), "failure_domain": domains[(i-1)%3],
+			"listen": map[string]string{
+				"caller": address(i, 1), "platform": address(i, 2), "operator": address(i, 3), "peer": address(i, 4),
+			},
+			"control": control, "peer_plain_text": true,
+			"stop": map[string]int{"balancer_ms": 500, "deadline_ms": 4000},
+		}
+		if i <= voters {
+			s["data_folder"] = ts.MkAbs("data-" + name(i))
+		}
+		data, err := json.Marshal(s)
+		ts.Check(err)
+		ts.Check(os.WriteFile(ts.MkAbs(name(i)+".json"), data, 0o600))
+		ts.Setenv("CALLER"+strconv.Itoa(i), address(i, 1))
+		ts.Setenv("PLATFORM"+strconv.Itoa(i), address(i, 2))
+		ts.Setenv("OPERATOR"+strconv.Itoa(i), address(i, 3))
+	}
+}
+
+// await URL [STATUS [TEXT]] waits until a GET gives the status and the text.
+func await(ts *testscript.TestScript, neg bool, args []string) {
+	want, text := http.StatusOK, ""
+	if len(args) > 1 {
+		n, err := strconv.Atoi(args[1])
+		ts.Check(err)
+		want = n
+	}
+	if len(args) > 2 {
+		text = args[2]
+	}
+	deadline := time.Now().Add(awaitLimit)
+	last := ""
+	for time.Now().Before(deadline) {
+		status, body := get(args[0], nil)
+		last = strconv.Itoa(status) + " " + body
+		if (status == want && strings.Contains(body, text)) != neg {
+			return
+		}
+		time.Sleep(awaitPause)
+	}
+	ts.Fatalf("await %v: last was %s", args, last)
+}
+
+func get(url string, header map[string]string) (int, string) {
+	r, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return 0, err.Error()
+	}
+	for k, v := range header {
+		if k == "Host" {
+			r.Host = v
+		}
+		r.Header.Set(k, v)
+	}
+	client := http.Client{Timeout: 5 * time.Second}
+	response, err := client.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return response.StatusCode, err.Error()
+	}
+	var head strings.Builder
+	_ = response.Header.Write(&head)
+	return response.StatusCode, head.String() + "\n" + string(body)
+}
+
+// fetch URL [NAME:VALUE...] prints status, header and body of a GET.
+func fetch(ts *testscript.TestScript, _ bool, args []string) {
+	header := map[string]string{}
+	for _, a := range args[1:] {
+		k, v, _ := strings.Cut(a, ":")
+		header[k] = v
+	}
+	status, body := get(args[0], header)
+	_, err := ts.Stdout().Write([]byte(strconv.Itoa(status) + "\n" + body))
+	ts.Check(err)
+}
+
+// terminate NAME SIGNAL sends a signal to a background command of the script.
+func terminate(ts *testscript.TestScript, _ bool, args []string) {
+	signals := map[string]os.Signal{
+		"KILL": syscall.SIGKILL, "TERM": syscall.SIGTERM, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+	}
+	for _, c := range ts.BackgroundCmds() {
+		if strings.Contains(strings.Join(c.Args, " "), args[0]) {
+			ts.Check(c.Process.Signal(signals[args[1]]))
+			return
+		}
+	}
+	ts.Fatalf("no background command has %q in its arguments", args[0])
+}
+
+// jsonfield FILE FIELD OP NUMBER compares a number of the last line of a file.
+func jsonField(ts *testscript.TestScript, neg bool, args []string) {
+	lines := strings.Split(strings.TrimSpace(ts.ReadFile(args[0])), "\n")
+	var object map[string]any
+	ts.Check(json.Unmarshal([]byte(lines[len(lines)-1]), &object))
+	var value any = object
+	for _, part := range strings.Split(args[1], ".") {
+		m, ok := value.(map[string]any)
+		if !ok {
+			ts.Fatalf("%s has no field %s", args[0], args[1])
+		}
+		value = m[part]
+	}
+	number, ok := value.(float64)
+	if !ok {
+		ts.Fatalf("field %s is %v", args[1], value)
+	}
+	want, err := strconv.ParseFloat(args[3], 64)
+	ts.Check(err)
+	holds := map[string]bool{
+		"==": number == want, ">=": number >= want, "<=": number <= want, ">": number > want, "<": number < want,
+	}[args[2]]
+	if holds == neg {
+		ts.Fatalf("field %s is %v, wanted %s %s", args[1], number, args[2], args[3])
+	}
+}
