A refused request of an older term no longer extends the leader's lease

A request of its old term, sent by the old process, was refused with the new term and an echo of the old SentNS, which counts from another origin; c/1 took it for an answer from the future and extended its lease without end. Change: a refusal of an older term carries no SentNS, and a leader counts only echoes of what it sent since it leads. The progress of a new peer begins with no answer instead of the election's time.

--- a/replica/replica.go
+++ b/replica/replica.go
@@ -214,13 +214,20 @@
 	var silent []string
 	for _, id := range r.Members.Voters {
 		p := r.progress[id]
-		if id != r.Config.ID && p != nil && now.Sub(p.ackedSend) > after {
+		if id != r.Config.ID && p != nil && now.Sub(later(p.ackedSend, r.leadingSince)) > after {
 			silent = append(silent, id)
 		}
 	}
 	return silent
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // CaughtUp reports whether a peer has every committed entry.
 func (r *Replica) CaughtUp(id string) bool {
 	p := r.progress[id]
--- a/replica/replication.go
+++ b/replica/replication.go
@@ -49,7 +49,7 @@
 func (r *Replica) replicate(now time.Time, id string) {
 	p := r.progress[id]
 	if p == nil {
-		p = &progress{next: r.log.lastIndex() + 1, ackedSend: r.leadingSince}
+		p = &progress{next: r.log.lastIndex() + 1}
 		r.progress[id] = p
 	}
 	sent := now.Sub(r.origin).Nanoseconds()
@@ -81,7 +81,8 @@
 
 func (r *Replica) appendRequest(now time.Time, from string, m AppendRequest) {
 	if m.Term < r.Term {
-		r.send(from, AppendReply{Term: r.Term, SentNS: m.SentNS})
+		// The reply carries no SentNS: it must not extend a lease of this term.
+		r.send(from, AppendReply{Term: r.Term})
 		return
 	}
 	r.heardLeader(now, from)
@@ -119,7 +120,8 @@
 
 func (r *Replica) snapshotRequest(now time.Time, from string, m SnapshotRequest) {
 	if m.Term < r.Term {
-		r.send(from, AppendReply{Term: r.Term, SentNS: m.SentNS})
+		// The reply carries no SentNS: it must not extend a lease of this term.
+		r.send(from, AppendReply{Term: r.Term})
 		return
 	}
 	r.heardLeader(now, from)
@@ -139,7 +141,8 @@
 	if r.Role != RoleLeader || m.Term != r.Term || p == nil {
 		return
 	}
-	if sent := r.origin.Add(time.Duration(m.SentNS)); sent.After(p.ackedSend) {
+	sent := r.origin.Add(time.Duration(m.SentNS))
+	if !sent.Before(r.leadingSince) && sent.After(p.ackedSend) {
 		p.ackedSend = sent
 	}
 	if !m.Success {
--- /dev/null
+++ b/script/script.go
@@ -0,0 +1,168 @@
+// Package script runs tests that are written as data.
+//
+// A test file is a list of cases, separated by blank lines. A case is a
+// command with arguments, lines of input, a line of four dashes, and the
+// output that is expected:
+//
+//	# The second claim of a key waits for the first.
+//	claim key=k1 claimant=b
+//	----
+//	in_progress
+//
+// A package's test gives a handler for its commands. A new case is data only.
+// With the environment variable SCRIPT_REWRITE=1 the expected output is
+// written anew, to be read in the diff.
+//
+// # Usage
+//
+//	var _ = script.Describe("ledger", "testdata/*.txt", func() script.Handler {
+//		l := ledger.New()
+//		return func(c script.Case) string { return run(l, c) }
+//	})
+package script
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+// Case is one case of a test file.
+type Case struct {
+	// Comment holds the lines before the command.
+	Comment []string
+	// Line is the command as it stands in the file.
+	Line    string
+	Command string
+	// Args holds the arguments by name; one without a value is "true".
+	Args     map[string]string
+	Input    string
+	Expected string
+}
+
+// Handler runs a case and gives its output.
+type Handler func(c Case) string
+
+// Describe registers a test for each file that matches a pattern. Each file
+// begins with a handler of its own.
+func Describe(name, pattern string, open func() Handler) bool {
+	files, err := filepath.Glob(pattern)
+	return ginkgo.Describe(name, func() {
+		ginkgo.It("has test files", func() {
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(files).NotTo(gomega.BeEmpty())
+		})
+		for _, file := range files {
+			ginkgo.It(filepath.Base(file), func() { runFile(file, open()) })
+		}
+	})
+}
+
+func runFile(file string, handle Handler) {
+	data, err := os.ReadFile(file)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	cases, err := Parse(string(data))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred(), file)
+	rewrite := os.Getenv("SCRIPT_REWRITE") != ""
+	for i, c := range cases {
+		got := strings.TrimRight(handle(c), "\n")
+		if rewrite {
+			cases[i].Expected = got
+			continue
+		}
+		gomega.Expect(got).To(gomega.Equal(c.Expected), "%s: %s", file, c.Line)
+	}
+	if rewrite {
+		gomega.Expect(os.WriteFile(file, []byte(Format(cases)), 0o600)).To(gomega.Succeed())
+	}
+}
+
+// Parse reads the cases of a test file.
+func Parse(text string) ([]Case, error) {
+	var cases []Case
+	for _, block := range strings.Split(strings.TrimSpace(text), "\n\n") {
+		c, err := parseCase(strings.Split(strings.TrimSpace(block), "\n"))
+		if err != nil {
+			return nil, err
+		}
+		cases = append(cases, c)
+	}
+	return cases, nil
+}
+
+func parseCase(lines []string) (Case, error) {
+	var c Case
+	for len(lines) > 0 && strings.HasPrefix(lines[0], "#") {
+		c.Comment = append(c.Comment, lines[0])
+		lines = lines[1:]
+	}
+	if len(lines) == 0 {
+		return c, fmt.Errorf("comment %q has no command", c.Comment)
+	}
+	c.Line = lines[0]
+	words := strings.Fields(c.Line)
+	c.Command = words[0]
+	c.Args = map[string]string{}
+	for _, w := range words[1:] {
+		name, value, found := strings.Cut(w, "=")
+		if !found {
+			value = "true"
+		}
+		c.Args[name] = value
+	}
+	input, expected, found := strings.Cut(strings.Join(lines[1:], "\n")+"\n", "----\n")
+	if !found {
+		return c, fmt.Errorf("case %q has no line of dashes", c.Line)
+	}
+	c.Input = input
+	c.Expected = strings.TrimRight(expected, "\n")
+	return c, nil
+}
+
+// Format writes cases as a test file.
+func Format(cases []Case) string {
+	var b strings.Builder
+	for i, c := range cases {
+		if i > 0 {
+			b.WriteString("\n")
+		}
+		for _, l := range c.Comment {
+			b.WriteString(l + "\n")
+		}
+		b.WriteString(c.Line + "\n" + c.Input + "----\n")
+		if c.Expected != "" {
+			b.WriteString(c.Expected + "\n")
+		}
+	}
+	return b.String()
+}
+
+// Int gives an argument as a number, or a default when it is absent.
+func (c Case) Int(name string, absent int) int {
+	text, ok := c.Args[name]
+	if !ok {
+		return absent
+	}
+	n, err := strconv.Atoi(text)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred(), "%s: argument %s", c.Line, name)
+	return n
+}
+
+// Bool reports whether an argument is present and not "false".
+func (c Case) Bool(name string) bool {
+	text, ok := c.Args[name]
+	return ok && text != "false"
+}
+
+// List gives an argument's parts between commas.
+func (c Case) List(name string) []string {
+	if c.Args[name] == "" {
+		return nil
+	}
+	return strings.Split(c.Args[name], ",")
+}
