--- /dev/null
+++ b/disk/disk_test.go
@@ -0,0 +1,158 @@
+package disk_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/oriolepost/oriolepost/disk"
+	"github.com/oriolepost/oriolepost/replica"
+	"github.com/oriolepost/oriolepost/script"
+)
+
+func TestDisk(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "disk")
+}
+
+// bench is a data folder that a test file works on.
+type bench struct {
+	path   string
+	folder *disk.Folder
+	fail   *failing
+}
+
+var _ = script.Describe("data folder", "testdata/*.txt", func() script.Handler {
+	path, err := os.MkdirTemp("", "oriolepost-disk-")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(func() { gomega.Expect(os.RemoveAll(path)).To(gomega.Succeed()) })
+	b := &bench{path: filepath.Join(path, "data"), fail: &failing{}}
+	return b.run
+})
+
+func (b *bench) run(c script.Case) string {
+	switch c.Command {
+	case "open":
+		return b.open(c.Args["instance"])
+	case "close":
+		return problem(b.folder.Close())
+	case "vote":
+		return b.save(replica.SaveHardState{HardState: replica.HardState{Term: uint64(c.Int("term", 0)), Vote: c.Args["for"]}})
+	case "entries":
+		return b.save(replica.SaveEntries{Entries: entries(c)})
+	case "snapshot":
+		s := replica.Snapshot{Index: uint64(c.Int("index", 0)), Term: uint64(c.Int("term", 0)), Data: []byte("state")}
+		return b.save(replica.SaveSnapshot{Snapshot: s, Reset: c.Bool("reset")})
+	case "fail":
+		b.fail.writes = c.Bool("write")
+		b.fail.syncs = c.Bool("sync")
+		return ""
+	case "damage":
+		return b.damage(c)
+	}
+	return "unknown command"
+}
+
+func entries(c script.Case) []replica.Entry {
+	var out []replica.Entry
+	for i := c.Int("from", 1); i <= c.Int("to", 0); i++ {
+		out = append(out, replica.Entry{Index: uint64(i), Term: uint64(c.Int("term", 1)), Data: []byte(`{"kind":"noop"}`)})
+	}
+	return out
+}
+
+func (b *bench) open(instance string) string {
+	f, err := disk.Open(b.path, instance, "folder-1")
+	if err != nil {
+		return problem(err)
+	}
+	b.folder = f
+	f.Create = b.fail.create
+	s := f.Saved
+	text := fmt.Sprintf("term=%d vote=%q snapshot=%d empty=%v", s.HardState.Term, s.HardState.Vote, s.Snapshot.Index, f.Empty)
+	for _, e := range s.Entries {
+		text += fmt.Sprintf(" %d/%d", e.Index, e.Term)
+	}
+	return text
+}
+
+func (b *bench) save(e replica.Effect) string {
+	if err := b.folder.Append(e); err != nil {
+		return problem(err)
+	}
+	return problem(b.folder.Sync())
+}
+
+// problem gives an error without the folder's path.
+func problem(err error) string {
+	if err == nil {
+		return "good"
+	}
+	var folder *disk.FolderError
+	if errors.As(err, &folder) {
+		return folder.Problem + "; " + folder.Remedy
+	}
+	text := err.Error()
+	return text[strings.LastIndex(text, ": ")+2:]
+}
+
+// damage changes a file as a crash or a bad disk would.
+func (b *bench) damage(c script.Case) string {
+	name := filepath.Join(b.path, c.Args["file"])
+	data, err := os.ReadFile(name)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	switch {
+	case c.Bool("cut"):
+		data = data[:len(data)-c.Int("cut", 0)]
+	case c.Bool("zeros"):
+		data = append(data, make([]byte, c.Int("zeros", 0))...)
+	case c.Bool("flip"):
+		at := c.Int("flip", 0)
+		if at < 0 {
+			at += len(data)
+		}
+		data[at] ^= 1
+	case c.Bool("write"):
+		data = []byte(c.Input)
+	}
+	gomega.Expect(os.WriteFile(name, data, 0o600)).To(gomega.Succeed())
+	return ""
+}
+
+// failing is a disk that refuses to write or to sync.
+type failing struct{ writes, syncs bool }
+
+var (
+	errNoSpace = errors.New("no space left on device")
+	errSync    = errors.New("input/output error")
+)
+
+func (f *failing) create(path string) (disk.File, error) {
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	return &failingFile{File: file, disk: f}, err
+}
+
+type failingFile struct {
+	*os.File
+	disk *failing
+}
+
+func (f *failingFile) Write(p []byte) (int, error) {
+	if f.disk.writes {
+		return 0, errNoSpace
+	}
+	return f.File.Write(p)
+}
+
+func (f *failingFile) Sync() error {
+	if f.disk.syncs {
+		return errSync
+	}
+	return f.File.Sync()
+}
--- a/disk/frame.go
+++ b/disk/frame.go
@@ -7,78 +7,56 @@
 )
 
 const (
-	// frameHeader is the size of a frame's length and checksum in bytes.
-	frameHeader = 12
-	// maxFrame bounds a frame's payload in bytes.
-	maxFrame = 256 << 20
+	// lengthSize is the size of a frame's length in bytes.
+	lengthSize = 4
+	// lengthEnd is where the checksum of the length ends.
+	lengthEnd = 12
+	// frameHeader is the size of the length and both checksums in bytes.
+	frameHeader = 20
 )
 
-// appendFrame adds a length, a checksum and a payload to a buffer. The
-// checksum covers the length as well.
+// appendFrame adds a payload behind its length, the checksum of the length and
+// the checksum of the payload. The length has a checksum of its own, so that a
+// damaged length is told from a write that was cut short.
 func appendFrame(buffer, payload []byte) []byte {
 	var header [frameHeader]byte
-	binary.LittleEndian.PutUint32(header[:4], uint32(len(payload)))
-	binary.LittleEndian.PutUint64(header[4:], frameSum(header[:4], payload))
+	binary.LittleEndian.PutUint32(header[:lengthSize], uint32(len(payload)))
+	binary.LittleEndian.PutUint64(header[lengthSize:lengthEnd], xxhash.Sum64(header[:lengthSize]))
+	binary.LittleEndian.PutUint64(header[lengthEnd:], xxhash.Sum64(payload))
 	return append(append(buffer, header[:]...), payload...)
 }
 
-func frameSum(length, payload []byte) uint64 {
-	d := xxhash.New()
-	_, _ = d.Write(length)
-	_, _ = d.Write(payload)
-	return d.Sum64()
-}
-
 // frameState is what the next frame of a file turned out to be.
 type frameState int
 
 const (
 	frameWhole frameState = iota
 	// frameTorn is the unfinished write of a crash: the file ends within the
-	// frame, or only zeros follow.
+	// frame, or only zeros follow where its content should be.
 	frameTorn
 	frameCorrupt
 )
 
-// nextFrame reads the frame at the beginning of data. A length that reaches
-// past the end of the file is a torn write only if nothing whole follows it.
+// nextFrame reads the frame at the beginning of data.
 func nextFrame(data []byte) (payload, rest []byte, state frameState) {
 	if len(data) < frameHeader || allZero(data) {
 		return nil, nil, frameTorn
 	}
-	length := int(binary.LittleEndian.Uint32(data[:4]))
-	end := frameHeader + length
-	if length > maxFrame || end > len(data) {
-		if anyWholeFrame(data[1:]) {
-			return nil, nil, frameCorrupt
-		}
+	if xxhash.Sum64(data[:lengthSize]) != binary.LittleEndian.Uint64(data[lengthSize:lengthEnd]) {
+		return nil, nil, frameCorrupt
+	}
+	end := frameHeader + int(binary.LittleEndian.Uint32(data[:lengthSize]))
+	if end > len(data) {
 		return nil, nil, frameTorn
 	}
 	payload = data[frameHeader:end]
-	if frameSum(data[:4], payload) != binary.LittleEndian.Uint64(data[4:frameHeader]) {
-		if allZero(data[end-length:]) {
-			return nil, nil, frameTorn
-		}
-		return nil, nil, frameCorrupt
+	if xxhash.Sum64(payload) == binary.LittleEndian.Uint64(data[lengthEnd:frameHeader]) {
+		return payload, data[end:], frameWhole
 	}
-	return payload, data[end:], frameWhole
-}
-
-// anyWholeFrame searches for a frame with a right checksum. The search covers
-// the last part of a journal only, since it runs after a damaged length.
-func anyWholeFrame(data []byte) bool {
-	for i := 0; i+frameHeader <= len(data); i++ {
-		length := int(binary.LittleEndian.Uint32(data[i : i+4]))
-		end := i + frameHeader + length
-		if length == 0 || length > maxFrame || end > len(data) {
-			continue
-		}
-		sum := binary.LittleEndian.Uint64(data[i+4 : i+frameHeader])
-		if frameSum(data[i:i+4], data[i+frameHeader:end]) == sum {
-			return true
-		}
+	if allZero(data[frameHeader:]) {
+		return nil, nil, frameTorn
 	}
-	return false
+	return nil, nil, frameCorrupt
 }
 
 func allZero(data []byte) bool {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -54,6 +54,8 @@
 	LeaseEnd time.Time
 	Stopping bool
 
+	// holding is true from the first grant until the lease ends.
+	holding bool
 	// names holds the names of the services in order.
 	names       []string
 	calls       map[call.ID]*pending
@@ -139,6 +141,7 @@
 // Step handles one event.
 func (e *Entry) Step(now time.Time, event Event) []Effect {
 	e.effects = nil
+	e.checkLease(now)
 	switch ev := event.(type) {
 	case Arrived:
 		e.arrive(now, ev.Request)
@@ -186,6 +189,20 @@
 
 func (e *Entry) leased(now time.Time) bool { return now.Before(e.LeaseEnd) }
 
+// checkLease gives up all slots when the lease has ended. The owner may have
+// given them to others since, so a later report must not claim them, and the
+// reply to an earlier one no longer counts.
+func (e *Entry) checkLease(now time.Time) {
+	if !e.holding || e.leased(now) {
+		return
+	}
+	e.holding = false
+	for _, s := range e.Servers {
+		s.Target = 0
+	}
+	e.replyLost(e.reporting.seq)
+}
+
 // updateReady tells the platform's balancer when the entry can't serve.
 func (e *Entry) updateReady(now time.Time) {
 	ready, reason := true, call.Reason("")
--- a/entry/reporting.go
+++ b/entry/reporting.go
@@ -53,7 +53,7 @@
 	r.sentAt = now
 	r.urgent = false
 	r.starved = waiting
-	e.emit(SendReport{Report: e.report()})
+	e.emit(SendReport{Report: e.report(now)})
 }
 
 func (e *Entry) waiting() bool {
@@ -65,11 +65,11 @@
 	return false
 }
 
-func (e *Entry) report() slot.Report {
+func (e *Entry) report(now time.Time) slot.Report {
 	r := slot.Report{
 		Entry: e.Config.Name, BootID: e.Config.BootID, Seq: e.reporting.seq,
 		Full: e.reporting.full, Leaving: e.reporting.leaving, CatalogIndex: e.CatalogIndex,
-		Demands: e.demands(),
+		Demands: e.demands(), Lapsed: !e.leased(now),
 	}
 	if r.Full {
 		r.Address = e.Config.Address
@@ -178,6 +178,7 @@
 	}
 	e.reporting.term = r.Term
 	e.reporting.full = false
+	e.holding = true
 	e.LeaseEnd = e.reporting.sentAt.Add(time.Duration(r.LeaseMS) * time.Millisecond)
 	if r.Configuration != nil {
 		e.configure(*r.Configuration)
--- a/node/node.go
+++ b/node/node.go
@@ -205,7 +205,12 @@
 	return p.Result, nil
 }
 
+// announce passes a server's announcement on to the slot owner. An instance
+// that is not ready refuses, so that the server tries another one.
 func (n *Node) announce(ctx context.Context, a membership.Announcement) bool {
+	if !n.platform.Ready() {
+		return false
+	}
 	select {
 	case n.entry.events <- entryMail{event: entry.Announced{Announcement: a}}:
 		return true
--- a/slot/grant.go
+++ b/slot/grant.go
@@ -20,6 +20,11 @@
 		if excess := s.promised() - o.usable(s); excess > 0 {
 			n -= min(n, excess)
 		}
+		if e.Lapsed && now.Before(o.Quiet) {
+			// Only a lease that never ended is renewed without an
+			// announcement of the server to this owner.
+			n = 0
+		}
 		held[name] = n
 	}
 	if !now.Before(o.Quiet) {
@@ -135,7 +140,7 @@
 	for _, s := range servers {
 		extra := held[s.Name] - s.Bounds[e.Name]
 		free := o.usable(s) - s.promised() - max(0, extra)
-		near := o.Table.Members[s.Name].Announcement.Domain == e.Domain
+		near := s.Domain == e.Domain
 		if free <= 0 || (bestNear && !near) {
 			continue
 		}
@@ -152,7 +157,7 @@
 	var best *Server
 	bestNear := false
 	for _, s := range servers {
-		near := o.Table.Members[s.Name].Announcement.Domain == e.Domain
+		near := s.Domain == e.Domain
 		if held[s.Name] == 0 || (best != nil && near && !bestNear) {
 			continue
 		}
--- a/slot/owner.go
+++ b/slot/owner.go
@@ -32,6 +32,8 @@
 type Server struct {
 	Name    string
 	Service string
+	// Domain is the server's failure domain.
+	Domain string
 	// Limit is how many calls the server bears now.
 	Limit int
 	// GrowAt is when the limit may grow by one.
@@ -66,6 +68,8 @@
 	// Expires is when the entry's lease has certainly ended.
 	Expires time.Time
 	Leaving bool
+	// Lapsed is true when the entry's lease had ended when it reported.
+	Lapsed bool
 	// CatalogIndex is the configuration that the entry confirmed.
 	CatalogIndex uint64
 	// Demands is the recent demand by service, decaying.
--- a/slot/report.go
+++ b/slot/report.go
@@ -60,6 +60,7 @@
 	e.Seq = r.Seq
 	e.Expires = now.Add(LeaseTime + MaxDrift)
 	e.Leaving = r.Leaving
+	e.Lapsed = r.Lapsed
 	e.CatalogIndex = r.CatalogIndex
 	if r.Full {
 		e.Address = r.Address
@@ -86,7 +87,7 @@
 		return
 	case membership.Joined:
 		if s == nil {
-			s = &Server{Name: a.Server, Service: a.Service, Bounds: map[string]int{}}
+			s = &Server{Name: a.Server, Service: a.Service, Domain: a.Domain, Bounds: map[string]int{}}
 			o.Servers[a.Server] = s
 		}
 		s.Limit = 0
@@ -122,7 +123,8 @@
 			e.Sent[h.Server] = h.Info.BootID
 		}
 		if adopt && o.bootOf(h.Server) == h.Info.BootID {
-			s.Limit = max(s.Limit, s.promised())
+			full := o.fullLimit(o.Table.Members[h.Server].Announcement)
+			s.Limit = min(max(s.Limit, s.promised()), full)
 		}
 		e.Idle[o.serviceOf(h.Server)] += h.Slots - h.InUse
 	}
--- a/slot/slot.go
+++ b/slot/slot.go
@@ -88,6 +88,9 @@
 	Domain string `json:"failure_domain,omitempty"`
 	// Leaving is true when the entry shuts down and wants no more slots.
 	Leaving bool `json:"leaving,omitempty"`
+	// Lapsed is true when the entry's lease has ended: its holdings are only
+	// calls that still run, and what it knows of servers is old.
+	Lapsed bool `json:"lapsed,omitempty"`
 	// CatalogIndex is the configuration that the entry follows.
 	CatalogIndex  uint64                    `json:"catalog_index"`
 	Demands       map[string]Demand         `json:"demands,omitempty"`
