--- a/slot/owner.go
+++ b/slot/owner.go
@@ -169,9 +169,13 @@
 // answered calls in the meantime, and did so at its usual pace.
 func (o *Owner) grow(now time.Time, s *Server, a membership.Announcement) {
 	full := o.fullLimit(a)
-	switch {
+	switch cold := min(o.Catalog.Documents[a.Service].Cold.Slots, full); {
 	case s.Limit > full:
 		s.Limit = full
+	case s.Limit < cold:
+		// The server announced itself before its service was described.
+		s.Limit = cold
+		s.GrowAt = now.Add(o.Catalog.Documents[a.Service].ColdHold())
 	case s.Limit == full || now.Before(s.GrowAt) || s.Answers == 0 || s.Slow:
 	default:
 		s.Limit++
