A scenario folder for each promise, with separate processes; what they found

Cause: the promises P1 to P9 had no proof under failure. The owner trusted the old limit until the next announcement, and entries dropped the news of closed connections of servers without slots. p8: a stop took over 4 s. The library's graceful stop waits 5 s for each connection over which no request has come. p6: under load from the other scenarios 2,691 of 3,050 keyed calls were not run. A resend looked again at a key in progress by one more commit each time. p1, p6: restarts met their ports in use; the tests took ports that the kernel gives to outgoing connections. Change: a server that returns begins at the cold limit; lost connections are reported for all servers; unused connections are closed at a stop, and answers ask for the close of theirs while draining; the leader answers a claim of a known key from its applied state under its lease; ports below 32000.

--- a/caller/serve.go
+++ b/caller/serve.go
@@ -50,6 +50,9 @@
 	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := s.options.Tracer.Start(ctx, "entry", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	x := &exchange{server: s, writer: w, request: r, span: span}
 	outcome := x.run(ctx, began)
 	s.count(fmt.Sprintf(`oriolepost_calls_total{service=%q,outcome=%q,reason=%q}`,
--- a/caller/server.go
+++ b/caller/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,7 +40,20 @@
 	http    *http.Server
 	nextID  atomic.Uint64
 	running atomic.Int64
-	stopped chan error
+	// draining asks callers to close their connections with each answer.
+	draining atomic.Bool
+	stopped  chan error
+	// states tells the task that owns the unused connections of changes.
+	states      chan connState
+	closeUnused func()
+	// done is closed when the server has stopped.
+	done chan struct{}
+}
+
+// connState is a change of a caller's connection.
+type connState struct {
+	conn  net.Conn
+	state http.ConnState
 }
 
 // Listen starts to take calls.
@@ -53,7 +67,10 @@
 	if err != nil {
 		return nil, err
 	}
-	s = &Server{options: o, stopped: make(chan error, 1)}
+	s = &Server{options: o, stopped: make(chan error, 1), states: make(chan connState), done: make(chan struct{})}
+	stopping := make(chan struct{})
+	s.closeUnused = sync.OnceFunc(func() { close(stopping) })
+	go ownUnused(s.states, stopping, s.done)
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", s.serve)
 	s.http = &http.Server{
@@ -61,15 +78,48 @@
 		MaxHeaderBytes:    o.HTTP.MaxHeaderBytes,
 		ReadHeaderTimeout: settings.Milliseconds(o.HTTP.HeaderMS),
 		IdleTimeout:       settings.Milliseconds(o.HTTP.IdleMS),
-		ErrorLog:          nil,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			select {
+			case s.states <- connState{c, state}:
+			case <-s.done:
+			}
+		},
 	}
 	go func() { s.stopped <- s.http.Serve(listener) }()
 	return s, nil
 }
 
+// ownUnused owns the connections over which no request has come yet. The
+// library's own graceful stop would wait five seconds for each of them.
+func ownUnused(states <-chan connState, stopping, done <-chan struct{}) {
+	unused := map[net.Conn]bool{}
+	for {
+		select {
+		case s := <-states:
+			if s.state == http.StateNew {
+				unused[s.conn] = true
+			} else {
+				delete(unused, s.conn)
+			}
+		case <-done:
+			return
+		case <-stopping:
+			stopping = nil
+			for c := range unused {
+				_ = c.Close()
+			}
+		}
+	}
+}
+
+// Drain asks callers, with each answer, to close their connections.
+func (s *Server) Drain() { s.draining.Store(true) }
+
 // Stop ends the calls gracefully and then closes the listener. Calls that
 // outlast the context are aborted.
 func (s *Server) Stop(ctx context.Context) error {
+	s.closeUnused()
+	defer close(s.done)
 	err := s.http.Shutdown(ctx)
 	if err != nil {
 		err = errors.Join(err, s.http.Close())
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -15,8 +15,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -81,7 +83,7 @@
 	if c.Log == nil {
 		c.Log = &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
 	}
-	addresses, err := freeAddresses(c.Entries * listenersPerInstance)
+	addresses, err := FreeAddresses(c.Entries * listenersPerInstance)
 	if err != nil {
 		return nil, err
 	}
@@ -98,23 +100,35 @@
 	return cluster, nil
 }
 
-// freeAddresses finds addresses that nobody listens on.
-func freeAddresses(n int) (addresses []string, err error) {
-	var listeners []net.Listener
-	defer func() {
-		for _, l := range listeners {
-			err = errors.Join(err, l.Close())
-		}
-	}()
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+// Addresses are taken below the ports that the kernel gives to outgoing
+// connections, since an instance that restarts needs its own again.
+const (
+	firstPort = 23000
+	lastPort  = 32000
+)
+
+// nextPort counts through the ports, from a place that differs by process.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(rand.Int64N(lastPort - firstPort)) }
+
+// FreeAddresses finds loopback addresses that nobody listens on.
+func FreeAddresses(n int) (addresses []string, err error) {
+	for range lastPort - firstPort {
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", address)
 		if err != nil {
+			continue
+		}
+		if err := l.Close(); err != nil {
 			return nil, err
 		}
-		listeners = append(listeners, l)
-		addresses = append(addresses, l.Addr().String())
+		if addresses = append(addresses, address); len(addresses) == n {
+			return addresses, nil
+		}
 	}
-	return addresses, nil
+	return nil, fmt.Errorf("only %d of %d ports are free", len(addresses), n)
 }
 
 // instance makes the settings of one instance.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -134,7 +134,7 @@
 		calls:          map[call.ID]*pending{},
 		random:         random,
 		lending:        newLending(),
-		reporting:      reporting{full: true},
+		reporting:      reporting{full: true, lost: map[string]string{}},
 	}
 }
 
--- a/entry/lending.go
+++ b/entry/lending.go
@@ -182,7 +182,13 @@
 // restarted. The owner grants them anew when it knows more.
 func (e *Entry) connectionLost(ev ConnectionLost) {
 	s := e.Servers[ev.Server]
-	if s == nil || s.Info.BootID != ev.BootID {
+	if s == nil {
+		// The owner may be about to grant its slots again.
+		e.reporting.lost[ev.Server] = ev.BootID
+		e.reporting.urgent = true
+		return
+	}
+	if s.Info.BootID != ev.BootID {
 		return
 	}
 	s.Target = 0
--- a/entry/reporting.go
+++ b/entry/reporting.go
@@ -37,6 +37,9 @@
 	// starved is true when calls waited at the last report already.
 	starved       bool
 	announcements map[string]membership.Announcement
+	// lost holds the boots of servers without slots here that closed a
+	// connection.
+	lost map[string]string
 }
 
 // maybeReport sends a report when one is due and none is open.
@@ -107,6 +110,10 @@
 			seen = append(seen, o)
 		}
 	}
+	for _, name := range slices.Sorted(maps.Keys(e.reporting.lost)) {
+		seen = append(seen, slot.Observation{Server: name, BootID: e.reporting.lost[name], Lost: true})
+	}
+	e.reporting.lost = map[string]string{}
 	return holdings, seen
 }
 
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -73,6 +73,20 @@
 	return nil
 }
 
+// Known answers a claim of a key that the ledger holds already, without any
+// change. The second result is false for a key that has to be claimed.
+func (l *Ledger) Known(c record.Claim, bounds service.Idempotency) (record.Result, bool) {
+	s := l.Services[c.Service]
+	if s == nil {
+		return nil, false
+	}
+	k, known := s.Keys[c.Key]
+	if !known || k.ClaimedMS <= max(l.NowMS, c.AtMS)-bounds.KeepMS {
+		return nil, false
+	}
+	return k.claimAgain(c), true
+}
+
 // open advances the clock and forgets the keys whose time is over.
 func (l *Ledger) open(name string, atMS int64, bounds service.Idempotency) *ServiceLedger {
 	l.NowMS = max(l.NowMS, atMS)
--- a/node/handler.go
+++ b/node/handler.go
@@ -120,7 +120,7 @@
 		return nil, err
 	}
 	answer := make(chan proposeAnswer, 1)
-	if err := t.post(proposeMail{data: data, answer: answer}); err != nil {
+	if err := t.post(proposeMail{command: r.Command, data: data, answer: answer}); err != nil {
 		return nil, err
 	}
 	select {
--- a/node/node.go
+++ b/node/node.go
@@ -250,6 +250,7 @@
 	}()
 	n.log.WithFields(log.Fields{"change": "instance", "from": "started", "to": "stopping"}).Info("instance stops")
 	n.entry.post(entryMail{event: entry.Stopped{}})
+	n.caller.Drain()
 	sleep(ctx, settings.Milliseconds(n.Settings.Stop.BalancerMS))
 	ctx, cancel := context.WithTimeout(ctx, settings.Milliseconds(n.Settings.Stop.DeadlineMS))
 	defer cancel()
--- a/node/votertask.go
+++ b/node/votertask.go
@@ -98,8 +98,9 @@
 type replicaMail struct{ event replica.Receive }
 
 type proposeMail struct {
-	data   []byte
-	answer chan<- proposeAnswer
+	command record.Command
+	data    []byte
+	answer  chan<- proposeAnswer
 }
 
 type reportMail struct {
@@ -226,9 +227,7 @@
 	case replicaMail:
 		return t.replica.Step(now, m.event)
 	case proposeMail:
-		t.nextToken++
-		t.proposals[t.nextToken] = m.answer
-		return t.replica.Step(now, replica.Propose{Token: t.nextToken, Data: m.data})
+		return t.propose(now, m)
 	case reportMail:
 		t.report(now, m)
 	case joinMail:
@@ -249,6 +248,21 @@
 	return nil
 }
 
+// propose appends a command, unless it is a claim of a key that is known: such
+// an answer changes nothing, and the lease makes the applied state current.
+func (t *voterTask) propose(now time.Time, m proposeMail) []replica.Effect {
+	if c, ok := m.command.(record.Claim); ok && t.leased(now) {
+		bounds := t.state.Catalog.Documents[c.Service].Idempotency
+		if result, known := t.state.Ledger.Known(c, bounds); known {
+			m.answer <- proposeAnswer{result: result}
+			return nil
+		}
+	}
+	t.nextToken++
+	t.proposals[t.nextToken] = m.answer
+	return t.replica.Step(now, replica.Propose{Token: t.nextToken, Data: m.data})
+}
+
 // perform saves, syncs, then sends and applies.
 func (t *voterTask) perform(effects []replica.Effect) error {
 	syncs := t.folder.Syncs
--- a/proofs/proofs_test.go
+++ b/proofs/proofs_test.go
@@ -9,13 +9,13 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/oriolepost/oriolepost/demo"
 	"github.com/oriolepost/oriolepost/terminal"
 )
 
@@ -32,6 +32,7 @@
 	}
 	for _, folder := range folders {
 		t.Run(filepath.Base(folder), func(t *testing.T) {
+			t.Parallel()
 			testscript.Run(t, testscript.Params{
 				Dir: folder, Setup: setup, Cmds: verbs(), RequireExplicitExec: true,
 			})
@@ -44,19 +45,16 @@
 const addressesPerScenario = 40
 
 func setup(e *testscript.Env) error {
-	var listeners []net.Listener
-	for i := range addressesPerScenario {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		listeners = append(listeners, l)
-		e.Setenv(fmt.Sprintf("A%d", i+1), l.Addr().String())
+	root, err := filepath.Abs("..")
+	if err != nil {
+		return err
 	}
-	for _, l := range listeners {
-		if err := l.Close(); err != nil {
-			return err
-		}
+	e.Setenv("ROOT", root)
+	e.Setenv("HOME", os.Getenv("HOME"))
+	e.Setenv("GOFLAGS", os.Getenv("GOFLAGS"))
+	addresses, err := demo.FreeAddresses(addressesPerScenario)
+	for i, a := range addresses {
+		e.Setenv(fmt.Sprintf("A%d", i+1), a)
 	}
-	return nil
+	return err
 }
--- a/proofs/verbs_test.go
+++ b/proofs/verbs_test.go
@@ -1,16 +1,25 @@
 package proofs
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/oriolepost/oriolepost/disk"
+	"github.com/oriolepost/oriolepost/operator"
+	"github.com/oriolepost/oriolepost/peer"
+	"github.com/oriolepost/oriolepost/replica"
+	"github.com/oriolepost/oriolepost/service"
+	"github.com/oriolepost/oriolepost/standin"
 )
 
 const (
@@ -28,6 +37,10 @@
 		"fetch":     fetch,
 		"terminate": terminate,
 		"jsonfield": jsonField,
+		"post":      post,
+		"quiet":     quiet,
+		"changes":   changes,
+		"joined":    joined,
 	}
 }
 
@@ -139,13 +152,93 @@
 	ts.Check(err)
 }
 
+// post URL BODY sends a POST, and fails unless the answer is 200.
+func post(ts *testscript.TestScript, _ bool, args []string) {
+	response, err := http.Post(args[0], "application/json", strings.NewReader(args[1]))
+	ts.Check(err)
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		ts.Fatalf("post %v: status %d", args, response.StatusCode)
+	}
+}
+
+// quietTime is how long nothing new may come once an order's time is over.
+const quietTime = 2 * time.Second
+
+// quiet LIMIT ADDRESS... checks that the stand-ins get no new work from the
+// limit on, counted from now.
+func quiet(ts *testscript.TestScript, _ bool, args []string) {
+	limit, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	began := time.Now()
+	last := map[string]int{}
+	for _, address := range args[1:] {
+		last[address] = standinRuns(ts, address)
+	}
+	for time.Since(began) < limit+quietTime {
+		for _, address := range args[1:] {
+			runs := standinRuns(ts, address)
+			if runs != last[address] && time.Since(began) > limit {
+				ts.Fatalf("%s began call %d at %v, limit %v", address, runs, time.Since(began), limit)
+			}
+			last[address] = runs
+		}
+		time.Sleep(awaitPause)
+	}
+}
+
+func standinRuns(ts *testscript.TestScript, address string) int {
+	response, err := http.Get("http://" + address + "/oriolepost/standin")
+	ts.Check(err)
+	defer func() { _ = response.Body.Close() }()
+	var r standin.Report
+	ts.Check(json.NewDecoder(response.Body).Decode(&r))
+	return r.Runs
+}
+
+// joined INSTANCE OPERATOR waits until the instance's data folder is a voter's.
+func joined(ts *testscript.TestScript, _ bool, args []string) {
+	var id disk.Identity
+	ts.Check(json.Unmarshal([]byte(ts.ReadFile("data-"+args[0]+"/identity.json")), &id))
+	want := replica.ID(id.Instance, id.ReplicaID)
+	c := operator.Client{Address: args[1]}
+	deadline := time.Now().Add(awaitLimit)
+	var s peer.StatusResponse
+	for time.Now().Before(deadline) {
+		var err error
+		if s, err = c.Status(context.Background()); err == nil && slices.Contains(s.Members.Voters, want) {
+			return
+		}
+		time.Sleep(awaitPause)
+	}
+	ts.Fatalf("%s is not a voter of %+v", want, s.Members)
+}
+
+// changes N OPERATOR... puts N versions of a document in force, through the
+// instances in turn, and checks that each is the next version.
+func changes(ts *testscript.TestScript, _ bool, args []string) {
+	n, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	d := service.Defaults("many")
+	for i := range n {
+		c := operator.Client{Address: args[1+i%(len(args)-1)]}
+		id := "many-" + strconv.Itoa(i)
+		done, err := c.Apply(context.Background(), d, operator.ChangeOptions{ChangeID: id})
+		ts.Check(err)
+		if done.Version != d.Version+1 {
+			ts.Fatalf("change %d gave version %d", i, done.Version)
+		}
+		d.Version = done.Version
+	}
+}
+
 // terminate NAME SIGNAL sends a signal to a background command of the script.
 func terminate(ts *testscript.TestScript, _ bool, args []string) {
 	signals := map[string]os.Signal{
 		"KILL": syscall.SIGKILL, "TERM": syscall.SIGTERM, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
 	}
 	for _, c := range ts.BackgroundCmds() {
-		if strings.Contains(strings.Join(c.Args, " "), args[0]) {
+		if c.ProcessState == nil && strings.Contains(strings.Join(c.Args, " "), args[0]) {
 			ts.Check(c.Process.Signal(signals[args[1]]))
 			return
 		}
--- a/slot/owner.go
+++ b/slot/owner.go
@@ -38,6 +38,8 @@
 	Limit int
 	// GrowAt is when the limit may grow by one.
 	GrowAt time.Time
+	// Out is true while orders or the server itself keep calls away.
+	Out bool
 	// Answers counts the answers since the last growth.
 	Answers int
 	// Usual is the usual service time by the server's own past.
@@ -107,7 +109,7 @@
 	case Deposed:
 		o.reset()
 	case Configured:
-		o.configure(e.Catalog)
+		o.configure(now, e.Catalog)
 	case Reported:
 		if o.Term != 0 {
 			o.report(now, e.Report)
@@ -124,8 +126,11 @@
 
 // configure follows a new catalog and pokes every entry, since each of them
 // has to confirm it.
-func (o *Owner) configure(c *catalog.Catalog) {
+func (o *Owner) configure(now time.Time, c *catalog.Catalog) {
 	o.Catalog = c
+	for _, name := range slices.Sorted(maps.Keys(o.Servers)) {
+		o.followOrders(now, o.Servers[name])
+	}
 	if c.Index <= o.configured {
 		return
 	}
@@ -162,9 +167,29 @@
 		}
 		return
 	}
+	o.followOrders(now, s)
 	o.grow(now, s, m.Announcement)
 }
 
+// followOrders notices when a server leaves and when it returns. One that
+// returns may have turned cold while nobody called it.
+func (o *Owner) followOrders(now time.Time, s *Server) {
+	m := o.Table.Members[s.Name]
+	if m == nil {
+		return
+	}
+	out := o.out(m.Announcement)
+	if s.Out && !out {
+		o.chill(now, s, m.Announcement, "returned")
+	}
+	s.Out = out
+}
+
+// out reports whether a server is kept from calls.
+func (o *Owner) out(a membership.Announcement) bool {
+	return a.State == membership.StateDraining || o.Catalog.OutDomains[a.Domain] || o.Catalog.DrainedServers[a.Server]
+}
+
 // grow raises the limit of a warming server by one step, provided that it
 // answered calls in the meantime, and did so at its usual pace.
 func (o *Owner) grow(now time.Time, s *Server, a membership.Announcement) {
@@ -254,12 +279,10 @@
 // its failure domain is out, or when its announcement ended.
 func (o *Owner) usable(s *Server) int {
 	m := o.Table.Members[s.Name]
-	if m == nil || m.Announcement.State == membership.StateDraining {
+	if m == nil || o.out(m.Announcement) {
 		return 0
 	}
-	a := m.Announcement
-	_, described := o.Catalog.Documents[a.Service]
-	if !described || o.Catalog.OutDomains[a.Domain] || o.Catalog.DrainedServers[a.Server] {
+	if _, described := o.Catalog.Documents[s.Service]; !described {
 		return 0
 	}
 	return s.Limit
--- a/slot/report.go
+++ b/slot/report.go
@@ -99,6 +99,7 @@
 		o.chill(now, s, a, "rebooted")
 	case membership.StateChanged:
 		o.emit(ServerChanged{Server: a.Server, Domain: a.Domain, From: "announced", To: string(a.State)})
+		o.followOrders(now, s)
 		o.pokeHolders(a.Server)
 	}
 }
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -192,8 +192,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	s.Set(fault)
+	// A reboot closes this connection too, so the answer goes first.
 	writeJSON(w, f)
+	_ = http.NewResponseController(w).Flush()
+	s.Set(fault)
 }
 
 // announceAll announces the server again and again, each time to the next
