--- a/load/balancer.go
+++ b/load/balancer.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -127,6 +128,10 @@
 
 func (b *balancer) exchange(ctx context.Context, c Config, p plan, offset int, e *Call) {
 	target := b.pick(p.target, offset)
+	// The library repeats some calls silently, so an error of its last dial
+	// does not tell that nothing was sent.
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { sent.Store(true) }})
 	r, err := http.NewRequestWithContext(ctx, p.call.Method, "http://"+target.Caller+"/"+p.call.ID, bytes.NewReader(p.body))
 	if err != nil {
 		e.Outcome, e.Reason = "not_run", "malformed"
@@ -140,7 +145,7 @@
 	}
 	response, err := b.client.Do(r)
 	if err != nil {
-		e.Outcome, e.Reason = clientOutcome(err)
+		e.Outcome, e.Reason = clientOutcome(err, sent.Load())
 		return
 	}
 	defer func() { _ = response.Body.Close() }()
@@ -155,9 +160,9 @@
 
 // clientOutcome tells a refused connection, after which nothing ran, from
 // everything else.
-func clientOutcome(err error) (outcome, reason string) {
+func clientOutcome(err error, sent bool) (outcome, reason string) {
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if !sent && errors.As(err, &op) && op.Op == "dial" {
 		return "not_run", "instance_unreachable"
 	}
 	return "unknown", "instance_lost"
--- a/load/verdict.go
+++ b/load/verdict.go
@@ -1,6 +1,10 @@
 package load
 
-import "github.com/oriolepost/oriolepost/standin"
+import (
+	"fmt"
+
+	"github.com/oriolepost/oriolepost/standin"
+)
 
 // Verdict compares what callers were told with what servers recorded.
 type Verdict struct {
@@ -15,6 +19,8 @@
 	FalseAnswered int `json:"false_answered"`
 	// OverLimit counts runs beyond what a server could bear.
 	OverLimit int `json:"over_limit"`
+	// Example names one of the calls that broke a promise.
+	Example string `json:"example,omitempty"`
 }
 
 // Broken reports whether any promise was broken.
@@ -23,6 +29,7 @@
 // told is what the callers of one call were told.
 type told struct {
 	method   string
+	reason   string
 	notRun   int
 	other    int
 	answered int
@@ -43,7 +50,7 @@
 		}
 	}
 	for id, t := range calls {
-		v.judge(*t, ran[id])
+		v.judge(id, *t, ran[id])
 	}
 	return v
 }
@@ -54,6 +61,9 @@
 		t = &told{method: c.Method}
 		calls[c.ID] = t
 	}
+	if c.Reason != "" {
+		t.reason = c.Reason
+	}
 	switch c.Outcome {
 	case "answered":
 		t.answered++
@@ -64,17 +74,21 @@
 	}
 	if c.Wrong {
 		v.Misdelivered++
+		v.Example = fmt.Sprintf("misdelivered: %+v", c)
 	}
 }
 
-func (v *Verdict) judge(t told, ran int) {
+func (v *Verdict) judge(id string, t told, ran int) {
 	if t.method != "GET" && ran > 1 {
 		v.Duplicated++
+		v.Example = fmt.Sprintf("duplicated: %s %+v ran %d times", id, t, ran)
 	}
 	if ran > 0 && t.notRun > 0 && t.answered == 0 && t.other == 0 {
 		v.FalseNotRun++
+		v.Example = fmt.Sprintf("false not run: %s %+v ran %d times", id, t, ran)
 	}
 	if ran == 0 && t.answered > 0 {
 		v.FalseAnswered++
+		v.Example = fmt.Sprintf("false answered: %s %+v", id, t)
 	}
 }
