Checked input, certificates, tokens and traces proved by scripts; experiments

The trace context goes along with claims and loans. The choice never went to remote servers, so they got no answer to grow by. A grant now says that a server is warming, and such a server gets a call every 50 ms. Before: the warm-up of 12 servers through one entry did not end in 60 s.

--- a/call/call.go
+++ b/call/call.go
@@ -45,6 +45,9 @@
 	Depth int
 	// NoRetry is true when an instance further up the chain forbade retries.
 	NoRetry bool
+	// TraceParent is the W3C trace context of the call; the core passes it on
+	// unread.
+	TraceParent string
 	// Arrived is when the request headers were read.
 	Arrived time.Time
 	// Deadline is when the caller stops waiting.
--- a/caller/serve.go
+++ b/caller/serve.go
@@ -101,8 +101,11 @@
 	if err != nil || depth < 0 {
 		return call.NotRun{Reason: call.ReasonMalformed}
 	}
+	carrier := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(ctx, carrier)
 	x.call = call.Request{
-		ID: call.ID(x.server.nextID.Add(1)), Service: d.Name,
+		TraceParent: carrier["traceparent"],
+		ID:          call.ID(x.server.nextID.Add(1)), Service: d.Name,
 		Idempotent: safeMethod(x.request.Method), Keyed: x.key != "",
 		Depth: int(depth) + 1, NoRetry: x.request.Header.Get(server.HeaderNoRetry) != "",
 		Arrived: began, Deadline: deadline,
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -30,6 +30,8 @@
 	// forgetAfter halves the distance to the usual time of a server that was
 	// not called for this long, so that a slow server is tried again.
 	forgetAfter = time.Second
+	// warmPause is the pause between two calls that warm a server up.
+	warmPause = 50 * time.Millisecond
 )
 
 // Stats is what an instance has seen of a server by its own calls.
@@ -62,6 +64,8 @@
 	Slots int
 	// Oldest is when the oldest call in flight began; zero without one.
 	Oldest time.Time
+	// Warming is true when the server needs calls for its limit to grow.
+	Warming bool
 	// Remote is true when the server is in another failure domain.
 	Remote bool
 }
@@ -119,6 +123,9 @@
 // expected is the time that an attempt would take. A server that was never
 // called counts as fast as the network, so it gets its first call soon.
 func (c Candidate) expected(now time.Time) time.Duration {
+	if c.Warming && c.InFlight == 0 && now.Sub(c.Stats.Updated) > warmPause {
+		return 0
+	}
 	t := c.Stats.Mean
 	if idle := now.Sub(c.Stats.Updated); c.InFlight == 0 && idle > forgetAfter {
 		t /= 1 + idle/forgetAfter
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -84,6 +84,7 @@
 		candidates = append(candidates, choice.Candidate{
 			Stats: s.Stats, InFlight: len(s.Running), Slots: s.Target,
 			Oldest: s.oldest(), Remote: s.Info.Domain != e.Config.Domain,
+			Warming: s.Warming,
 		})
 	}
 	e.turn++
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -97,8 +97,10 @@
 	// server may not have noticed yet.
 	Lingering []time.Time
 	// Lent counts the slots that other entries borrowed.
-	Lent    int
-	Stats   choice.Stats
+	Lent  int
+	Stats choice.Stats
+	// Warming is true while the server needs calls for its limit to grow.
+	Warming bool
 	ShedRun int
 	Seen    slot.Observation
 	seenSum time.Duration
--- a/entry/event.go
+++ b/entry/event.go
@@ -146,6 +146,8 @@
 	Lender  slot.Lender
 	Token   uint64
 	Service string
+	// TraceParent is the trace context of the call that waits.
+	TraceParent string
 }
 
 // SendLoan answers another entry's wish.
--- a/entry/lending.go
+++ b/entry/lending.go
@@ -71,6 +71,7 @@
 		}
 	}
 	for open < min(len(s.Queue), maxBorrows) {
+		waiting := e.calls[s.Queue[open]]
 		lender, ok := e.nextLender(now, name, s)
 		if !ok {
 			return
@@ -78,7 +79,7 @@
 		open++
 		e.nextToken++
 		e.lending.wishes[e.nextToken] = &wish{service: name, lender: lender, asked: now}
-		e.emit(SendBorrow{Lender: lender, Token: e.nextToken, Service: name})
+		e.emit(SendBorrow{Lender: lender, Token: e.nextToken, Service: name, TraceParent: waiting.request.TraceParent})
 	}
 }
 
--- a/entry/reporting.go
+++ b/entry/reporting.go
@@ -262,6 +262,7 @@
 		}
 		s.Info = *g.Info
 	}
+	s.Warming = g.Warming
 	before := s.held()
 	s.Target = g.Slots
 	if s.held() < before {
--- a/load/balancer.go
+++ b/load/balancer.go
@@ -116,6 +116,7 @@
 // send makes one call and says what became of it.
 func (b *balancer) send(ctx context.Context, c Config, p plan, begin time.Time, offset int) Call {
 	e := p.call
+	e.Late = p.late
 	if c.Distance > 0 {
 		sleepUntil(ctx, begin.Add(p.at+c.Distance))
 	}
--- a/load/load.go
+++ b/load/load.go
@@ -78,6 +78,8 @@
 	Reason  string `json:"reason,omitempty"`
 	// Wrong is true when the answer was not the whole answer to this call.
 	Wrong bool `json:"wrong,omitempty"`
+	// Late is true when the call began over 5 ms after its time.
+	Late bool `json:"late,omitempty"`
 	// Replayed is true when the answer was played back.
 	Replayed bool `json:"replayed,omitempty"`
 }
@@ -126,6 +128,7 @@
 	body   []byte
 	resend bool
 	target int
+	late   bool
 }
 
 // Run makes the calls and waits until the last has ended.
@@ -146,6 +149,7 @@
 	begin := time.Now()
 	go dispatch(ctx, c, b, begin, ends, started)
 	r = collect(c, ends, started)
+	b.client.CloseIdleConnections()
 	return r, r.write(c.HistoryFile)
 }
 
@@ -163,6 +167,7 @@
 			break
 		}
 		p := c.plan(n, at, random)
+		p.late = time.Since(begin) > at+lateStart
 		calls++
 		go func() { ends <- b.send(ctx, c, p, begin, 0) }()
 		if p.resend {
@@ -249,6 +254,9 @@
 	if c.Reason != "" {
 		r.Reasons[c.Reason]++
 	}
+	if c.Late {
+		r.LateStarts++
+	}
 	switch c.Outcome {
 	case "answered":
 		r.Answered++
--- a/node/entrytask.go
+++ b/node/entrytask.go
@@ -266,7 +266,7 @@
 func (t *entryTask) borrow(e entry.SendBorrow) {
 	ctx, cancel := context.WithTimeout(t.ctx, borrowTimeout)
 	defer cancel()
-	request := peer.BorrowRequest{From: t.instance, Token: e.Token, Service: e.Service}
+	request := peer.BorrowRequest{From: t.instance, Token: e.Token, Service: e.Service, TraceParent: e.TraceParent}
 	response, err := t.pool.Call(ctx, e.Lender.Address, request)
 	answered := entry.BorrowAnswered{Token: e.Token}
 	if r, ok := response.(peer.BorrowResponse); ok && err == nil {
--- a/node/node.go
+++ b/node/node.go
@@ -26,6 +26,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
+	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/oriolepost/oriolepost/caller"
@@ -194,7 +195,9 @@
 
 // propose commits a command through the leader.
 func propose(ctx context.Context, leader *peer.Leader, c record.Command) (record.Result, error) {
-	response, err := leader.Call(ctx, peer.ProposeRequest{Command: c})
+	carrier := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(ctx, carrier)
+	response, err := leader.Call(ctx, peer.ProposeRequest{Command: c, TraceParent: carrier["traceparent"]})
 	if err != nil {
 		return nil, err
 	}
--- a/proofs/verbs_test.go
+++ b/proofs/verbs_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -35,15 +37,24 @@
 		"cluster":   cluster,
 		"await":     await,
 		"fetch":     fetch,
+		"call":      callURL,
 		"terminate": terminate,
 		"jsonfield": jsonField,
 		"post":      post,
 		"quiet":     quiet,
 		"changes":   changes,
 		"joined":    joined,
+		"authority": authority,
 	}
 }
 
+// pause waits before the next look at a state.
+func pause() {
+	t := time.NewTimer(awaitPause)
+	defer t.Stop()
+	<-t.C
+}
+
 // expand FILE replaces the variables in a file.
 func expand(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
@@ -52,7 +63,10 @@
 	}
 }
 
-// cluster N VOTERS writes the settings n1.json to nN.json of a system.
+// cluster N VOTERS [OPTION...] writes the settings n1.json to nN.json of a
+// system. The option tls uses the certificates of the verb of that name, tokens
+// sets the operators' tokens "root" for all teams and "dental" for that team,
+// and trace samples all calls into the files trace-n1 to trace-nN.
 func cluster(ts *testscript.TestScript, _ bool, args []string) {
 	total, err := strconv.Atoi(args[0])
 	ts.Check(err)
@@ -81,6 +95,9 @@
 		if i <= voters {
 			s["data_folder"] = ts.MkAbs("data-" + name(i))
 		}
+		for _, option := range args[2:] {
+			setOption(ts, s, name(i), option)
+		}
 		data, err := json.Marshal(s)
 		ts.Check(err)
 		ts.Check(os.WriteFile(ts.MkAbs(name(i)+".json"), data, 0o600))
@@ -90,6 +107,29 @@
 	}
 }
 
+func setOption(ts *testscript.TestScript, s map[string]any, name, option string) {
+	hash := func(token string) string {
+		sum := sha256.Sum256([]byte(token))
+		return hex.EncodeToString(sum[:])
+	}
+	switch option {
+	case "tls":
+		delete(s, "peer_plain_text")
+		s["peer_tls"] = map[string]string{
+			"certificate_file": ts.MkAbs(name + ".crt"), "key_file": ts.MkAbs(name + ".key"),
+			"authority_file": ts.MkAbs(name + ".ca"),
+		}
+	case "tokens":
+		s["operator_tokens"] = []map[string]string{
+			{"team": "*", "sha256": hash("root")}, {"team": "dental", "sha256": hash("dental")},
+		}
+	case "trace":
+		s["trace"] = map[string]any{"share": 1, "file": ts.MkAbs("trace-" + name)}
+	default:
+		ts.Fatalf("cluster: option %q is not known", option)
+	}
+}
+
 // await URL [STATUS [TEXT]] waits until a GET gives the status and the text.
 func await(ts *testscript.TestScript, neg bool, args []string) {
 	want, text := http.StatusOK, ""
@@ -109,13 +149,17 @@
 		if (status == want && strings.Contains(body, text)) != neg {
 			return
 		}
-		time.Sleep(awaitPause)
+		pause()
 	}
 	ts.Fatalf("await %v: last was %s", args, last)
 }
 
 func get(url string, header map[string]string) (int, string) {
-	r, err := http.NewRequest(http.MethodGet, url, nil)
+	return request(http.MethodGet, url, "", header)
+}
+
+func request(method, url, body string, header map[string]string) (int, string) {
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
 	if err != nil {
 		return 0, err.Error()
 	}
@@ -131,13 +175,13 @@
 		return 0, err.Error()
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
+	answer, err := io.ReadAll(response.Body)
 	if err != nil {
 		return response.StatusCode, err.Error()
 	}
 	var head strings.Builder
 	_ = response.Header.Write(&head)
-	return response.StatusCode, head.String() + "\n" + string(body)
+	return response.StatusCode, head.String() + "\n" + string(answer)
 }
 
 // fetch URL [NAME:VALUE...] prints status, header and body of a GET.
@@ -183,7 +227,7 @@
 			}
 			last[address] = runs
 		}
-		time.Sleep(awaitPause)
+		pause()
 	}
 }
 
@@ -209,7 +253,7 @@
 		if s, err = c.Status(context.Background()); err == nil && slices.Contains(s.Members.Voters, want) {
 			return
 		}
-		time.Sleep(awaitPause)
+		pause()
 	}
 	ts.Fatalf("%s is not a voter of %+v", want, s.Members)
 }
@@ -232,6 +276,18 @@
 	}
 }
 
+// call METHOD URL BODY [NAME:VALUE...] prints status, header and body.
+func callURL(ts *testscript.TestScript, _ bool, args []string) {
+	header := map[string]string{}
+	for _, a := range args[3:] {
+		k, v, _ := strings.Cut(a, ":")
+		header[k] = v
+	}
+	status, body := request(args[0], args[1], args[2], header)
+	_, err := ts.Stdout().Write([]byte(strconv.Itoa(status) + "\n" + body))
+	ts.Check(err)
+}
+
 // terminate NAME SIGNAL sends a signal to a background command of the script.
 func terminate(ts *testscript.TestScript, _ bool, args []string) {
 	signals := map[string]os.Signal{
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -34,7 +34,7 @@
 			leaders += len(s.leaders)
 			crashes += s.crashes
 		}
-		fmt.Fprintf(ginkgo.GinkgoWriter, "seeds %d to %d: %d entries committed, %d leaders, %d crashes\n",
+		ginkgo.GinkgoWriter.Printf("seeds %d to %d: %d entries committed, %d leaders, %d crashes\n",
 			*firstSeed, *firstSeed+uint64(*schedules)-1, applied, leaders, crashes)
 		gomega.Expect(applied).To(gomega.BeNumerically(">", *schedules*20))
 		gomega.Expect(leaders).To(gomega.BeNumerically(">", *schedules))
--- a/slot/grant.go
+++ b/slot/grant.go
@@ -40,6 +40,7 @@
 	for _, name := range slices.Sorted(maps.Keys(held)) {
 		s := o.Servers[name]
 		g := Grant{Server: name, Slots: held[name], Probe: o.spendProbe(now, s)}
+		g.Warming = o.warming(now, s)
 		had := s.Bounds[e.Name]
 		if g.Slots == 0 && had == 0 && !g.Probe {
 			continue
@@ -57,6 +58,12 @@
 	return grants
 }
 
+// warming reports whether answers would let a server's limit grow.
+func (o *Owner) warming(now time.Time, s *Server) bool {
+	m := o.Table.Members[s.Name]
+	return m != nil && s.Answers == 0 && s.Limit < o.fullLimit(m.Announcement) && !now.Before(s.GrowAt)
+}
+
 // balance moves an entry towards its share of a service's slots.
 func (o *Owner) balance(e *Entry, service string, held map[string]int) {
 	servers := o.serversOf(service)
--- a/slot/schedule_test.go
+++ b/slot/schedule_test.go
@@ -35,7 +35,7 @@
 			runs += s.runs
 			borrowed += s.borrowed
 		}
-		fmt.Fprintf(ginkgo.GinkgoWriter, "seeds %d to %d: %d runs, %d of them on borrowed slots\n",
+		ginkgo.GinkgoWriter.Printf("seeds %d to %d: %d runs, %d of them on borrowed slots\n",
 			*firstSeed, *firstSeed+uint64(*schedules)-1, runs, borrowed)
 		gomega.Expect(runs).To(gomega.BeNumerically(">", *schedules*200))
 		gomega.Expect(borrowed).To(gomega.BeNumerically(">", *schedules))
@@ -72,7 +72,6 @@
 	// cutUntil holds until when an entry can't reach the owner.
 	cutUntil map[string]time.Duration
 	nextCall call.ID
-	ownerOff time.Duration
 	outSince map[string]time.Duration
 	runs     int
 	borrowed int
--- a/slot/slot.go
+++ b/slot/slot.go
@@ -105,6 +105,8 @@
 	Slots  int    `json:"slots"`
 	// Info describes the server when the entry does not know it yet.
 	Info *membership.Announcement `json:"info,omitempty"`
+	// Warming is true while the server's limit grows, for which it needs calls.
+	Warming bool `json:"warming,omitempty"`
 	// Probe allows one probe of the server's load.
 	Probe bool `json:"probe,omitempty"`
 }
--- a/soak/disturb.go
+++ b/soak/disturb.go
@@ -155,8 +155,14 @@
 func (d *disturber) serverFault(ctx context.Context) error {
 	s := d.cluster.Servers[d.random.IntN(len(d.cluster.Servers))]
 	all := []standin.Fault{
-		standin.Straggle{Factor: 10}, standin.FailFast{}, standin.Reset{}, standin.Cut{},
-		standin.Late{Delay: 50 * time.Millisecond}, standin.Lie{}, standin.Drain{}, standin.ShedAll{},
+		standin.Straggle{Factor: 10},
+		standin.FailFast{},
+		standin.Reset{},
+		standin.Cut{},
+		standin.Late{Delay: 50 * time.Millisecond},
+		standin.Lie{},
+		standin.Drain{},
+		standin.ShedAll{},
 	}
 	s.Set(all[d.random.IntN(len(all))])
 	d.pause(ctx, d.shortWhile())
--- a/terminal/terminal.go
+++ b/terminal/terminal.go
@@ -51,7 +51,7 @@
 func verbs() []verb {
 	return []verb{
 		nodeVerb, checkVerb, applyVerb, getVerb, domainVerb, serverVerb, statusVerb,
-		standinVerb, loadVerb, demoVerb, soakVerb,
+		standinVerb, loadVerb, demoVerb, soakVerb, experimentVerb,
 	}
 }
 
--- /dev/null
+++ b/terminal/terminal_test.go
@@ -0,0 +1,41 @@
+package terminal_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/oriolepost/oriolepost/script"
+	"github.com/oriolepost/oriolepost/terminal"
+)
+
+func TestTerminal(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "terminal")
+}
+
+// A case writes its input to a file and runs a verb on it. The command word is
+// the verb, or "check" on a document that is changed from a good one.
+var _ = script.Describe("command line", "testdata/*.txt", func() script.Handler {
+	folder, err := os.MkdirTemp("", "oriolepost-terminal-")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(func() { gomega.Expect(os.RemoveAll(folder)).To(gomega.Succeed()) })
+	return func(c script.Case) string {
+		file := filepath.Join(folder, "file.json")
+		gomega.Expect(os.WriteFile(file, []byte(c.Input), 0o600)).To(gomega.Succeed())
+		args := strings.Fields(c.Line)
+		for i := range args {
+			args[i] = strings.ReplaceAll(args[i], "FILE", file)
+		}
+		var out, errs bytes.Buffer
+		status := terminal.Main(args, &out, &errs)
+		text := strings.ReplaceAll(out.String()+errs.String(), file, "FILE")
+		return text + "exit " + strconv.Itoa(status)
+	}
+})
