--- a/entry/reporting.go
+++ b/entry/reporting.go
@@ -19,6 +19,8 @@
 	reportEvery = 400 * time.Millisecond
 	// reportPause is the shortest pause between two reports.
 	reportPause = 20 * time.Millisecond
+	// starvedPause is the pause while calls go on waiting for slots.
+	starvedPause = 60 * time.Millisecond
 	// maxAnnouncements bounds the announcements of one report.
 	maxAnnouncements = 256
 )
@@ -47,7 +49,13 @@
 	r := &e.reporting
 	since := now.Sub(r.sentAt)
 	waiting := e.waiting()
-	due := since >= reportEvery || (since >= reportPause && (r.urgent || (waiting && !r.starved)))
+	due := since >= reportEvery
+	switch {
+	case r.urgent, waiting && !r.starved:
+		due = since >= reportPause
+	case waiting:
+		due = since >= starvedPause
+	}
 	if r.open || !due {
 		return
 	}
