Slow means slower than the others too; probes take a slot; loans are observed

With a service time of 2 ms, a pause of the shared machine makes every server look five times slower at once, and each was put to the cold limit. Cause 3, by reading a scripted case: a probe was granted beyond the slots of a server, so a cold server got a call and a probe at once. Change: a server is slow when its pace is slow_factor times that of the other servers of the same report; a borrower reports what it saw; a probe uses a slot that its entry holds.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -41,14 +41,11 @@
 // once when the server has not said how long the body is.
 func (x *exchange) stream(r *http.Response) error {
 	control := http.NewResponseController(x.writer)
-	idle := settings.Milliseconds(x.server.options.HTTP.BodyIdleMS)
 	buffer := make([]byte, copyBuffer)
 	for {
 		n, readErr := r.Body.Read(buffer)
 		if n > 0 {
-			if err := control.SetWriteDeadline(time.Now().Add(idle)); err != nil {
-				return err
-			}
+			x.boundWrite()
 			if _, err := x.writer.Write(buffer[:n]); err != nil {
 				return err
 			}
@@ -67,6 +64,12 @@
 	}
 }
 
+// boundWrite gives the caller a bounded time to take what is written next.
+func (x *exchange) boundWrite() {
+	idle := settings.Milliseconds(x.server.options.HTTP.BodyIdleMS)
+	_ = http.NewResponseController(x.writer).SetWriteDeadline(time.Now().Add(idle))
+}
+
 // abort closes the caller's connection without an end of the answer.
 func (x *exchange) abort() {
 	conn, _, err := http.NewResponseController(x.writer).Hijack()
@@ -125,6 +128,7 @@
 		h[name] = values
 	}
 	h.Set(HeaderReplayed, "1")
+	x.boundWrite()
 	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
 	x.begun = true
 	x.writer.WriteHeader(a.Status)
--- a/caller/serve.go
+++ b/caller/serve.go
@@ -76,6 +76,7 @@
 		outcome = x.dispatch()
 	}
 	if !x.begun {
+		x.boundWrite()
 		writeProblem(x.writer, x.server.options.Instance, outcome)
 	}
 	return outcome
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -8,6 +8,7 @@
 	"github.com/oriolepost/oriolepost/call"
 	"github.com/oriolepost/oriolepost/choice"
 	"github.com/oriolepost/oriolepost/membership"
+	"github.com/oriolepost/oriolepost/slot"
 )
 
 // arrive admits a call to its service's queue, or refuses it.
@@ -111,7 +112,7 @@
 	p.waiting = false
 	p.tries++
 	p.tried[info.Server] = true
-	p.attempts[id] = &attempt{server: info.Server, borrowed: b}
+	p.attempts[id] = &attempt{server: info.Server, boot: info.BootID, borrowed: b}
 	s.Running++
 	if b == nil {
 		e.Servers[info.Server].Running[id] = now
@@ -160,7 +161,7 @@
 	s := e.Services[p.request.Service]
 	_, unknown := ev.Outcome.(call.Unknown)
 	e.giveBack(now, ev.Attempt, a, s, unknown)
-	e.observe(now, a.server, ev, s)
+	e.observe(now, a, ev, s)
 	p.request.NoRetry = p.request.NoRetry || ev.Final
 	e.decide(now, p, s, ev.Outcome)
 }
@@ -267,9 +268,10 @@
 }
 
 // observe takes the end of an attempt into the statistics of the server.
-func (e *Entry) observe(now time.Time, name string, ev AttemptEnded, s *Service) {
-	server := e.Servers[name]
+func (e *Entry) observe(now time.Time, a *attempt, ev AttemptEnded, s *Service) {
+	server := e.Servers[a.server]
 	if server == nil {
+		e.observeBorrowed(a, ev)
 		return
 	}
 	seen := &server.Seen
@@ -294,3 +296,19 @@
 		server.Stats.Observe(now, ev.Took, o.Reason != call.ReasonCanceled)
 	}
 }
+
+// observeBorrowed keeps an answer of a server on which this entry holds no
+// slot, so that the owner hears of it.
+func (e *Entry) observeBorrowed(a *attempt, ev AttemptEnded) {
+	if _, answered := ev.Outcome.(call.Answered); !answered || ev.Failed {
+		return
+	}
+	o := e.reporting.borrowed[a.server]
+	if o.BootID != a.boot {
+		o = slot.Observation{Server: a.server, BootID: a.boot}
+	}
+	total := o.MeanUS*int64(o.Answers) + ev.Took.Microseconds()
+	o.Answers++
+	o.MeanUS = total / int64(o.Answers)
+	e.reporting.borrowed[a.server] = o
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -96,6 +96,8 @@
 	// Lingering holds until when canceled attempts still count, since the
 	// server may not have noticed yet.
 	Lingering []time.Time
+	// Probing counts the probes that run, each on a slot.
+	Probing int
 	// Lent counts the slots that other entries borrowed.
 	Lent  int
 	Stats choice.Stats
@@ -121,6 +123,7 @@
 // attempt is one attempt that runs.
 type attempt struct {
 	server string
+	boot   string
 	// borrowed is set when the slot belongs to another entry.
 	borrowed *borrowed
 }
@@ -136,7 +139,7 @@
 		calls:          map[call.ID]*pending{},
 		random:         random,
 		lending:        newLending(),
-		reporting:      reporting{full: true, lost: map[string]string{}},
+		reporting:      reporting{full: true, lost: map[string]string{}, borrowed: map[string]slot.Observation{}},
 	}
 }
 
@@ -244,7 +247,7 @@
 // held counts the slots that the owner must count as this entry's.
 func (s *Server) held() int { return max(s.Target, s.inUse()) }
 
-func (s *Server) inUse() int { return len(s.Running) + len(s.Lingering) + s.Lent }
+func (s *Server) inUse() int { return len(s.Running) + len(s.Lingering) + s.Lent + s.Probing }
 
 func (s *Server) oldest() time.Time {
 	var t time.Time
--- a/entry/lending.go
+++ b/entry/lending.go
@@ -198,7 +198,8 @@
 }
 
 func (e *Entry) probed(ev Probed) {
-	if s := e.Servers[ev.Server]; s != nil {
+	if s := e.Servers[ev.Server]; s != nil && s.Probing > 0 {
+		s.Probing--
 		s.Seen.Probed++
 	}
 }
--- a/entry/reporting.go
+++ b/entry/reporting.go
@@ -45,6 +45,8 @@
 	// lost holds the boots of servers without slots here that closed a
 	// connection.
 	lost map[string]string
+	// borrowed holds what was seen of servers on borrowed slots.
+	borrowed map[string]slot.Observation
 }
 
 // maybeReport sends a report when one is due and none is open.
@@ -126,6 +128,10 @@
 		seen = append(seen, slot.Observation{Server: name, BootID: e.reporting.lost[name], Lost: true})
 	}
 	e.reporting.lost = map[string]string{}
+	for _, name := range slices.Sorted(maps.Keys(e.reporting.borrowed)) {
+		seen = append(seen, e.reporting.borrowed[name])
+	}
+	e.reporting.borrowed = map[string]slot.Observation{}
 	return holdings, seen
 }
 
@@ -284,7 +290,8 @@
 		// The grant is older than the loss of the connection.
 		s.Target = 0
 	}
-	if g.Probe {
+	if g.Probe && s.free() > 0 {
+		s.Probing++
 		e.emit(SendProbe{Server: s.Info})
 	}
 }
--- a/load/load.go
+++ b/load/load.go
@@ -39,7 +39,7 @@
 // Config describes a load.
 type Config struct {
 	Targets []Target
-	// Services are the host names to call, in turn.
+	// Services are the host names to call, drawn at random.
 	Services []string
 	// Rate is the number of calls a second, all services together.
 	Rate float64
@@ -188,7 +188,7 @@
 func (c Config) plan(n int, at time.Duration, random *rand.Rand) plan {
 	id := fmt.Sprintf("%d-%d", c.Seed, n)
 	p := plan{at: at, target: n, call: Call{
-		ID: id, Service: c.Services[n%len(c.Services)], Method: "GET", StartUS: at.Microseconds(),
+		ID: id, Service: c.Services[random.IntN(len(c.Services))], Method: "GET", StartUS: at.Microseconds(),
 	}}
 	if random.Float64() >= c.WriteShare {
 		return p
--- a/proofs/verbs_test.go
+++ b/proofs/verbs_test.go
@@ -66,7 +66,8 @@
 // cluster N VOTERS [OPTION...] writes the settings n1.json to nN.json of a
 // system. The option tls uses the certificates of the verb of that name, tokens
 // sets the operators' tokens "root" for all teams and "dental" for that team,
-// and trace samples all calls into the files trace-n1 to trace-nN.
+// trace samples all calls into the files trace-n1 to trace-nN, and impatient
+// gives callers 100 ms for each part of a body.
 func cluster(ts *testscript.TestScript, _ bool, args []string) {
 	total, err := strconv.Atoi(args[0])
 	ts.Check(err)
@@ -123,6 +124,8 @@
 		s["operator_tokens"] = []map[string]string{
 			{"team": "*", "sha256": hash("root")}, {"team": "dental", "sha256": hash("dental")},
 		}
+	case "impatient":
+		s["http"] = map[string]any{"body_idle_timeout_ms": 100}
 	case "trace":
 		s["trace"] = map[string]any{"share": 1, "file": ts.MkAbs("trace-" + name)}
 	default:
--- a/slot/grant.go
+++ b/slot/grant.go
@@ -39,10 +39,11 @@
 	var grants []Grant
 	for _, name := range slices.Sorted(maps.Keys(held)) {
 		s := o.Servers[name]
-		g := Grant{Server: name, Slots: held[name], Probe: o.spendProbe(now, s)}
+		// A probe takes one of the entry's own slots.
+		g := Grant{Server: name, Slots: held[name], Probe: held[name] > 0 && o.spendProbe(now, s)}
 		g.Warming = o.warming(s)
 		had := s.Bounds[e.Name]
-		if g.Slots == 0 && had == 0 && !g.Probe {
+		if g.Slots == 0 && had == 0 {
 			continue
 		}
 		if m := o.Table.Members[name]; m != nil && e.Sent[name] != m.Announcement.BootID {
--- a/slot/report.go
+++ b/slot/report.go
@@ -1,17 +1,12 @@
 package slot
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/oriolepost/oriolepost/membership"
-	"github.com/oriolepost/oriolepost/service"
 )
 
 const (
-	// slowAnswers is how many answers a report needs for its mean to count.
-	slowAnswers = 3
 	// usualWeight is the weight of a report in the usual service time.
 	usualWeight = 0.05
 	// demandDecay is how much of an entry's earlier demand still counts.
@@ -36,8 +31,9 @@
 		o.announce(now, a)
 	}
 	o.takeHoldings(now, e, r)
+	paces := o.paces(r.Observations)
 	for _, ob := range r.Observations {
-		o.observe(now, ob)
+		o.observe(now, ob, paces)
 	}
 	o.answer(now, e, r)
 	if r.Leaving && len(r.Holdings) == 0 {
@@ -139,7 +135,7 @@
 }
 
 // observe looks for signs that a server turned cold.
-func (o *Owner) observe(now time.Time, ob Observation) {
+func (o *Owner) observe(now time.Time, ob Observation, p paces) {
 	m := o.Table.Members[ob.Server]
 	s := o.Servers[ob.Server]
 	if m == nil || s == nil || ob.BootID != m.Announcement.BootID {
@@ -158,86 +154,13 @@
 	}
 	s.Observed = now
 	s.Answers += ob.Answers
-	o.observeTime(now, s, ob, a, d)
-}
-
-func (o *Owner) observeTime(now time.Time, s *Server, ob Observation, a membership.Announcement, d service.Document) {
 	mean := time.Duration(ob.MeanUS) * time.Microsecond
 	if s.Usual == 0 {
 		s.Usual = mean
 	}
-	s.Slow = ob.Answers >= slowAnswers && float64(mean) > d.Cold.SlowFactor*float64(s.Usual)
+	s.Slow = p[ob.Server] > d.Cold.SlowFactor*max(1, p.others(ob.Server))
 	if s.Slow {
 		o.chill(now, s, a, "slow")
 	}
 	s.Usual += time.Duration(usualWeight * float64(mean-s.Usual))
 }
-
-// answer grants slots and tells what the entry lacks.
-func (o *Owner) answer(now time.Time, e *Entry, r Report) {
-	reply := Reply{Term: o.Term, Seq: r.Seq, LeaseMS: LeaseTime.Milliseconds()}
-	reply.Configuration = o.missingConfiguration(e)
-	reply.Grants = o.grants(now, e)
-	reply.Lenders = o.lenders(e)
-	o.emit(SendReply{Entry: e.Name, Reply: reply})
-}
-
-// missingConfiguration gives the documents that changed since the entry's
-// index, and all orders, which are few.
-func (o *Owner) missingConfiguration(e *Entry) *Configuration {
-	if e.CatalogIndex >= o.Catalog.Index {
-		return nil
-	}
-	c := &Configuration{
-		Index: o.Catalog.Index, Documents: map[string]service.Document{},
-		OutDomains: maps.Clone(o.Catalog.OutDomains), DrainedServers: maps.Clone(o.Catalog.DrainedServers),
-	}
-	for name, d := range o.Catalog.Documents {
-		if o.Catalog.ChangedAt[name] > e.CatalogIndex {
-			c.Documents[name] = d
-		}
-	}
-	return c
-}
-
-// lendersPerReply bounds the lenders that a reply names for a service.
-const lendersPerReply = 3
-
-// lenders names the entries with most idle slots, for each service of which
-// the entry itself is short.
-func (o *Owner) lenders(e *Entry) map[string][]Lender {
-	var out map[string][]Lender
-	for name := range o.Catalog.Documents {
-		if e.Idle[name] > 1 {
-			continue
-		}
-		idle := o.mostIdle(name, e)
-		if len(idle) == 0 {
-			continue
-		}
-		if out == nil {
-			out = map[string][]Lender{}
-		}
-		for _, x := range idle {
-			out[name] = append(out[name], Lender{Entry: x.Name, Address: x.Address})
-		}
-	}
-	return out
-}
-
-func (o *Owner) mostIdle(service string, besides *Entry) []*Entry {
-	others := slices.Collect(maps.Values(o.Entries))
-	others = slices.DeleteFunc(others, func(x *Entry) bool {
-		return x == besides || x.Idle[service] < 1 || x.Address == ""
-	})
-	slices.SortFunc(others, func(a, b *Entry) int {
-		if d := b.Idle[service] - a.Idle[service]; d != 0 {
-			return d
-		}
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
-	return others[:min(len(others), lendersPerReply)]
-}
