--- a/node/votertask.go
+++ b/node/votertask.go
@@ -90,57 +90,6 @@
 	err    error
 }
 
-// voterMail is a message for the voter task.
-//
-//sumtype:decl
-type voterMail interface{ voterMail() }
-
-type replicaMail struct{ event replica.Receive }
-
-type proposeMail struct {
-	command record.Command
-	data    []byte
-	answer  chan<- proposeAnswer
-}
-
-type reportMail struct {
-	report slot.Report
-	answer chan<- slot.Reply
-	refuse chan<- error
-}
-
-type joinMail struct {
-	identity replica.Identity
-	refuse   chan<- error
-}
-
-type statusMail struct {
-	answer chan<- *peer.StatusResponse
-	refuse chan<- error
-}
-
-type confirmMail struct {
-	index  uint64
-	answer chan<- bool
-	refuse chan<- error
-}
-
-type identifyMail struct{ answer chan<- peer.IdentifyResponse }
-
-type formMail struct{ voters []replica.Identity }
-
-type handOverMail struct{ done chan<- bool }
-
-func (replicaMail) voterMail()  {}
-func (proposeMail) voterMail()  {}
-func (reportMail) voterMail()   {}
-func (joinMail) voterMail()     {}
-func (statusMail) voterMail()   {}
-func (confirmMail) voterMail()  {}
-func (identifyMail) voterMail() {}
-func (formMail) voterMail()     {}
-func (handOverMail) voterMail() {}
-
 func newVoterTask(ctx context.Context, s settings.Settings, f *disk.Folder, pool *peer.Pool, leader *peer.Leader) (*voterTask, error) {
 	t := &voterTask{
 		settings: s, folder: f, pool: pool, leader: leader, ctx: ctx,
--- a/script/script.go
+++ b/script/script.go
@@ -25,6 +25,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -70,7 +71,7 @@
 	gomega.Expect(err).NotTo(gomega.HaveOccurred(), file)
 	rewrite := os.Getenv("SCRIPT_REWRITE") != ""
 	for i, c := range cases {
-		got := strings.TrimRight(handle(c), "\n")
+		got := withoutBlankLines(handle(c))
 		if rewrite {
 			cases[i].Expected = got
 			continue
@@ -82,6 +83,13 @@
 	}
 }
 
+// withoutBlankLines drops the lines that would end a case in its file.
+func withoutBlankLines(text string) string {
+	lines := strings.Split(text, "\n")
+	lines = slices.DeleteFunc(lines, func(l string) bool { return strings.TrimSpace(l) == "" })
+	return strings.Join(lines, "\n")
+}
+
 // Parse reads the cases of a test file.
 func Parse(text string) ([]Case, error) {
 	var cases []Case
