A start that fails says why instead of crashing

They met the lock of the killed process, which was not gone yet, and the clean-up after a failed start then followed a nil pointer, because 'return nil, err' had emptied the named result that it used. Change: the clean-up keeps the instance in a variable of its own. The test verb that kills waits until the process is gone, as an operator's tool would. Before: a second process on a data folder printed a stack trace. Conclusion: the crash was hidden by scripts that restarted slowly enough.

--- a/node/node.go
+++ b/node/node.go
@@ -82,9 +82,9 @@
 }
 
 // Start starts an instance.
-func Start(s settings.Settings, o Options) (n *Node, err error) {
+func Start(s settings.Settings, o Options) (started *Node, err error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	n = &Node{
+	n := &Node{
 		Settings: s, Metrics: metrics.NewSet(), log: o.Log, cancel: cancel,
 		ready: make(chan bool, 16), failed: make(chan error, 1), voterDone: make(chan struct{}),
 	}
--- a/proofs/verbs_test.go
+++ b/proofs/verbs_test.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"os"
@@ -299,12 +300,26 @@
 	for _, c := range ts.BackgroundCmds() {
 		if c.ProcessState == nil && strings.Contains(strings.Join(c.Args, " "), args[0]) {
 			ts.Check(c.Process.Signal(signals[args[1]]))
+			if args[1] == "KILL" {
+				awaitEnd(ts, c.Process)
+			}
 			return
 		}
 	}
 	ts.Fatalf("no background command has %q in its arguments", args[0])
 }
 
+// awaitEnd waits until a killed process is gone, with its lock and its ports.
+func awaitEnd(ts *testscript.TestScript, p *os.Process) {
+	for deadline := time.Now().Add(awaitLimit); time.Now().Before(deadline); {
+		if errors.Is(p.Signal(syscall.Signal(0)), os.ErrProcessDone) {
+			return
+		}
+		pause()
+	}
+	ts.Fatalf("process %d did not end", p.Pid)
+}
+
 // jsonfield FILE FIELD OP NUMBER compares a number of the last line of a file.
 func jsonField(ts *testscript.TestScript, neg bool, args []string) {
 	lines := strings.Split(strings.TrimSpace(ts.ReadFile(args[0])), "\n")
