--- a/proofs/verbs_test.go
+++ b/proofs/verbs_test.go
@@ -43,6 +43,7 @@
 		"jsonfield": jsonField,
 		"post":      post,
 		"quiet":     quiet,
+		"resume":    resume,
 		"changes":   changes,
 		"joined":    joined,
 		"authority": authority,
@@ -235,6 +236,18 @@
 	}
 }
 
+// resume NAME ADDRESS lets a stopped process go on, and checks that a stand-in
+// gets no new work from that moment on.
+func resume(ts *testscript.TestScript, neg bool, args []string) {
+	runs := standinRuns(ts, args[1])
+	terminate(ts, neg, []string{args[0], "CONT"})
+	for began := time.Now(); time.Since(began) < quietTime; pause() {
+		if now := standinRuns(ts, args[1]); now != runs {
+			ts.Fatalf("%s began %d calls after %s went on", args[1], now-runs, args[0])
+		}
+	}
+}
+
 func standinRuns(ts *testscript.TestScript, address string) int {
 	response, err := http.Get("http://" + address + "/oriolepost/standin")
 	ts.Check(err)
