Appending to the log no longer copies it; help texts name what exists

Cause: reading as a newcomer: every append capped the slice's capacity, so the whole log was copied for each entry, in the replica and in the disk's mirror. Ruled out: that anybody relied on the copy. Messages copy their entries; the mirror of the folder gets a slice of its own, since it began as the log's. Conclusion: the figures of docs/CAPACITY.md for keys are from before this.

--- a/disk/disk.go
+++ b/disk/disk.go
@@ -26,6 +26,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"slices"
 	"syscall"
 
 	"github.com/oriolepost/oriolepost/replica"
@@ -153,7 +154,7 @@
 		return err
 	}
 	f.Empty = !found && size <= emptyRecords
-	f.mirrored = mirror{hard: f.Saved.HardState, entries: f.Saved.Entries}
+	f.mirrored = mirror{hard: f.Saved.HardState, entries: slices.Clone(f.Saved.Entries)}
 	return f.rewriteJournal()
 }
 
--- a/disk/journal.go
+++ b/disk/journal.go
@@ -117,7 +117,10 @@
 	for keep > 0 && old[keep-1].Index >= added[0].Index {
 		keep--
 	}
-	return append(old[:keep:keep], added...)
+	if keep < len(old) {
+		old = old[:keep:keep]
+	}
+	return append(old, added...)
 }
 
 // Append takes an effect that saves something into the next write. It does
--- a/replica/log.go
+++ b/replica/log.go
@@ -44,7 +44,11 @@
 // append adds entries, dropping what stands from the first index on.
 func (l *log) append(entries []Entry) {
 	keep := entries[0].Index - l.snapshot.Index - 1
-	l.entries = append(l.entries[:keep:keep], entries...)
+	if keep < uint64(len(l.entries)) {
+		// What is dropped may still be read elsewhere, so it is not overwritten.
+		l.entries = l.entries[:keep:keep]
+	}
+	l.entries = append(l.entries, entries...)
 }
 
 // compact replaces the entries up to the snapshot's index.
--- a/terminal/apply.go
+++ b/terminal/apply.go
@@ -21,7 +21,7 @@
 instance that may send calls.
 
 Example:
-  oriolepost apply --operator 127.0.0.1:9401 examples/small/services/booking.json
+  oriolepost apply --operator 127.0.0.1:21002 examples/trinacria/services/booking.json
 
 `
 
--- a/terminal/change.go
+++ b/terminal/change.go
@@ -20,7 +20,7 @@
 }
 
 // defaultOperator is the operator address of the examples' first instance.
-const defaultOperator = "127.0.0.1:9401"
+const defaultOperator = "127.0.0.1:21002"
 
 // defaultTimeout bounds a verb that talks to an instance.
 const defaultTimeout = 30 * time.Second
--- a/terminal/check.go
+++ b/terminal/check.go
@@ -27,7 +27,7 @@
 with its field, its value and what is allowed.
 
 Example:
-  oriolepost check examples/small/*.json
+  oriolepost check examples/trinacria/*.json
 
 `
 
--- a/terminal/load.go
+++ b/terminal/load.go
@@ -30,7 +30,7 @@
 exit status is 1 when a promise was broken.
 
 Example:
-  oriolepost load --targets 127.0.0.1:9101/127.0.0.1:9301 --services booking --rate 200 --duration 5s
+  oriolepost load --targets 127.0.0.1:21000/127.0.0.1:21001 --services booking --rate 200 --duration 5s
 
 `
 
--- a/terminal/node.go
+++ b/terminal/node.go
@@ -23,7 +23,7 @@
 first, calls are finished, slots are given back, and the exit status is 0.
 
 Example:
-  oriolepost node --settings examples/small/palermo-1.json
+  oriolepost node --settings examples/trinacria/palermo-1.json
 
 `
 
--- a/terminal/server.go
+++ b/terminal/server.go
@@ -15,7 +15,7 @@
 that no instance sends it new work.
 
 Example:
-  oriolepost server drain chart-3
+  oriolepost server drain records-3
 
 `
 
--- a/terminal/standin.go
+++ b/terminal/standin.go
@@ -27,7 +27,7 @@
 drain, shed_all.
 
 Example:
-  oriolepost standin --server chart-1 --service records --platforms 127.0.0.1:9301
+  oriolepost standin --server chart-1 --service records --listen 127.0.0.1:9501 --platforms 127.0.0.1:21001
 
 `
 
--- a/terminal/status.go
+++ b/terminal/status.go
@@ -23,7 +23,7 @@
 configuration that each follows, and the servers with their limits.
 
 Example:
-  oriolepost status --operator 127.0.0.1:9401
+  oriolepost status --operator 127.0.0.1:21002
 
 `
 
