A disk that fails while the voters change ends the instance

Cause: reading as the person on call. The change of the voters was saved apart from the other effects, and an error of that write was logged and forgotten: the voter went on and counted itself for an entry that its disk may have lost. Ruled out: the other writes; they return their error up to the task's end. Change: the error goes up like any other. Conclusion: a sync error in any place now stops the voter.

--- a/caller/server.go
+++ b/caller/server.go
@@ -79,7 +79,7 @@
 			case <-s.done:
 			}
 		},
-	})
+	}, o.Metrics)
 	return s, err
 }
 
--- a/httplisten/httplisten.go
+++ b/httplisten/httplisten.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	l, err := httplisten.Start(address, &http.Server{Handler: mux})
+//	l, err := httplisten.Start(address, &http.Server{Handler: mux}, set)
 //	...
 //	err = l.Stop(ctx)
 package httplisten
@@ -11,9 +11,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"log"
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 const (
@@ -29,8 +32,19 @@
 	stopped chan error
 }
 
+// counter counts the lines that the library would log: what goes wrong on
+// single connections is no change of state.
+type counter struct{ errors *metrics.Counter }
+
+// Write implements io.Writer.
+func (c counter) Write(line []byte) (int, error) {
+	c.errors.Inc()
+	return len(line), nil
+}
+
 // Start listens on an address and serves in a goroutine of its own.
-func Start(address string, s *http.Server) (*Listener, error) {
+func Start(address string, s *http.Server, m *metrics.Set) (*Listener, error) {
+	s.ErrorLog = log.New(counter{m.GetOrCreateCounter("oriolepost_http_errors_total")}, "", 0)
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
--- a/node/voterlead.go
+++ b/node/voterlead.go
@@ -15,8 +15,9 @@
 )
 
 // lead does what time brings: ownership of the slots begins and ends with the
-// lease of the leader, lost voters are replaced, standbys offer themselves.
-func (t *voterTask) lead(now time.Time) {
+// lease of the leader, lost voters are replaced, standbys offer themselves. An
+// error means that the disk failed.
+func (t *voterTask) lead(now time.Time) error {
 	lease := t.replica.LeaseEnd(now)
 	if !lease.IsZero() && t.owner.Term != t.replica.Term {
 		quiet := t.replica.LeadingSince().Add(slot.LeaseTime + slot.MaxDrift)
@@ -25,10 +26,13 @@
 	}
 	if t.replica.Role == replica.RoleLeader {
 		t.stepOwner(slot.Ticked{})
-		t.replaceVoters(now)
+		if err := t.replaceVoters(now); err != nil {
+			return err
+		}
 	}
 	t.offer(now)
 	t.gauges()
+	return nil
 }
 
 func (t *voterTask) stepOwner(e slot.Event) {
@@ -100,9 +104,9 @@
 }
 
 // replaceVoters takes the next step of a replacement that is due.
-func (t *voterTask) replaceVoters(now time.Time) {
+func (t *voterTask) replaceVoters(now time.Time) error {
 	if now.Before(t.planAt) {
-		return
+		return nil
 	}
 	t.planAt = now.Add(joinEvery / 4)
 	maps.DeleteFunc(t.standbys, func(_ string, s replica.Identity) bool {
@@ -114,15 +118,12 @@
 	}
 	m, due := t.plan.Next(t.replica, standbys, now)
 	if !due {
-		return
+		return nil
 	}
 	t.log.WithFields(log.Fields{
 		"change": "members", "from": t.replica.Members, "to": m,
 	}).Info("members change")
-	effects := t.replica.Step(now, replica.ChangeMembers{Members: m})
-	if err := t.perform(effects); err != nil {
-		t.log.WithError(err).Error("members change failed")
-	}
+	return t.perform(t.replica.Step(now, replica.ChangeMembers{Members: m}))
 }
 
 // offer tells the leader of an instance that is not one of its voters, and
--- a/node/votertask.go
+++ b/node/votertask.go
@@ -152,7 +152,9 @@
 		if err := t.perform(effects); err != nil {
 			return fmt.Errorf("voter stopped: %w", err)
 		}
-		t.lead(time.Now())
+		if err := t.lead(time.Now()); err != nil {
+			return fmt.Errorf("voter stopped: %w", err)
+		}
 	}
 }
 
--- a/operator/server.go
+++ b/operator/server.go
@@ -61,7 +61,7 @@
 	mux.HandleFunc("PUT /v1/services/{name}", s.handle(s.putDocument))
 	mux.HandleFunc("POST /v1/domains/{name}/{order}", s.handle(s.orderDomain))
 	mux.HandleFunc("POST /v1/servers/{name}/{order}", s.handle(s.orderServer))
-	s.listener, err = httplisten.Start(o.Address, &http.Server{Handler: mux, ReadHeaderTimeout: httplisten.HeaderTimeout, ReadTimeout: 2 * httplisten.HeaderTimeout, IdleTimeout: httplisten.IdleTimeout})
+	s.listener, err = httplisten.Start(o.Address, &http.Server{Handler: mux, ReadHeaderTimeout: httplisten.HeaderTimeout, ReadTimeout: 2 * httplisten.HeaderTimeout, IdleTimeout: httplisten.IdleTimeout}, o.Metrics)
 	return s, err
 }
 
