Free the name platform: the product's own interface is package balancer

Cause: the users' platform needs an adapter under this name; the package that answered readiness checks, announcements and metrics of our own had it. Ruled out: keeping both in one package, which would mix two sets of names. Change: the folder and the package move; no code changes besides. Conclusion: platform/ is free for the adapter alone.

--- a/platform/platform.go
+++ b/balancer/balancer.go
@@ -1,4 +1,4 @@
-// Package platform answers the platform that the instances run on: readiness
+// Package balancer answers the platform that the instances run on: readiness
 // for its balancer, liveness, metrics, and the servers' announcements, which
 // come through that balancer too.
 //
@@ -9,8 +9,8 @@
 //
 // # Usage
 //
-//	s, err := platform.Listen(platform.Options{Address: address, Announce: announce})
-package platform
+//	s, err := balancer.Listen(balancer.Options{Address: address, Announce: announce})
+package balancer
 
 import (
 	"context"
--- a/node/node.go
+++ b/node/node.go
@@ -29,6 +29,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/oriolepost/oriolepost/balancer"
 	"github.com/oriolepost/oriolepost/caller"
 	"github.com/oriolepost/oriolepost/choice"
 	"github.com/oriolepost/oriolepost/disk"
@@ -36,7 +37,6 @@
 	"github.com/oriolepost/oriolepost/membership"
 	"github.com/oriolepost/oriolepost/operator"
 	"github.com/oriolepost/oriolepost/peer"
-	"github.com/oriolepost/oriolepost/platform"
 	"github.com/oriolepost/oriolepost/record"
 	"github.com/oriolepost/oriolepost/settings"
 	"github.com/oriolepost/oriolepost/telemetry"
@@ -63,7 +63,7 @@
 	voter     *voterTask
 	folder    *disk.Folder
 	caller    *caller.Server
-	platform  *platform.Server
+	platform  *balancer.Server
 	operator  *operator.Server
 	peers     *peer.Server
 	tracer    trace.Tracer
@@ -171,7 +171,7 @@
 
 func (n *Node) listen(ctx context.Context, leader *peer.Leader) (err error) {
 	s := n.Settings
-	n.platform, err = platform.Listen(platform.Options{
+	n.platform, err = balancer.Listen(balancer.Options{
 		Address: s.Listen.Platform, Announce: n.announce, Metrics: n.Metrics,
 	})
 	if err != nil {
