--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -18,6 +18,7 @@
 	"slices"
 
 	"github.com/oriolepost/oriolepost/record"
+	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/service"
 )
 
@@ -40,8 +41,18 @@
 	DrainedServers map[string]bool `json:"drained_servers"`
 	// Changes holds the newest results, oldest first.
 	Changes []Change `json:"changes"`
+	// Configuration is the whole configuration; nil before the first one.
+	Configuration *route.Configuration `json:"configuration,omitempty"`
+	// Original is the order that brought it, as the operator sent it.
+	Original []byte `json:"original,omitempty"`
+	// Retired holds the upstreams that said that they leave, oldest first.
+	Retired []record.Retire `json:"retired,omitempty"`
 }
 
+// MaxRetired is how many leaving upstreams are remembered: announcements that
+// arrive later than this many departures would count again.
+const MaxRetired = 4096
+
 // Change is the remembered result of one change.
 type Change struct {
 	ID       string                  `json:"id"`
@@ -72,6 +83,9 @@
 	maps.Copy(n.OutDomains, c.OutDomains)
 	maps.Copy(n.DrainedServers, c.DrainedServers)
 	n.Changes = slices.Clone(c.Changes)
+	n.Configuration = c.Configuration
+	n.Original = c.Original
+	n.Retired = slices.Clone(c.Retired)
 	return n
 }
 
@@ -107,6 +121,8 @@
 		return cmd.ChangeID, true
 	case record.SetServer:
 		return cmd.ChangeID, true
+	case record.PutConfiguration, record.Retire:
+		return "", true
 	case record.Noop, record.Claim, record.Settle, record.Release:
 		return "", false
 	}
@@ -121,6 +137,10 @@
 		set(c.OutDomains, cmd.Domain, cmd.Out)
 	case record.SetServer:
 		set(c.DrainedServers, cmd.Server, cmd.Drained)
+	case record.PutConfiguration:
+		return c.putConfiguration(index, cmd)
+	case record.Retire:
+		c.retire(cmd)
 	case record.Noop, record.Claim, record.Settle, record.Release:
 		return nil
 	}
@@ -128,6 +148,27 @@
 	return record.Done{Index: index}
 }
 
+// putConfiguration takes a configuration whose version is higher than the one
+// in force. The result names the version that is in force afterwards.
+func (c *Catalog) putConfiguration(index uint64, p record.PutConfiguration) record.Result {
+	if c.Configuration == nil || p.Configuration.Version > c.Configuration.Version {
+		c.Configuration = &p.Configuration
+		c.Original = p.Original
+		c.Index = index
+	}
+	return record.Done{Index: index, Version: c.Configuration.Version}
+}
+
+func (c *Catalog) retire(r record.Retire) {
+	c.Retired = slices.DeleteFunc(c.Retired, func(old record.Retire) bool {
+		return old.Upstream == r.Upstream && old.BornMS <= r.BornMS
+	})
+	c.Retired = append(c.Retired, r)
+	if over := len(c.Retired) - MaxRetired; over > 0 {
+		c.Retired = slices.Delete(c.Retired, 0, over)
+	}
+}
+
 func (c *Catalog) putDocument(index uint64, d service.Document) record.Result {
 	current := c.Documents[d.Name].Version
 	if d.Version != current {
--- /dev/null
+++ b/control/task.go
@@ -0,0 +1,364 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+
+	"github.com/oriolepost/oriolepost/disk"
+	"github.com/oriolepost/oriolepost/fleet"
+	"github.com/oriolepost/oriolepost/jsonform"
+	"github.com/oriolepost/oriolepost/peer"
+	"github.com/oriolepost/oriolepost/record"
+	"github.com/oriolepost/oriolepost/replica"
+	"github.com/oriolepost/oriolepost/settings"
+	"github.com/oriolepost/oriolepost/state"
+)
+
+const (
+	// mailboxSize bounds the messages that wait for the task.
+	mailboxSize = 4096
+	// maxBatch bounds the messages that share one sync.
+	maxBatch = 256
+	// compactAfter is how many entries the log holds before a snapshot.
+	compactAfter = 512
+	// heartbeatEvery and electionTimeout are the pace of the replicated log:
+	// five heartbeats in an election timeout, and a new leader within about
+	// 1.5 s, so that entries hear of it within the 2 s of a change in force.
+	heartbeatEvery  = 120 * time.Millisecond
+	electionTimeout = 600 * time.Millisecond
+	maxDrift        = 25 * time.Millisecond
+	// maxAppendEntries bounds the entries of one message between replicas.
+	maxAppendEntries = 128
+)
+
+// task owns the replicated log, its data folder, the state machine, the fleet
+// and the watches of one control instance.
+type task struct {
+	settings settings.Deployment
+	folder   *disk.Folder
+	replica  *replica.Replica
+	state    *state.State
+	fleet    *fleet.Table
+	mailbox  chan mail
+	pool     *peer.Pool
+	leader   *peer.Leader
+	seeds    []peer.Address
+	metrics  *metrics.Set
+	log      log.Interface
+	ctx      context.Context
+	random   *rand.Rand
+
+	nextToken uint64
+	// proposals holds the answers by token until the index is known, and
+	// pending by index until the entry is applied.
+	proposals map[uint64]proposal
+	pending   map[uint64]proposal
+	role      replica.RoleChanged
+
+	watchers map[string]*watcher
+	// committed counts the changes of the state that entries follow.
+	committed uint64
+
+	plan     replica.Plan
+	standbys map[string]replica.Identity
+	joinAt   time.Time
+	houseAt  time.Time
+	forming  bool
+}
+
+// proposal is a command on its way through the log.
+type proposal struct {
+	term   uint64
+	answer chan<- answer
+	// read is true when the answer is the configuration.
+	read bool
+}
+
+func newTask(ctx context.Context, d settings.Deployment, o Options, f *disk.Folder, pool *peer.Pool, leader *peer.Leader, seeds []peer.Address) (*task, error) {
+	t := &task{
+		settings: d, folder: f, pool: pool, leader: leader, seeds: seeds, ctx: ctx,
+		metrics: o.Metrics, log: o.Log, fleet: fleet.New(),
+		mailbox:   make(chan mail, mailboxSize),
+		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		proposals: map[uint64]proposal{}, pending: map[uint64]proposal{},
+		watchers: map[string]*watcher{}, standbys: map[string]replica.Identity{},
+	}
+	t.plan = replica.Plan{Target: d.Voters(), After: replaceAfter, Domains: map[string]string{}}
+	if err := t.restore(f.Saved.Snapshot); err != nil {
+		return nil, err
+	}
+	t.replica = replica.New(replicaConfig(t.id()), f.Saved, t.random, time.Now())
+	return t, nil
+}
+
+func replicaConfig(id string) replica.Config {
+	return replica.Config{
+		ID: id, HeartbeatEvery: heartbeatEvery, ElectionTimeout: electionTimeout,
+		MaxDrift: maxDrift, MaxAppendEntries: maxAppendEntries,
+	}
+}
+
+func (t *task) id() string { return replica.ID(t.settings.IP, t.folder.Identity.ReplicaID) }
+
+func encode(c record.Command) ([]byte, error) { return jsonform.EncodeCommand(c) }
+
+// restore replaces the state machine by a snapshot.
+func (t *task) restore(s replica.Snapshot) error {
+	fresh := state.New()
+	if len(s.Data) > 0 {
+		if err := json.Unmarshal(s.Data, fresh); err != nil {
+			return fmt.Errorf("restore snapshot %d: %w", s.Index, err)
+		}
+	}
+	t.state = fresh
+	for _, r := range fresh.Catalog.Retired {
+		t.fleet.Retire(r.Upstream, r.BornMS)
+	}
+	t.committed++
+	return nil
+}
+
+// run owns the state until the context ends or the disk fails. After a failed
+// write nothing more may be promised, so the error ends the instance.
+func (t *task) run() error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		var effects []replica.Effect
+		select {
+		case <-t.ctx.Done():
+			return nil
+		case <-timer.C:
+		case m := <-t.mailbox:
+			effects = t.drain(m)
+		}
+		now := time.Now()
+		effects = append(effects, t.replica.Step(now, replica.Tick{})...)
+		if err := t.perform(effects); err != nil {
+			return err
+		}
+		if err := t.keepHouse(now); err != nil {
+			return err
+		}
+		t.answerWatches(time.Now())
+		timer.Reset(max(time.Millisecond, time.Until(t.nextWake())))
+	}
+}
+
+// nextWake is when time alone brings something to do.
+func (t *task) nextWake() time.Time {
+	next := t.houseAt
+	if due := t.replica.NextWake(); due.Before(next) {
+		next = due
+	}
+	if due := t.nextWatchDue(); !due.IsZero() && due.Before(next) {
+		next = due
+	}
+	return next
+}
+
+// drain steps through the messages that wait, so that they share one sync.
+func (t *task) drain(first mail) []replica.Effect {
+	now := time.Now()
+	effects := t.step(now, first)
+	for range maxBatch {
+		select {
+		case m := <-t.mailbox:
+			effects = append(effects, t.step(now, m)...)
+		default:
+			return effects
+		}
+	}
+	return effects
+}
+
+func (t *task) step(now time.Time, m mail) []replica.Effect {
+	switch m := m.(type) {
+	case replicaMail:
+		return t.replica.Step(now, m.event)
+	case proposeMail:
+		return t.propose(now, m.data, proposal{answer: m.answer})
+	case readMail:
+		return t.propose(now, nil, proposal{answer: m.answer, read: true})
+	case announceMail:
+		return t.announce(now, m)
+	case watchMail:
+		t.watch(now, m)
+	case joinMail:
+		t.join(now, m)
+	case identifyMail:
+		m.answer <- answer{response: t.identify()}
+	case formMail:
+		return t.form(m.voters)
+	case handOverMail:
+		m.done <- t.replica.Role != replica.RoleLeader
+		return t.replica.Step(now, replica.HandOver{})
+	}
+	return nil
+}
+
+// propose appends a command. No data is an entry that changes nothing: once it
+// is committed, everything that was acknowledged before it is applied, and no
+// clock is needed to know that.
+func (t *task) propose(now time.Time, data []byte, p proposal) []replica.Effect {
+	t.nextToken++
+	t.proposals[t.nextToken] = p
+	return t.replica.Step(now, replica.Propose{Token: t.nextToken, Data: data})
+}
+
+// perform saves, syncs, then sends and applies.
+func (t *task) perform(effects []replica.Effect) error {
+	syncs := t.folder.Syncs
+	for _, e := range effects {
+		if err := t.folder.Append(e); err != nil {
+			return err
+		}
+	}
+	began := time.Now()
+	if err := t.folder.Sync(); err != nil {
+		return err
+	}
+	if t.folder.Syncs > syncs {
+		t.metrics.GetOrCreateCounter("oriolepost_disk_syncs_total").Add(t.folder.Syncs - syncs)
+		t.metrics.GetOrCreateHistogram("oriolepost_disk_sync_seconds").UpdateDuration(began)
+	}
+	for _, e := range effects {
+		if err := t.performOne(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *task) performOne(effect replica.Effect) error {
+	switch e := effect.(type) {
+	case replica.SaveHardState, replica.SaveEntries, replica.SaveSnapshot:
+	case replica.Send:
+		t.pool.Notify(PeerAddress(replica.InstanceOf(e.To), t.settings.PeerPort),
+			peer.ReplicaMessage{From: t.id(), To: e.To, Message: e.Message})
+	case replica.Apply:
+		return t.apply(e.Entry)
+	case replica.Restore:
+		return t.restore(e.Snapshot)
+	case replica.Appended:
+		p := t.proposals[e.Token]
+		delete(t.proposals, e.Token)
+		p.term = e.Term
+		t.pending[e.Index] = p
+	case replica.Refused:
+		p := t.proposals[e.Token]
+		delete(t.proposals, e.Token)
+		if p.answer != nil {
+			p.answer <- answer{err: t.notLeader()}
+		}
+	case replica.RoleChanged:
+		t.roleChanged(e)
+	}
+	return nil
+}
+
+// apply applies a committed entry and answers its proposer.
+func (t *task) apply(e replica.Entry) error {
+	var result record.Result = record.Done{Index: e.Index}
+	if e.Members == nil && len(e.Data) > 0 {
+		c, err := jsonform.DecodeCommand(e.Data)
+		if err != nil {
+			return fmt.Errorf("apply entry %d: %w", e.Index, err)
+		}
+		result = t.state.Apply(e.Index, c)
+		t.follow(e.Index, c)
+	} else {
+		t.state.Applied = e.Index
+	}
+	if p, ok := t.pending[e.Index]; ok {
+		delete(t.pending, e.Index)
+		t.conclude(p, e, result)
+	}
+	return t.compact(e.Index)
+}
+
+func (t *task) conclude(p proposal, e replica.Entry, result record.Result) {
+	switch {
+	case p.answer == nil:
+	case p.term != e.Term:
+		p.answer <- answer{err: t.lost()}
+	case p.read:
+		p.answer <- answer{response: peer.ReadResponse{Original: t.state.Catalog.Original}}
+	default:
+		p.answer <- answer{response: peer.ProposeResponse{Result: result}}
+	}
+}
+
+// follow takes what a command changed into what entries are told.
+func (t *task) follow(index uint64, c record.Command) {
+	t.committed++
+	fields := log.Fields{"index": index, "term": t.replica.Term}
+	switch c := c.(type) {
+	case record.PutConfiguration:
+		fields["change"], fields["version"] = "configuration", c.Configuration.Version
+		fields["in_force"] = t.state.Catalog.Configuration.Version
+	case record.SetDomain:
+		fields["change"], fields["failure_domain_out"], fields["out"] = "domain", c.Domain, c.Out
+	case record.Retire:
+		t.fleet.Retire(c.Upstream, c.BornMS)
+		fields["change"], fields["upstream"], fields["born_ms"] = "retired", c.Upstream, c.BornMS
+	case record.Noop, record.PutDocument, record.SetServer, record.Claim, record.Settle, record.Release:
+		return
+	}
+	t.log.WithFields(fields).Info("committed")
+}
+
+// compact replaces the log by a snapshot when it has grown long.
+func (t *task) compact(index uint64) error {
+	if index < t.replica.FirstKept()+compactAfter {
+		return nil
+	}
+	data, err := json.Marshal(t.state)
+	if err != nil {
+		return fmt.Errorf("encode state: %w", err)
+	}
+	t.metrics.GetOrCreateCounter("oriolepost_snapshots_total").Inc()
+	return t.perform(t.replica.Step(time.Now(), replica.Compact{Index: index, Data: data}))
+}
+
+func (t *task) lost() error {
+	return &peer.RefusedError{
+		Code: peer.CodeLost, Reason: "the leader changed while the proposal was under way",
+		Leader: replica.InstanceOf(t.replica.Leader),
+	}
+}
+
+func (t *task) notLeader() error {
+	return &peer.RefusedError{
+		Code: peer.CodeNotLeader, Reason: "not the leader", Leader: replica.InstanceOf(t.replica.Leader),
+	}
+}
+
+func (t *task) leads() bool { return t.replica.Role == replica.RoleLeader }
+
+func (t *task) roleChanged(e replica.RoleChanged) {
+	if e == t.role {
+		return
+	}
+	t.log.WithFields(log.Fields{
+		"change": "role", "from": string(t.role.Role), "to": string(e.Role),
+		"term": e.Term, "leader": replica.InstanceOf(e.Leader),
+	}).Info("role changed")
+	t.role = e
+	if e.Role == replica.RoleLeader {
+		return
+	}
+	for index, p := range t.pending {
+		delete(t.pending, index)
+		if p.answer != nil {
+			p.answer <- answer{err: t.lost()}
+		}
+	}
+	t.refuseWatches()
+}
--- /dev/null
+++ b/control/watch.go
@@ -0,0 +1,190 @@
+package control
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/oriolepost/oriolepost/fleet"
+	"github.com/oriolepost/oriolepost/peer"
+	"github.com/oriolepost/oriolepost/record"
+	"github.com/oriolepost/oriolepost/replica"
+)
+
+const (
+	// watchPause is how long a watch without news waits for its answer. Two
+	// answers in a second show a lost leader in time for the 2 s in which a
+	// change must be in force.
+	watchPause = 450 * time.Millisecond
+	// entryLifetime is how long an entry counts after its last watch.
+	entryLifetime = 2 * time.Second
+	// settleTime is how long a new leader listens before its fleet counts as
+	// complete: the lifetime of an announcement.
+	settleTime = fleet.Lifetime
+)
+
+// watcher is what the leader knows of an entry.
+type watcher struct {
+	seen time.Time
+	// waiting is the watch that is not answered yet; nil when there is none.
+	waiting *watchMail
+	due     time.Time
+}
+
+// announce takes an announcement into the fleet. A farewell is committed
+// before it is acknowledged, so that it outlives this leader.
+func (t *task) announce(now time.Time, m announceMail) []replica.Effect {
+	u := m.request.Upstream
+	u.Sequence = m.request.Sequence
+	if m.request.Leaving {
+		if known := t.fleet.Members[u.ID]; known != nil && u.BornMS == 0 {
+			u.BornMS = known.BornMS
+		}
+	} else {
+		t.take(now, u)
+	}
+	if !t.leads() {
+		m.answer <- answer{err: t.notLeader()}
+		return nil
+	}
+	if !m.request.Leaving && !u.Draining {
+		m.answer <- answer{response: peer.Nothing{}}
+		return nil
+	}
+	if born, retired := t.fleet.Retired[u.ID]; retired && u.BornMS <= born {
+		m.answer <- answer{response: peer.Nothing{}}
+		return nil
+	}
+	data, err := encode(record.Retire{Upstream: u.ID, BornMS: u.BornMS})
+	if err != nil {
+		m.answer <- answer{err: err}
+		return nil
+	}
+	return t.propose(now, data, proposal{answer: m.answer})
+}
+
+// take enters an announcement and logs what it changed.
+func (t *task) take(now time.Time, u fleet.Upstream) {
+	change := ""
+	reason := ""
+	switch c := t.fleet.Announce(now, u).(type) {
+	case fleet.Joined:
+		change = "joined"
+	case fleet.Updated:
+		change = "updated"
+	case fleet.Stale:
+		change, reason = "stale", c.Reason
+	case fleet.Renewed:
+		return
+	}
+	t.metrics.GetOrCreateCounter(`oriolepost_announcements_total{change="` + change + `"}`).Inc()
+	t.log.WithFields(log.Fields{
+		"change": "upstream", "what": change, "reason": reason, "upstream": u.ID, "service": u.Service, "address": u.Address,
+		"born_ms": u.BornMS, "sequence": u.Sequence, "draining": u.Draining, "cold_ms": u.ColdMS, "revision": t.fleet.Revision,
+	}).Info("upstream announced")
+}
+
+// watch keeps a watch until there is news for it.
+func (t *task) watch(now time.Time, m watchMail) {
+	if !t.leads() || t.replica.LeadingSince().IsZero() {
+		m.answer <- answer{err: t.notLeader()}
+		return
+	}
+	w := t.watchers[m.request.Entry]
+	if w == nil {
+		w = &watcher{}
+		t.watchers[m.request.Entry] = w
+	}
+	if w.waiting != nil {
+		w.waiting.answer <- answer{err: &peer.RefusedError{Code: peer.CodeBusy, Reason: "a newer watch came"}}
+	}
+	w.seen = now
+	w.waiting = &m
+	w.due = now.Add(watchPause)
+}
+
+func (t *task) nextWatchDue() time.Time {
+	var next time.Time
+	for _, w := range t.watchers {
+		if w.waiting != nil && (next.IsZero() || w.due.Before(next)) {
+			next = w.due
+		}
+	}
+	return next
+}
+
+// answerWatches answers the watches for which there is news, or which waited
+// long enough. Before it has committed an entry of its own term a leader may
+// not know what was acknowledged, so it tells nothing.
+func (t *task) answerWatches(now time.Time) {
+	if !t.leads() || len(t.watchers) == 0 || t.replica.LeaseEnd(now).IsZero() {
+		return
+	}
+	var names []string
+	for _, name := range slices.Sorted(maps.Keys(t.watchers)) {
+		if now.Sub(t.watchers[name].seen) < entryLifetime {
+			names = append(names, name)
+		} else if t.watchers[name].waiting == nil {
+			delete(t.watchers, name)
+		}
+	}
+	for i, name := range names {
+		w := t.watchers[name]
+		if w.waiting == nil || (!t.news(now, w.waiting.request, len(names)) && now.Before(w.due)) {
+			continue
+		}
+		w.waiting.answer <- answer{response: t.view(now, w.waiting.request, i, len(names))}
+		w.waiting = nil
+		w.seen = now
+	}
+}
+
+func (t *task) settled(now time.Time) bool {
+	return now.Sub(t.replica.LeadingSince()) >= settleTime
+}
+
+// revision counts the changes of everything that entries follow.
+func (t *task) revision() uint64 { return t.fleet.Revision + t.committed }
+
+func (t *task) news(now time.Time, r peer.WatchRequest, count int) bool {
+	return r.Epoch != t.replica.Term || r.Revision != t.revision() || r.Settled != t.settled(now) || r.Count != count
+}
+
+// view gives the changes since the entry's view, or everything when the entry
+// follows another leader.
+func (t *task) view(now time.Time, r peer.WatchRequest, index, count int) peer.WatchResponse {
+	settled := t.settled(now)
+	full := r.Epoch != t.replica.Term || r.Settled != settled || r.Revision > t.revision()
+	since := r.FleetRevision
+	if full || !t.fleet.Complete(since) {
+		full, since = true, 0
+	}
+	v := peer.WatchResponse{
+		Epoch: t.replica.Term, Revision: t.revision(), FleetRevision: t.fleet.Revision,
+		Full: full, Settled: settled, Index: index, Count: count,
+		OutDomains: slices.Sorted(maps.Keys(t.state.Catalog.OutDomains)),
+	}
+	v.Upstreams, v.Removed = t.fleet.Since(now, since)
+	if full {
+		v.Removed = nil
+	}
+	for _, id := range append(slices.Clone(t.replica.Members.Voters), t.replica.Members.Learners...) {
+		v.Control = append(v.Control, replica.InstanceOf(id))
+	}
+	if c := t.state.Catalog.Configuration; c != nil && c.Version > r.Version {
+		v.Configuration = c
+	}
+	return v
+}
+
+// refuseWatches sends the entries to another instance.
+func (t *task) refuseWatches() {
+	for name, w := range t.watchers {
+		if w.waiting != nil {
+			w.waiting.answer <- answer{err: t.notLeader()}
+		}
+		delete(t.watchers, name)
+	}
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,250 @@
+// Package fleet holds the upstreams as they announce themselves, each by its
+// incarnation, and the view of them that entries follow.
+//
+// There is no list of upstreams from outside. An upstream announces itself
+// again and again, to any control instance. Announcements may be late, forged
+// or of an incarnation that has ended: they are ordered by start time first
+// and by sequence second. The package is part of the core.
+//
+// # Usage
+//
+//	t := fleet.New()
+//	t.Announce(now, announcement)
+//	t.Expire(now)
+//	changed := t.Since(revision)
+package fleet
+
+import (
+	"fmt"
+	"maps"
+	"net"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// Lifetime is how long an announcement counts: four announcements at 1.5 s.
+const Lifetime = 6 * time.Second
+
+// maxRemoved bounds the removals that are remembered for views of the past.
+const maxRemoved = 4096
+
+// Upstream is one incarnation of an upstream.
+type Upstream struct {
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	// Address is the IP:port that takes requests.
+	Address string `json:"address"`
+	Domain  string `json:"failure_domain"`
+	Slots   int    `json:"slots"`
+	// BornMS is the Unix time of its start in milliseconds; it tells the
+	// incarnations of one id and of one address apart.
+	BornMS int64 `json:"born_ms"`
+	// Sequence grows with each announcement of an incarnation.
+	Sequence uint64 `json:"-"`
+	Draining bool   `json:"draining,omitempty"`
+	// ColdMS is how much longer the upstream is cold, in milliseconds.
+	ColdMS int64 `json:"cold_ms,omitempty"`
+	// Revision is the revision of the table at the last change.
+	Revision uint64 `json:"-"`
+}
+
+// InvalidError says which field of an announcement is wrong.
+type InvalidError struct {
+	Field   string
+	Value   any
+	Allowed string
+}
+
+// Error implements error.
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("announcement: field %s is %v, allowed: %s", e.Field, e.Value, e.Allowed)
+}
+
+// Check returns an [InvalidError] for the first field that is wrong.
+func (u Upstream) Check() error {
+	switch {
+	case u.ID == "":
+		return &InvalidError{"id", `""`, "the upstream's id"}
+	case u.Service == "":
+		return &InvalidError{"service", `""`, "a service"}
+	case u.Domain == "":
+		return &InvalidError{"failure_domain", `""`, "a failure domain"}
+	case u.Slots < 1:
+		return &InvalidError{"slots", u.Slots, "1 or more"}
+	case u.ColdMS < 0:
+		return &InvalidError{"cold_ms", u.ColdMS, "0 or more"}
+	case u.BornMS <= 0:
+		return &InvalidError{"born_ms", u.BornMS, "a Unix time in milliseconds"}
+	}
+	host, port, err := net.SplitHostPort(u.Address)
+	if err != nil || net.ParseIP(host) == nil {
+		return &InvalidError{"address", fmt.Sprintf("%q", u.Address), "IP:port"}
+	}
+	if n, err := strconv.Atoi(port); err != nil || n < 1 || n > 65535 {
+		return &InvalidError{"address", fmt.Sprintf("%q", u.Address), "IP:port"}
+	}
+	return nil
+}
+
+// Member is an upstream with what the table knows besides.
+type Member struct {
+	Upstream
+	Heard     time.Time
+	ColdUntil time.Time
+}
+
+// Removal remembers that an upstream was removed.
+type Removal struct {
+	ID       string
+	Revision uint64
+}
+
+// Table holds the upstreams by id. One task owns it.
+type Table struct {
+	Members  map[string]*Member
+	Removed  []Removal
+	Revision uint64
+	// Retired holds the start times of incarnations that said that they leave.
+	Retired map[string]int64
+}
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{Members: map[string]*Member{}, Retired: map[string]int64{}}
+}
+
+// Change says what an announcement brought.
+//
+//sumtype:decl
+type Change interface{ change() }
+
+// Joined means that this incarnation was not known.
+type Joined struct{}
+
+// Updated means that something that entries act on has changed.
+type Updated struct{}
+
+// Renewed means that only the lifetime was extended.
+type Renewed struct{}
+
+// Stale means that a newer announcement or a newer incarnation came earlier.
+type Stale struct{ Reason string }
+
+func (Joined) change()  {}
+func (Updated) change() {}
+func (Renewed) change() {}
+func (Stale) change()   {}
+
+// Announce takes an announcement into the table.
+func (t *Table) Announce(now time.Time, u Upstream) Change {
+	if born, retired := t.Retired[u.ID]; retired && u.BornMS <= born {
+		u.Draining = true
+	}
+	old := t.Members[u.ID]
+	switch {
+	case old != nil && u.BornMS < old.BornMS:
+		return Stale{Reason: "an older incarnation of this id"}
+	case old != nil && u.BornMS == old.BornMS && u.Sequence <= old.Sequence:
+		return Stale{Reason: "an older announcement"}
+	case t.addressTaken(u):
+		return Stale{Reason: "the address belongs to a newer incarnation"}
+	}
+	coldUntil := now.Add(time.Duration(u.ColdMS) * time.Millisecond)
+	if old == nil || old.BornMS != u.BornMS {
+		t.put(&Member{Upstream: u, Heard: now, ColdUntil: coldUntil})
+		return Joined{}
+	}
+	old.Heard = now
+	u.Draining = u.Draining || old.Draining
+	same := old.Address == u.Address && old.Service == u.Service && old.Domain == u.Domain &&
+		old.Slots == u.Slots && old.Draining == u.Draining
+	if same && !coldUntil.After(old.ColdUntil.Add(coldSlack)) {
+		old.Sequence = u.Sequence
+		return Renewed{}
+	}
+	t.put(&Member{Upstream: u, Heard: now, ColdUntil: coldUntil})
+	return Updated{}
+}
+
+// coldSlack is how much later a cold time may end than announced before
+// without being news: the delay of an announcement varies by less.
+const coldSlack = 400 * time.Millisecond
+
+func (t *Table) put(m *Member) {
+	t.Revision++
+	m.Revision = t.Revision
+	t.Members[m.ID] = m
+}
+
+// addressTaken reports whether a younger incarnation has the address, and
+// removes the older ones that had it.
+func (t *Table) addressTaken(u Upstream) bool {
+	for _, id := range slices.Sorted(maps.Keys(t.Members)) {
+		m := t.Members[id]
+		if id == u.ID || m.Address != u.Address {
+			continue
+		}
+		if m.BornMS > u.BornMS {
+			return true
+		}
+		t.remove(id)
+	}
+	return false
+}
+
+func (t *Table) remove(id string) {
+	delete(t.Members, id)
+	t.Revision++
+	t.Removed = append(t.Removed, Removal{ID: id, Revision: t.Revision})
+	if over := len(t.Removed) - maxRemoved; over > 0 {
+		t.Removed = slices.Delete(t.Removed, 0, over)
+	}
+}
+
+// Retire marks an incarnation, and all before it, as leaving.
+func (t *Table) Retire(id string, bornMS int64) {
+	t.Retired[id] = max(t.Retired[id], bornMS)
+	if m := t.Members[id]; m != nil && m.BornMS <= bornMS && !m.Draining {
+		m.Draining = true
+		t.Revision++
+		m.Revision = t.Revision
+	}
+}
+
+// Expire removes the upstreams that were not heard of for too long and returns
+// their ids in order.
+func (t *Table) Expire(now time.Time) []string {
+	var gone []string
+	for _, id := range slices.Sorted(maps.Keys(t.Members)) {
+		if now.Sub(t.Members[id].Heard) >= Lifetime {
+			t.remove(id)
+			gone = append(gone, id)
+		}
+	}
+	return gone
+}
+
+// Since lists what changed after a revision: upstreams with the cold time that
+// is left, and the ids of those removed.
+func (t *Table) Since(now time.Time, revision uint64) (changed []Upstream, removed []string) {
+	for _, id := range slices.Sorted(maps.Keys(t.Members)) {
+		m := t.Members[id]
+		if m.Revision > revision {
+			u := m.Upstream
+			u.ColdMS = max(0, m.ColdUntil.Sub(now).Milliseconds())
+			changed = append(changed, u)
+		}
+	}
+	for _, r := range t.Removed {
+		if r.Revision > revision && t.Members[r.ID] == nil {
+			removed = append(removed, r.ID)
+		}
+	}
+	return changed, removed
+}
+
+// Complete reports whether the removals after a revision are still known.
+func (t *Table) Complete(revision uint64) bool {
+	return len(t.Removed) < maxRemoved || t.Removed[0].Revision <= revision+1
+}
--- /dev/null
+++ b/gateway/task.go
@@ -0,0 +1,327 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/oriolepost/oriolepost/ingress"
+	"github.com/oriolepost/oriolepost/peer"
+	"github.com/oriolepost/oriolepost/placement"
+	"github.com/oriolepost/oriolepost/route"
+	"github.com/oriolepost/oriolepost/upstream"
+)
+
+const (
+	// mailboxSize bounds the messages that wait for the entry task.
+	mailboxSize = 1024
+	// defaultTimeout serves requests whose route and caller set no limit.
+	defaultTimeout = 30 * time.Second
+	// answerMargin is taken off the time that the caller waits, for the way.
+	answerMargin = 15 * time.Millisecond
+)
+
+// mail is a message for the entry task.
+//
+//sumtype:decl
+type mail interface{ mail() }
+
+type arrivedMail struct{ exchange *ingress.Exchange }
+
+type leftMail struct{ exchanges []*ingress.Exchange }
+
+type viewMail struct{ view peer.WatchResponse }
+
+type probedMail struct {
+	key    placement.Key
+	result placement.Probed
+	conn   *upstream.Conn
+}
+
+type attemptMail struct {
+	key     placement.Key
+	attempt placement.AttemptID
+	answer  upstream.Answer
+	outcome placement.Outcome
+	conn    *upstream.Conn
+}
+
+func (arrivedMail) mail() {}
+func (leftMail) mail()    {}
+func (viewMail) mail()    {}
+func (probedMail) mail()  {}
+func (attemptMail) mail() {}
+
+// task owns the placement, the unused connections and the requests.
+type task struct {
+	gateway   *Gateway
+	ctx       context.Context
+	mailbox   chan mail
+	placement *placement.State
+	random    *rand.Rand
+
+	nextID    placement.RequestID
+	exchanges map[placement.RequestID]*work
+	ids       map[*ingress.Exchange]placement.RequestID
+	// cancels holds how to give up the attempts under way.
+	cancels map[placement.AttemptID]context.CancelFunc
+	// answers holds the answers of attempts until their request is finished.
+	answers map[placement.AttemptID]upstream.Answer
+	conns   map[placement.Key][]*upstream.Conn
+}
+
+// work is a request under way.
+type work struct {
+	exchange *ingress.Exchange
+	request  placement.Request
+	// upstream, attempt and basis tell of the last attempt.
+	upstream string
+	basis    placement.Basis
+	started  time.Time
+}
+
+func newTask(ctx context.Context, g *Gateway, p *placement.State) *task {
+	return &task{
+		gateway: g, ctx: ctx, mailbox: make(chan mail, mailboxSize), placement: p,
+		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		exchanges: map[placement.RequestID]*work{}, ids: map[*ingress.Exchange]placement.RequestID{},
+		cancels: map[placement.AttemptID]context.CancelFunc{}, answers: map[placement.AttemptID]upstream.Answer{},
+		conns: map[placement.Key][]*upstream.Conn{},
+	}
+}
+
+func (t *task) arrived(e *ingress.Exchange) {
+	select {
+	case t.mailbox <- arrivedMail{e}:
+	case <-t.ctx.Done():
+		e.Answer <- upstream.Answer{}
+	}
+}
+
+func (t *task) left(list []*ingress.Exchange) {
+	if len(list) == 0 {
+		return
+	}
+	select {
+	case t.mailbox <- leftMail{list}:
+	case <-t.ctx.Done():
+	}
+}
+
+func (t *task) post(m mail) {
+	select {
+	case t.mailbox <- m:
+	case <-t.ctx.Done():
+	}
+}
+
+func (t *task) run() {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-timer.C:
+			t.step(placement.Ticked{})
+		case m := <-t.mailbox:
+			t.take(m)
+		}
+		if next := t.placement.NextWake(); !next.IsZero() {
+			timer.Reset(max(0, time.Until(next)))
+		} else {
+			timer.Stop()
+		}
+	}
+}
+
+func (t *task) take(m mail) {
+	switch m := m.(type) {
+	case arrivedMail:
+		t.arrive(m.exchange)
+	case leftMail:
+		for _, e := range m.exchanges {
+			if id, ok := t.ids[e]; ok {
+				t.step(placement.Left{Request: id})
+				t.logLeft(t.exchanges[id])
+				t.answer(id, upstream.Answer{})
+			}
+		}
+	case viewMail:
+		t.view(m.view)
+	case probedMail:
+		t.keep(m.key, m.conn)
+		m.result.Upstream = m.key
+		t.step(m.result)
+	case attemptMail:
+		t.keep(m.key, m.conn)
+		t.ended(m)
+	}
+}
+
+// arrive gives a request its part of the route and its deadline.
+func (t *task) arrive(e *ingress.Exchange) {
+	r := e.Request
+	t.nextID++
+	id := t.nextID
+	wait := defaultTimeout
+	if r.Patience > 0 {
+		wait = r.Patience - answerMargin
+	}
+	if e.Route.Timeout > 0 {
+		wait = min(wait, e.Route.Timeout)
+	}
+	service, weighted := e.Route.PickPart(t.random.Float64())
+	request := placement.Request{
+		ID: id, Route: e.Route, Service: service, Arrived: r.Received,
+		Deadline: r.Received.Add(wait), Once: r.Rest != nil,
+	}
+	t.exchanges[id] = &work{exchange: e, request: request}
+	t.ids[e] = id
+	if !weighted {
+		t.perform(placement.Finish{Request: id, Outcome: placement.NotRun{Reason: placement.ReasonNoWeight}})
+		return
+	}
+	t.step(placement.Arrived{Request: request})
+}
+
+func (t *task) step(e placement.Event) {
+	for _, effect := range t.placement.Step(time.Now(), e) {
+		t.perform(effect)
+	}
+}
+
+func (t *task) perform(effect placement.Effect) {
+	switch e := effect.(type) {
+	case placement.StartProbe:
+		t.probe(e)
+	case placement.StartAttempt:
+		t.attempt(e)
+	case placement.CancelAttempt:
+		if cancel := t.cancels[e.Attempt]; cancel != nil {
+			cancel()
+			delete(t.cancels, e.Attempt)
+		}
+	case placement.Finish:
+		t.finish(e)
+	case placement.Forget:
+		t.forget(e.Upstream)
+	}
+}
+
+// ended takes the end of an attempt.
+func (t *task) ended(m attemptMail) {
+	if cancel := t.cancels[m.attempt]; cancel != nil {
+		cancel()
+		delete(t.cancels, m.attempt)
+	}
+	t.answers[m.attempt] = m.answer
+	t.step(placement.AttemptEnded{Attempt: m.attempt, Outcome: m.outcome, Load: m.answer.Load})
+	if a, left := t.answers[m.attempt]; left {
+		if a.Rest != nil {
+			_ = a.Rest.Close()
+		}
+		delete(t.answers, m.attempt)
+	}
+}
+
+// view takes what the leader told.
+func (t *task) view(v peer.WatchResponse) {
+	event := placement.Viewed{
+		Full: v.Full, Settled: v.Settled, Upstreams: v.Upstreams, Removed: v.Removed,
+		OutDomains: v.OutDomains, Index: v.Index, Count: v.Count,
+	}
+	if c := v.Configuration; c != nil && (t.gateway.table.Load() == nil || c.Version > t.gateway.version()) {
+		table := route.NewTable(*c)
+		event.Services = table.Services
+		t.gateway.table.Store(table)
+		t.gateway.options.Log.WithFields(log.Fields{
+			"change": "configuration", "version": c.Version, "routes": len(c.Routes), "epoch": v.Epoch, "revision": v.Revision,
+		}).Info("configuration in force")
+	}
+	if len(v.Upstreams)+len(v.Removed) > 0 || v.Full {
+		t.gateway.options.Log.WithFields(log.Fields{
+			"change": "upstreams", "listed": len(v.Upstreams), "removed": len(v.Removed), "full": v.Full,
+			"settled": v.Settled, "out_domains": v.OutDomains, "epoch": v.Epoch, "revision": v.Revision,
+		}).Info("view changed")
+	}
+	t.step(event)
+}
+
+// finish answers a request.
+func (t *task) finish(e placement.Finish) {
+	w := t.exchanges[e.Request]
+	if w == nil {
+		return
+	}
+	status, reason := 0, ""
+	switch o := e.Outcome.(type) {
+	case placement.Answered:
+		a := t.answers[e.Attempt]
+		delete(t.answers, e.Attempt)
+		status = a.Status
+		t.answer(e.Request, a)
+	case placement.NotRun:
+		status, reason = http.StatusServiceUnavailable, string(o.Reason)
+		t.answer(e.Request, ingress.Refusal(status, "not run: "+reason, o.RetryAfter))
+	case placement.Unknown:
+		status, reason = http.StatusBadGateway, string(o.Reason)
+		if o.Reason == placement.ReasonTimeout {
+			status = http.StatusGatewayTimeout
+		}
+		t.answer(e.Request, ingress.Refusal(status, "no answer: "+reason, 0))
+	}
+	t.logFinished(w, e, status, reason)
+}
+
+func (t *task) answer(id placement.RequestID, a upstream.Answer) {
+	w := t.exchanges[id]
+	if w == nil {
+		return
+	}
+	delete(t.exchanges, id)
+	delete(t.ids, w.exchange)
+	w.exchange.Answer <- a
+}
+
+// logFinished writes the one line that joins the decisions on a request.
+func (t *task) logFinished(w *work, e placement.Finish, status int, reason string) {
+	g := t.gateway
+	took := time.Since(w.request.Arrived)
+	g.options.Metrics.GetOrCreateCounter(fmt.Sprintf(`oriolepost_requests_total{outcome=%q,status="%d"}`, outcomeName(e.Outcome), status)).Inc()
+	g.options.Metrics.GetOrCreateHistogram("oriolepost_request_seconds").Update(took.Seconds())
+	g.options.Log.WithFields(log.Fields{
+		"request_id": w.exchange.Request.ID, "route": w.request.Route.Name, "service": w.request.Service,
+		"version": g.version(), "status": status, "outcome": outcomeName(e.Outcome), "reason": reason,
+		"took_ms": took.Milliseconds(), "left_ms": time.Until(w.request.Deadline).Milliseconds(), "attempts": e.Attempts,
+		"upstream": w.upstream, "load_age_ms": w.basis.Age.Milliseconds(), "cost": w.basis.Cost,
+		"candidates": w.basis.Candidates, "load": w.basis.Load, "touch_age_ms": g.touchAge().Milliseconds(),
+	}).Info("request finished")
+}
+
+func (t *task) logLeft(w *work) {
+	if w == nil {
+		return
+	}
+	t.gateway.options.Metrics.GetOrCreateCounter(`oriolepost_requests_total{outcome="left",status="0"}`).Inc()
+	t.gateway.options.Log.WithFields(log.Fields{
+		"request_id": w.exchange.Request.ID, "route": w.request.Route.Name, "upstream": w.upstream,
+		"took_ms": time.Since(w.request.Arrived).Milliseconds(), "outcome": "left",
+	}).Info("caller left")
+}
+
+func outcomeName(o placement.Outcome) string {
+	switch o.(type) {
+	case placement.Answered:
+		return "answered"
+	case placement.NotRun:
+		return "not_run"
+	case placement.Unknown:
+		return "unknown"
+	}
+	return "unknown"
+}
--- a/jsonform/envelope.go
+++ b/jsonform/envelope.go
@@ -64,6 +64,10 @@
 		return "set_domain"
 	case record.SetServer:
 		return "set_server"
+	case record.PutConfiguration:
+		return "put_configuration"
+	case record.Retire:
+		return "retire"
 	case record.Claim:
 		return "claim"
 	case record.Settle:
@@ -92,6 +96,10 @@
 		return open(e, func(c record.SetDomain) record.Command { return c })
 	case "set_server":
 		return open(e, func(c record.SetServer) record.Command { return c })
+	case "put_configuration":
+		return open(e, func(c record.PutConfiguration) record.Command { return c })
+	case "retire":
+		return open(e, func(c record.Retire) record.Command { return c })
 	case "claim":
 		return open(e, func(c record.Claim) record.Command { return c })
 	case "settle":
--- a/node/handler.go
+++ b/node/handler.go
@@ -32,7 +32,8 @@
 		n.entry.post(entryMail{event: entry.Poked{}})
 		return peer.Nothing{}, nil
 	case peer.ReplicaMessage, peer.ReportRequest, peer.ProposeRequest, peer.IdentifyRequest,
-		peer.JoinRequest, peer.StatusRequest, peer.ConfirmRequest:
+		peer.JoinRequest, peer.StatusRequest, peer.ConfirmRequest,
+		peer.AnnounceRequest, peer.ReadRequest, peer.WatchRequest:
 	}
 	if n.voter == nil {
 		return nil, &peer.RefusedError{Code: peer.CodeNotLeader, Reason: "this instance has no disk"}
@@ -92,7 +93,8 @@
 		answer := make(chan bool, 1)
 		return await(ctx, t, confirmMail{r.Index, answer, refuse}, answer, refuse,
 			func(in bool) peer.Response { return peer.ConfirmResponse{InForce: in} })
-	case peer.BorrowRequest, peer.ReturnRequest, peer.PokeRequest:
+	case peer.BorrowRequest, peer.ReturnRequest, peer.PokeRequest,
+		peer.AnnounceRequest, peer.ReadRequest, peer.WatchRequest:
 	}
 	return nil, &peer.RefusedError{Code: peer.CodeMalformed, Reason: "not a request for a voter"}
 }
--- a/peer/leader.go
+++ b/peer/leader.go
@@ -24,44 +24,57 @@
 
 // Leader finds the leader among the instances with a disk, and talks to it.
 type Leader struct {
-	pool      *Pool
+	pool *Pool
+	// search holds the state of the search. Whoever uses it takes it out and
+	// puts it back.
+	search chan search
+}
+
+// search is where the leader is looked for.
+type search struct {
 	instances []Address
-	// guess holds the address that led last. Whoever uses it takes it out
-	// and puts it back.
-	guess chan string
+	// guess is the address that led last.
+	guess string
 }
 
 // NewLeader returns a Leader that begins its search at the first instance.
 func NewLeader(pool *Pool, instances []Address) *Leader {
-	l := &Leader{pool: pool, instances: instances, guess: make(chan string, 1)}
-	l.guess <- instances[0].Address
+	l := &Leader{pool: pool, search: make(chan search, 1)}
+	l.search <- search{instances: instances, guess: instances[0].Address}
 	return l
 }
 
+// Learn replaces the instances among which the leader is looked for.
+func (l *Leader) Learn(instances []Address) {
+	s := <-l.search
+	s.instances = instances
+	l.search <- s
+}
+
 func (l *Leader) current() string {
-	g := <-l.guess
-	l.guess <- g
-	return g
+	s := <-l.search
+	l.search <- s
+	return s.guess
 }
 
 // correct replaces a guess that turned out wrong, unless another call already
 // did so.
 func (l *Leader) correct(wrong, leader string) {
-	g := <-l.guess
-	if g == wrong {
-		g = l.next(wrong, leader)
+	s := <-l.search
+	if s.guess == wrong {
+		s.guess = s.next(wrong, leader)
 	}
-	l.guess <- g
+	l.search <- s
 }
 
-func (l *Leader) next(wrong, leader string) string {
-	for _, a := range l.instances {
+func (s search) next(wrong, leader string) string {
+	for _, a := range s.instances {
 		if a.Instance == leader && a.Address != wrong {
 			return a.Address
 		}
 	}
-	i := slices.IndexFunc(l.instances, func(a Address) bool { return a.Address == wrong })
-	return l.instances[(i+1)%len(l.instances)].Address
+	i := slices.IndexFunc(s.instances, func(a Address) bool { return a.Address == wrong })
+	return s.instances[(i+1)%len(s.instances)].Address
 }
 
 // Call sends a request to the leader. It tries until the leader answered or
--- a/peer/message.go
+++ b/peer/message.go
@@ -19,8 +19,10 @@
 
 	"github.com/oriolepost/oriolepost/catalog"
 	"github.com/oriolepost/oriolepost/entry"
+	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/record"
 	"github.com/oriolepost/oriolepost/replica"
+	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/slot"
 )
 
@@ -82,6 +84,41 @@
 	Index uint64 `json:"index"`
 }
 
+// AnnounceRequest brings an upstream's announcement to the leader.
+type AnnounceRequest struct {
+	Upstream fleet.Upstream `json:"upstream"`
+	// Sequence is the announcement's number within its incarnation.
+	Sequence uint64 `json:"sequence"`
+	// Leaving is true when the upstream deregisters; only the id and, if
+	// given, the start time count then.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// ReadRequest asks the leader for the newest configuration.
+type ReadRequest struct{}
+
+// WatchRequest asks the leader for what changed since a view. The answer
+// comes when there is news, or after a pause.
+type WatchRequest struct {
+	// Entry is the instance that asks.
+	Entry string `json:"entry"`
+	// Epoch and Revision name the view that the entry has.
+	Epoch    uint64 `json:"epoch"`
+	Revision uint64 `json:"revision"`
+	// FleetRevision is the part of the revision that counts upstreams.
+	FleetRevision uint64 `json:"fleet_revision"`
+	// Version is the configuration that the entry follows.
+	Version uint64 `json:"version"`
+	// Settled is true when the entry knows that the view is complete.
+	Settled bool `json:"settled,omitempty"`
+	// Index and Count are the entry's place among the entries as last told.
+	Index int `json:"index"`
+	Count int `json:"count"`
+}
+
+func (AnnounceRequest) request() {}
+func (ReadRequest) request()     {}
+func (WatchRequest) request()    {}
 func (ReplicaMessage) request()  {}
 func (ReportRequest) request()   {}
 func (ProposeRequest) request()  {}
@@ -142,6 +179,38 @@
 	LedgerKeys map[string]int `json:"ledger_keys,omitempty"`
 }
 
+// ReadResponse answers a ReadRequest.
+type ReadResponse struct {
+	// Original is the newest configuration as it was sent; empty when there
+	// is none yet.
+	Original []byte `json:"original,omitempty"`
+}
+
+// WatchResponse answers a WatchRequest.
+type WatchResponse struct {
+	// Epoch is the leader's term; revisions of two epochs don't compare.
+	Epoch         uint64 `json:"epoch"`
+	Revision      uint64 `json:"revision"`
+	FleetRevision uint64 `json:"fleet_revision"`
+	// Full is true when Upstreams lists all that the leader knows.
+	Full bool `json:"full,omitempty"`
+	// Settled is true when the leader has led for long enough to know all.
+	Settled   bool             `json:"settled,omitempty"`
+	Upstreams []fleet.Upstream `json:"upstreams,omitempty"`
+	Removed   []string         `json:"removed,omitempty"`
+	// OutDomains are the failure domains that operators took out.
+	OutDomains []string `json:"out_domains,omitempty"`
+	// Configuration is set when it is newer than the entry's.
+	Configuration *route.Configuration `json:"configuration,omitempty"`
+	// Control lists the instances that hold the replicated log.
+	Control []string `json:"control,omitempty"`
+	// Index and Count are the entry's place among the entries.
+	Index int `json:"index"`
+	Count int `json:"count"`
+}
+
+func (ReadResponse) response()     {}
+func (WatchResponse) response()    {}
 func (Nothing) response()          {}
 func (ReportResponse) response()   {}
 func (ProposeResponse) response()  {}
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -9,6 +9,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/oriolepost/oriolepost/tcp"
 )
 
 const (
@@ -82,8 +84,7 @@
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	return d.DialContext(ctx, "tcp", address)
+	return tcp.Dial(ctx, address, dialTimeout)
 }
 
 // Call sends a request and waits for its response or the context's end.
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -23,6 +23,9 @@
 	methodJoin     = "join"
 	methodStatus   = "status"
 	methodConfirm  = "confirm"
+	methodAnnounce = "announce"
+	methodRead     = "read"
+	methodWatch    = "watch"
 )
 
 // replicaParams is the JSON form of a ReplicaMessage.
@@ -74,6 +77,12 @@
 		return methodStatus, r, false, nil
 	case ConfirmRequest:
 		return methodConfirm, r, false, nil
+	case AnnounceRequest:
+		return methodAnnounce, r, false, nil
+	case ReadRequest:
+		return methodRead, r, false, nil
+	case WatchRequest:
+		return methodWatch, r, false, nil
 	}
 	return "", nil, false, fmt.Errorf("request %T has no method", r)
 }
@@ -101,6 +110,12 @@
 		return StatusRequest{}, nil
 	case methodConfirm:
 		return decode(params, func(r ConfirmRequest) Request { return r })
+	case methodAnnounce:
+		return decode(params, func(r AnnounceRequest) Request { return r })
+	case methodRead:
+		return ReadRequest{}, nil
+	case methodWatch:
+		return decode(params, func(r WatchRequest) Request { return r })
 	}
 	return nil, &RefusedError{Code: CodeMalformed, Reason: fmt.Sprintf("method %q is not known", method)}
 }
@@ -144,7 +159,7 @@
 	case ProposeResponse:
 		e, err := jsonform.SealResult(r.Result)
 		return proposeResult{Result: e}, err
-	case Nothing, ReportResponse, BorrowResponse, IdentifyResponse, ConfirmResponse, StatusResponse:
+	case Nothing, ReportResponse, BorrowResponse, IdentifyResponse, ConfirmResponse, StatusResponse, ReadResponse, WatchResponse:
 		return r, nil
 	}
 	return nil, fmt.Errorf("response %T has no form", r)
@@ -165,7 +180,11 @@
 		return decode(result, func(r StatusResponse) Response { return r })
 	case ConfirmRequest:
 		return decode(result, func(r ConfirmResponse) Response { return r })
-	case ReplicaMessage, ReturnRequest, PokeRequest, JoinRequest:
+	case ReadRequest:
+		return decode(result, func(r ReadResponse) Response { return r })
+	case WatchRequest:
+		return decode(result, func(r WatchResponse) Response { return r })
+	case AnnounceRequest, ReplicaMessage, ReturnRequest, PokeRequest, JoinRequest:
 		return Nothing{}, nil
 	}
 	return Nothing{}, nil
--- /dev/null
+++ b/placement/cost.go
@@ -0,0 +1,98 @@
+package placement
+
+import (
+	"hash/fnv"
+	"slices"
+	"time"
+)
+
+const (
+	// usualPace is the pace of a machine without noisy neighbours, in
+	// hundredths.
+	usualPace = 100
+	// nearlyFull is the share of busy slots from which upstreams slow down,
+	// and nearlyFullCost what that adds at most.
+	nearlyFull     = 0.8
+	nearlyFullCost = 0.7
+	// domainCost is what the way to another failure domain adds: a few
+	// milliseconds of some hundreds, and bytes between failure domains.
+	domainCost = 0.06
+	// troubleCost is what a recent failure adds.
+	troubleCost = 4.0
+	// unknownCost is the cost of an upstream that does not tell its load.
+	unknownCost = 1.0
+	// coldCost multiplies the cost of a cold upstream: it runs at half pace.
+	coldCost = 2.0
+	// coldShare is the share of the bound that one carrier uses, so that two
+	// carriers in the same second stay below it.
+	coldShare = 0.4
+	// touchLifetime is how long an entry's place among the entries counts.
+	touchLifetime = 1200 * time.Millisecond
+)
+
+// cost is the expected time of a request at an upstream, in units of the
+// usual time.
+func (s *State) cost(now time.Time, u *Upstream) float64 {
+	c := unknownCost + 0.3*float64(len(u.InFlight))
+	if u.Load.Known {
+		c = u.Load.cost(u.Since)
+	}
+	c *= max(1, u.Slowness)
+	if u.Info.Domain != s.Config.Domain {
+		c += domainCost
+	}
+	if now.Before(u.ColdUntil) {
+		c *= coldCost
+	}
+	return c + u.Trouble*troubleCost
+}
+
+// cost is the expected time of one more request under a load, with as many
+// more that were sent since the load was told.
+func (l Load) cost(since int) float64 {
+	pace := float64(max(l.Pace, usualPace)) / usualPace
+	slots := max(1, l.Slots)
+	busy := l.Running + l.Waiting + since + 1
+	share := float64(min(busy, slots)) / float64(slots)
+	c := pace * (1 + nearlyFullCost*max(0, share-nearlyFull)/(1-nearlyFull))
+	if over := busy - slots; over > 0 {
+		c += pace * float64(over) / float64(slots)
+	}
+	return c
+}
+
+// full reports whether an upstream's queue is as long as its slots: what is
+// sent there now waits for a whole round.
+func (u *Upstream) full() bool {
+	return u.Load.Known && u.Load.Running+u.Load.Waiting+u.Since >= 2*max(1, u.Load.Slots)
+}
+
+// open reports whether an upstream may get requests at all.
+func (s *State) open(now time.Time, u *Upstream) bool {
+	if u.Info.Draining || !u.Healthy && now.Before(u.AvoidUntil) || slices.Contains(s.outDomains, u.Info.Domain) {
+		return false
+	}
+	if now.Before(u.AvoidUntil) {
+		return false
+	}
+	return !now.Before(u.ColdUntil) || s.mayCarry(now, u)
+}
+
+// mayCarry reports whether this entry may send a request to a cold upstream.
+// One entry carries each, so that the sum over all entries is bounded.
+func (s *State) mayCarry(now time.Time, u *Upstream) bool {
+	if s.Count == 0 || now.Sub(s.Touched) > touchLifetime {
+		return false
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(u.Info.ID))
+	if int(h.Sum32())%s.Count != s.Index {
+		return false
+	}
+	u.coldSent = slices.DeleteFunc(u.coldSent, func(t time.Time) bool { return now.Sub(t) > time.Second+coldMargin })
+	bound := s.Services[u.Info.Service].ColdRate*s.Config.ColdFactor + s.Config.ColdSlack
+	return len(u.coldSent) < int(coldShare*bound)
+}
+
+// coldMargin is by how much requests may bunch on their way.
+const coldMargin = 100 * time.Millisecond
--- /dev/null
+++ b/placement/repeat.go
@@ -0,0 +1,254 @@
+package placement
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// unhealthyPause is how long an upstream that says it is not healthy is
+	// left alone.
+	unhealthyPause = 500 * time.Millisecond
+	// firstPause is how long an upstream is left alone after a failure; it
+	// doubles with each further one up to longestPause.
+	firstPause   = 250 * time.Millisecond
+	longestPause = 4 * time.Second
+	// troubleDecay is how much of the trouble an answer leaves.
+	troubleDecay = 0.6
+	// hedgeFactor is how many times the expected time an idempotent request
+	// waits before it is sent to a second upstream as well.
+	hedgeFactor = 1.5
+	// usualWeight is the weight of one answer in the usual time of a route.
+	usualWeight = 0.1
+	// slownessWeight is the weight of one answer in an upstream's slowness.
+	slownessWeight = 0.3
+	// shortestRetryAfter and longestRetryAfter bound when callers are asked
+	// to come back, in a spread that keeps them from coming together.
+	shortestRetryAfter = 60 * time.Millisecond
+	longestRetryAfter  = 400 * time.Millisecond
+	// leftShare is the share of the time left after which callers still come
+	// back: they don't honor more than a third.
+	leftShare = 0.25
+	// noAttempts serves routes that don't bound their attempts.
+	noAttempts = 2
+)
+
+// tick does what time brings to the requests.
+func (s *State) tick(now time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(s.requests)) {
+		p := s.requests[id]
+		if p == nil {
+			continue
+		}
+		if !now.Before(p.request.Deadline) {
+			s.expire(now, p)
+			continue
+		}
+		if p.placing && now.Sub(p.placingAt) >= probePatience {
+			s.settle(now, p, true)
+		}
+		if s.requests[id] != nil && !p.hedgeAt.IsZero() && !now.Before(p.hedgeAt) {
+			s.hedge(now, p)
+		}
+	}
+}
+
+// expire ends a request whose deadline passed.
+func (s *State) expire(now time.Time, p *pending) {
+	p.placing = false
+	var o Outcome = Unknown{Reason: ReasonTimeout}
+	if p.sent == 0 {
+		o = NotRun{Reason: ReasonOverload}
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.attempts)) {
+		if u := s.upstream(p.attempts[id].upstream); u != nil {
+			s.slower(u, 3)
+		}
+	}
+	p.outcome = merge(p.outcome, o)
+	s.finish(now, p, 0)
+}
+
+// hedgeTime is when an idempotent request is sent to a second upstream too.
+func (s *State) hedgeTime(now time.Time, p *pending, expected time.Duration) time.Time {
+	if !s.mayRepeat(p) || !p.request.Route.Idempotent {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(hedgeFactor * float64(max(expected, s.usualTime(p.request)))))
+}
+
+// hedge looks for a second upstream beside a slow one.
+func (s *State) hedge(now time.Time, p *pending) {
+	p.hedgeAt = time.Time{}
+	if len(p.attempts) != 1 || p.placing || !s.mayRepeat(p) {
+		return
+	}
+	s.place(now, p)
+}
+
+// mayRepeat reports whether a request may be sent to one more upstream.
+func (s *State) mayRepeat(p *pending) bool {
+	limit := p.request.Route.MaxAttempts
+	if limit == 0 {
+		limit = noAttempts
+	}
+	return !p.request.Once && p.sent < limit
+}
+
+// attemptEnded takes the end of an attempt.
+func (s *State) attemptEnded(now time.Time, e AttemptEnded) {
+	id, known := s.owners[e.Attempt]
+	if !known {
+		return
+	}
+	delete(s.owners, e.Attempt)
+	p := s.requests[id]
+	a := p.attempts[e.Attempt]
+	delete(p.attempts, e.Attempt)
+	if u := s.upstream(a.upstream); u != nil {
+		delete(u.InFlight, e.Attempt)
+		s.observe(now, u, a, p, e)
+	}
+	s.decide(now, p, e)
+}
+
+// decide ends the request, repeats it, or waits for another attempt.
+func (s *State) decide(now time.Time, p *pending, e AttemptEnded) {
+	switch o := e.Outcome.(type) {
+	case Answered:
+		if o.Failed && p.request.Route.Idempotent && (len(p.attempts) > 0 || s.repeat(now, p)) {
+			// The other attempt may bring the answer; else the caller gets
+			// no answer rather than this one.
+			p.outcome = merge(p.outcome, Unknown{Reason: ReasonShed})
+			return
+		}
+		p.outcome = o
+		s.finish(now, p, e.Attempt)
+		return
+	case NotRun:
+		if !o.Sent {
+			p.sent--
+		}
+		p.outcome = merge(p.outcome, o)
+		if len(p.attempts) > 0 || p.placing || s.repeat(now, p) {
+			return
+		}
+	case Unknown:
+		p.outcome = merge(p.outcome, o)
+		if len(p.attempts) > 0 || p.placing {
+			return
+		}
+		if p.request.Route.Idempotent && s.repeat(now, p) {
+			return
+		}
+	}
+	s.finish(now, p, 0)
+}
+
+// repeat looks for another upstream if the request may go to one more.
+func (s *State) repeat(now time.Time, p *pending) bool {
+	if !s.mayRepeat(p) || p.made >= 2*noAttempts+probeRounds {
+		return false
+	}
+	s.place(now, p)
+	return s.requests[p.request.ID] == nil || p.placing || len(p.attempts) > 0
+}
+
+// observe takes what an attempt showed of its upstream.
+func (s *State) observe(now time.Time, u *Upstream, a *attempt, p *pending, e AttemptEnded) {
+	switch o := e.Outcome.(type) {
+	case Answered:
+		if e.Load.Known {
+			s.loaded(now, u, e.Load)
+		}
+		if o.Failed {
+			s.avoid(now, u, 0.7)
+			return
+		}
+		u.Trouble *= troubleDecay
+		took := now.Sub(a.began)
+		s.slower(u, float64(took)/float64(max(a.expected, time.Millisecond)))
+		usual := s.usualTime(p.request)
+		ratio := float64(usual) / float64(max(a.expected, time.Millisecond))
+		s.usual[p.request.Route.Name] = usual + time.Duration(usualWeight*(float64(took)*ratio-float64(usual)))
+	case NotRun:
+		if o.Reason != ReasonCanceled {
+			s.avoid(now, u, 0.5)
+		}
+	case Unknown:
+		if o.Reason != ReasonCanceled {
+			s.avoid(now, u, 1)
+		}
+	}
+}
+
+func (s *State) slower(u *Upstream, ratio float64) {
+	u.Slowness += slownessWeight * (min(ratio, 8) - u.Slowness)
+}
+
+// avoid leaves an upstream alone for a while after a failure.
+func (s *State) avoid(now time.Time, u *Upstream, weight float64) {
+	u.Trouble = min(u.Trouble+weight, 4)
+	pause := time.Duration(float64(firstPause) * u.Trouble * u.Trouble)
+	u.AvoidUntil = now.Add(min(pause, longestPause))
+	u.LoadAt = time.Time{}
+}
+
+// merge joins what became of several attempts: if one may have run, the
+// request may have run.
+func merge(before, o Outcome) Outcome {
+	switch o := o.(type) {
+	case Answered, Unknown:
+		return o
+	case NotRun:
+		if before != nil {
+			if _, unknown := before.(Unknown); unknown {
+				return before
+			}
+		}
+		return o
+	}
+	return o
+}
+
+// leave drops a request whose caller is gone.
+func (s *State) leave(id RequestID) {
+	if p := s.requests[id]; p != nil {
+		s.cancelAttempts(p)
+		delete(s.requests, id)
+	}
+}
+
+func (s *State) cancelAttempts(p *pending) {
+	for _, id := range slices.Sorted(maps.Keys(p.attempts)) {
+		if u := s.upstream(p.attempts[id].upstream); u != nil {
+			delete(u.InFlight, id)
+		}
+		delete(s.owners, id)
+		s.emit(CancelAttempt{Attempt: id})
+	}
+	clear(p.attempts)
+}
+
+// finish gives the caller the outcome and cancels what is still under way.
+func (s *State) finish(now time.Time, p *pending, answer AttemptID) {
+	if o, ok := p.outcome.(NotRun); ok {
+		o.RetryAfter = s.retryAfter(now, p.request)
+		p.outcome = o
+	}
+	s.cancelAttempts(p)
+	delete(s.requests, p.request.ID)
+	s.emit(Finish{Request: p.request.ID, Outcome: p.outcome, Attempt: answer, Attempts: p.made})
+}
+
+// retryAfter is when a caller that is refused should come back: soon enough
+// that it still can, and spread so that callers don't come together.
+func (s *State) retryAfter(now time.Time, r Request) time.Duration {
+	left := time.Duration(leftShare * float64(r.Deadline.Sub(now)))
+	longest := min(longestRetryAfter, left)
+	if longest <= shortestRetryAfter {
+		return max(0, longest)
+	}
+	return shortestRetryAfter + time.Duration(s.random.Int64N(int64(longest-shortestRetryAfter)))
+}
--- a/record/record.go
+++ b/record/record.go
@@ -12,7 +12,10 @@
 //	result := catalog.Apply(c)
 package record
 
-import "github.com/oriolepost/oriolepost/service"
+import (
+	"github.com/oriolepost/oriolepost/route"
+	"github.com/oriolepost/oriolepost/service"
+)
 
 // Command is one entry of the replicated log.
 //
@@ -43,6 +46,21 @@
 	Drained  bool   `json:"drained"`
 }
 
+// PutConfiguration replaces the whole configuration if its version is higher
+// than the one in force. Any other version changes nothing and is no error, so
+// that late and repeated orders are harmless.
+type PutConfiguration struct {
+	Configuration route.Configuration `json:"configuration"`
+	// Original is the order as the operator sent it, for reading it back.
+	Original []byte `json:"original"`
+}
+
+// Retire records that an upstream's incarnation, and all before it, leaves.
+type Retire struct {
+	Upstream string `json:"upstream"`
+	BornMS   int64  `json:"born_ms"`
+}
+
 // Claim reserves an idempotency key for one claimant.
 type Claim struct {
 	// AtMS is the proposer's wall clock in Unix milliseconds.
@@ -72,13 +90,15 @@
 	Claimant string `json:"claimant"`
 }
 
-func (Noop) command()        {}
-func (PutDocument) command() {}
-func (SetDomain) command()   {}
-func (SetServer) command()   {}
-func (Claim) command()       {}
-func (Settle) command()      {}
-func (Release) command()     {}
+func (Noop) command()             {}
+func (PutDocument) command()      {}
+func (SetDomain) command()        {}
+func (SetServer) command()        {}
+func (PutConfiguration) command() {}
+func (Retire) command()           {}
+func (Claim) command()            {}
+func (Settle) command()           {}
+func (Release) command()          {}
 
 // StoredAnswer is a server's answer as it is played back.
 type StoredAnswer struct {
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -38,6 +38,12 @@
 	return l.WithFields(log.Fields{"instance": s.Instance, "failure_domain": s.Domain})
 }
 
+// ServeLogger returns the log of an instance on a platform.
+func ServeLogger(w io.Writer, d settings.Deployment) log.Interface {
+	l := &log.Logger{Handler: json.New(w), Level: log.InfoLevel}
+	return l.WithFields(log.Fields{"instance": d.Instance, "failure_domain": d.Domain})
+}
+
 // Tracer returns the tracer of an instance, and how to flush it.
 func Tracer(s settings.Settings) (t trace.Tracer, stop func(context.Context) error, err error) {
 	defer func() {
