A caller that asked for a close is noticed when it leaves before the answer

Ruled out: lost cancel on the way to the upstream; the log has no line of it. Change: the reader goes on to read until the end. Scripted tests of the callers' side, the new one red before; they found that a body that comes too late was answered 400 instead of 408, mended too.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -103,10 +103,27 @@
 			return
 		}
 		c.push(e)
-		if e.closing || !c.clear(e) {
+		if e.closing {
+			c.awaitClose()
 			return
 		}
+		if !c.clear(e) {
+			return
+		}
+	}
+}
+
+// awaitClose notices when the caller leaves before its last answer. What else
+// it sends is not read as a request any more.
+func (c *conn) awaitClose() {
+	if c.SetReadDeadline(time.Time{}) != nil {
+		return
 	}
+	_, err := io.Copy(io.Discard, c.reader)
+	if err == nil {
+		err = io.EOF
+	}
+	c.readFailed(err)
 }
 
 // clear waits until what follows on the connection may be read.
@@ -145,12 +162,15 @@
 		return
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// The entry stops, or the connection was unused for too long.
 		return
 	}
 	select {
 	case <-c.dead:
 	default:
-		c.server.options.Post.Left(c.open)
+		if left := c.unanswered(); len(left) > 0 {
+			c.server.options.Post.Left(left)
+		}
 	}
 }
 
--- /dev/null
+++ b/ingress/ingress_test.go
@@ -0,0 +1,191 @@
+package ingress_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/oriolepost/oriolepost/header"
+	"github.com/oriolepost/oriolepost/ingress"
+	"github.com/oriolepost/oriolepost/route"
+	"github.com/oriolepost/oriolepost/script"
+	"github.com/oriolepost/oriolepost/upstream"
+)
+
+func TestIngress(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "ingress")
+}
+
+const (
+	// eventTime is how long a case waits for something to happen, and
+	// quietTime how long nothing may happen before it is over.
+	eventTime = 2 * time.Second
+	quietTime = 60 * time.Millisecond
+)
+
+// bench is a server on loopback whose entry is the test file.
+type bench struct {
+	server    *ingress.Server
+	address   string
+	events    chan string
+	exchanges map[string]*ingress.Exchange
+	arrived   chan *ingress.Exchange
+	conns     map[string]net.Conn
+}
+
+var _ = script.Describe("ingress", "testdata/*.txt", func() script.Handler {
+	b := &bench{
+		events: make(chan string, 64), arrived: make(chan *ingress.Exchange, 64),
+		exchanges: map[string]*ingress.Exchange{}, conns: map[string]net.Conn{},
+	}
+	table := route.NewTable(route.Configuration{
+		Version: 1,
+		Routes: []route.Route{
+			{Name: "view", Host: "booking", Prefix: "/view/", Idempotent: true, Parts: []route.Part{{Service: "booking", Weight: 1}}},
+			{Name: "book", Host: "booking", Prefix: "/book/", Parts: []route.Part{{Service: "booking", Weight: 1}}},
+		},
+		Services: []route.Service{{Name: "booking"}},
+		Limits:   route.Limits{HeaderBytes: 1024, BodyBytes: 1 << 20, HeaderTimeout: 300 * time.Millisecond},
+	})
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	b.address = free.Addr().String()
+	gomega.Expect(free.Close()).To(gomega.Succeed())
+	b.server, err = ingress.Listen(ingress.Options{
+		Address: b.address, Names: header.Names{RequestID: "Request-Id", Deadline: "Deadline"},
+		Table: func() *route.Table { return table }, Metrics: metrics.NewSet(),
+		Post: ingress.Post{Arrived: b.onArrived, Left: b.onLeft, Refused: b.onRefused},
+	})
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(func() {
+		for _, c := range b.conns {
+			_ = c.Close()
+		}
+		_ = b.server.CloseListener()
+	})
+	return b.run
+})
+
+func (b *bench) onArrived(e *ingress.Exchange) {
+	r := e.Request
+	line := fmt.Sprintf("arrived %s %s %s route=%s", r.ID, r.Method, r.Target, e.Route.Name)
+	if r.HasBody {
+		line += fmt.Sprintf(" body=%q", r.Body)
+	}
+	b.arrived <- e
+	b.events <- line
+}
+
+func (b *bench) onLeft(list []*ingress.Exchange) {
+	var ids []string
+	for _, e := range list {
+		ids = append(ids, e.Request.ID)
+	}
+	b.events <- "left " + strings.Join(ids, ",")
+}
+
+func (b *bench) onRefused(_ *ingress.Request, status int, reason string) {
+	b.events <- fmt.Sprintf("refused %d %s", status, reason)
+}
+
+func (b *bench) run(c script.Case) string {
+	name := c.Args["conn"]
+	switch c.Command {
+	case "send":
+		return b.send(name, c)
+	case "answer":
+		return b.answer(c)
+	case "read":
+		return b.read(name)
+	case "close":
+		_ = b.conns[name].Close()
+		delete(b.conns, name)
+		return b.waitEvents(c.Bool("silent"))
+	case "drain":
+		b.server.Drain()
+		return b.waitEvents(true)
+	}
+	return "unknown command"
+}
+
+// send writes the input with the line ends of HTTP. In a line, \n stands for a
+// bare line feed, and the last line has no end unless it is empty.
+func (b *bench) send(name string, c script.Case) string {
+	if b.conns[name] == nil {
+		conn, err := net.Dial("tcp", b.address)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		b.conns[name] = conn
+	}
+	text := strings.TrimSuffix(c.Input, "\n")
+	text = strings.ReplaceAll(text, "\n", "\r\n")
+	text = strings.ReplaceAll(strings.ReplaceAll(text, `\n`, "\n"), "<empty>", "")
+	if !c.Bool("unended") {
+		text += "\r\n\r\n"
+	}
+	_, err := io.WriteString(b.conns[name], text)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return b.waitEvents(c.Bool("silent"))
+}
+
+// waitEvents gives what happened. Events at the same time are sorted, as they
+// come from different tasks.
+func (b *bench) waitEvents(silent bool) string {
+	first := eventTime
+	if silent {
+		first = quietTime
+	}
+	var lines []string
+	for wait := first; ; wait = quietTime {
+		select {
+		case l := <-b.events:
+			lines = append(lines, l)
+		case <-time.After(wait):
+			sort.Strings(lines)
+			return strings.Join(lines, "\n")
+		}
+	}
+}
+
+func (b *bench) answer(c script.Case) string {
+	for len(b.arrived) > 0 {
+		e := <-b.arrived
+		b.exchanges[e.Request.ID] = e
+	}
+	e := b.exchanges[c.Args["id"]]
+	gomega.Expect(e).NotTo(gomega.BeNil(), c.Line)
+	body := c.Args["body"]
+	e.Answer <- upstream.Answer{
+		Status: c.Int("status", http.StatusOK), Header: http.Header{"Request-Id": {e.Request.ID}},
+		Body: []byte(body), Length: int64(len(body)),
+	}
+	return b.waitEvents(true)
+}
+
+// read gives what the connection brought, and whether it was closed.
+func (b *bench) read(name string) string {
+	var all []byte
+	buffer := make([]byte, 4096)
+	for wait := eventTime; ; wait = quietTime {
+		_ = b.conns[name].SetReadDeadline(time.Now().Add(wait))
+		n, err := b.conns[name].Read(buffer)
+		all = append(all, buffer[:n]...)
+		if err == nil {
+			continue
+		}
+		text := strings.ReplaceAll(string(all), "\r\n", "\n")
+		if !strings.Contains(err.Error(), "timeout") {
+			text += "\nclosed"
+		}
+		return strings.TrimSpace(text)
+	}
+}
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httputil"
 	"strconv"
@@ -207,7 +208,8 @@
 
 func bodyError(err error) error {
 	var status *StatusError
-	if errors.As(err, &status) || errors.Is(err, io.EOF) {
+	var network net.Error
+	if errors.As(err, &status) || errors.As(err, &network) || errors.Is(err, io.EOF) {
 		return err
 	}
 	return malformed("the body is broken: " + err.Error())
