Requests wait in a room by rank, and upstreams are kept below the load at which they slow down

Change: a room for each service, by rank and arrival; up to 4 of 6 slots are used; short waits (a tenth of the spare time, three tenths for higher ranks); probes come in rounds for the room, not for each request.

--- a/placement/cost.go
+++ b/placement/cost.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"slices"
 	"time"
 )
@@ -37,7 +38,7 @@
 	if u.Load.Known {
 		c = u.Load.cost(u.Since)
 	}
-	c *= max(1, u.Slowness)
+	c *= max(1, u.Slowness-0.5)
 	if u.Info.Domain != s.Config.Domain {
 		c += domainCost
 	}
@@ -61,10 +62,14 @@
 	return c
 }
 
-// full reports whether an upstream's queue is as long as its slots: what is
-// sent there now waits for a whole round.
+// full reports whether an upstream has as much work as it does well. Nearly
+// full machines slow down, so that the last slots bring less than they cost.
 func (u *Upstream) full() bool {
-	return u.Load.Known && u.Load.Running+u.Load.Waiting+u.Since >= 2*max(1, u.Load.Slots)
+	if !u.Load.Known {
+		return len(u.InFlight) >= max(1, u.Info.Slots)
+	}
+	comfortable := int(math.Floor(nearlyFull * float64(max(1, u.Load.Slots))))
+	return u.Load.Running+u.Load.Waiting+u.Since >= comfortable
 }
 
 // open reports whether an upstream may get requests at all.
--- a/placement/event.go
+++ b/placement/event.go
@@ -142,6 +142,8 @@
 	ReasonNoUpstream Reason = "no_upstream"
 	// ReasonOverload means that no upstream could answer in time.
 	ReasonOverload Reason = "overload"
+	// ReasonBudget means that the service's repeats are used up.
+	ReasonBudget Reason = "retry_budget"
 	// ReasonNoConfiguration means that the entry knows no configuration yet.
 	ReasonNoConfiguration Reason = "no_configuration"
 	// ReasonNoWeight means that all parts of the route have weight zero.
@@ -179,6 +181,8 @@
 	Age time.Duration
 	// Cost is the expected time in units of the usual time.
 	Cost float64
+	// Waited is how long the request had waited for the place.
+	Waited time.Duration
 	// Candidates is how many upstreams were to choose from.
 	Candidates int
 }
--- a/placement/place.go
+++ b/placement/place.go
@@ -1,193 +1,183 @@
 package placement
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 	"time"
 )
 
 const (
-	// probeCount is how many upstreams are asked for one request.
-	probeCount = 3
-	// probePatience is how long a request waits for the first answers: several
-	// times the way to another failure domain and back.
-	probePatience = 25 * time.Millisecond
-	// probeRounds is how often upstreams are asked before a request is sent
-	// without, or refused.
-	probeRounds = 4
-	// loadLifetime is how long a load counts as fresh. Machines change their
-	// pace a few times a second.
-	loadLifetime = 40 * time.Millisecond
 	// goodCost is the cost from which on no better place is looked for.
 	goodCost = 1.15
-	// fairCost is the cost above which other failure domains are asked.
+	// fairCost is the cost that is taken when the own failure domain has
+	// nothing better; above it the others are asked.
 	fairCost = 1.6
+	// hedgeCost is the most that a second attempt beside a slow one may cost:
+	// it is worth its slot only on an upstream that is nearly idle.
+	hedgeCost = 1.6
+	// anyCost is above the cost of every upstream that is not full.
+	anyCost = 1e9
 	// firstUsual is the usual time of a route before the first answer, as a
 	// share of its objective.
 	firstUsual = 0.4
 	// defaultObjective serves routes without one.
 	defaultObjective = time.Second
+	// waitShare is the share of the time to spare, before an answer would be
+	// late, that a request waits for a place. The rest is for upstreams that
+	// turn slow. A longer wait serves no more requests under overload, only
+	// later ones.
+	waitShare = 0.1
+	// urgentWaitShare is the same for ranks above the lowest of the service.
+	urgentWaitShare = 0.3
+	// shortestWait is how long a request may wait for a place even when it is
+	// already late.
+	shortestWait = 60 * time.Millisecond
+	// hedgeWait is how long a place for a second attempt is looked for.
+	hedgeWait = 100 * time.Millisecond
+	// hedgeRank is behind every priority of a route.
+	hedgeRank = 1 << 30
 )
 
+// arrive takes a request in.
 func (s *State) arrive(now time.Time, r Request) {
 	p := &pending{request: r, attempts: map[AttemptID]*attempt{}, tried: map[Key]bool{}}
 	s.requests[r.ID] = p
 	s.budget(r.Service).First(now)
+	s.lowest[r.Service] = max(s.lowest[r.Service], r.Route.Priority)
 	s.place(now, p)
 }
 
-// place begins to look for a place for the next attempt of a request.
+// place looks for a place for the next attempt of a request, and lets it wait
+// in the room of its service until there is one.
 func (s *State) place(now time.Time, p *pending) {
+	if !slices.ContainsFunc(s.byService[p.request.Service], func(u *Upstream) bool { return s.open(now, u) }) {
+		s.refuse(now, p, s.nowhere(p))
+		return
+	}
+	r := s.room(p.request.Service)
 	p.placing = true
-	p.rounds = 0
-	p.asked = map[Key]bool{}
-	s.ask(now, p)
+	p.giveUpAt = s.giveUpTime(now, p)
+	r.enter(p)
+	s.fill(now, r)
+	s.scout(now, r)
 }
 
-// candidates lists the upstreams that the request may go to; those that it
-// was sent to already come in only when there is no other.
-func (s *State) candidates(now time.Time, p *pending) []*Upstream {
-	var fresh, tried []*Upstream
-	for _, u := range s.byService[p.request.Service] {
-		switch {
-		case !s.open(now, u):
-		case p.tried[KeyOf(u.Info)]:
-			tried = append(tried, u)
-		default:
-			fresh = append(fresh, u)
-		}
-	}
-	if len(fresh) == 0 && len(p.attempts) == 0 {
-		return tried
+// nowhere tells why there is no upstream to ask.
+func (s *State) nowhere(p *pending) NotRun {
+	if len(s.byService[p.request.Service]) > 0 {
+		return NotRun{Reason: ReasonOverload}
 	}
-	return fresh
+	return NotRun{Reason: ReasonNoUpstream}
 }
 
-// ask sends the next round of probes. The first round stays in the own
-// failure domain if there are upstreams.
-func (s *State) ask(now time.Time, p *pending) {
-	candidates := s.candidates(now, p)
-	if len(candidates) == 0 {
-		s.noPlace(now, p)
-		return
+// giveUpTime is until when it makes sense to wait for a place.
+func (s *State) giveUpTime(now time.Time, p *pending) time.Time {
+	if len(p.attempts) > 0 {
+		return now.Add(hedgeWait)
 	}
-	if u := s.best(now, p, candidates); u != nil && s.cost(now, u) <= goodCost {
-		s.start(now, p, u, len(candidates))
-		return
+	usual := s.usualTime(p.request)
+	share := waitShare
+	if p.request.Route.Priority < s.lowest[p.request.Service] {
+		share = urgentWaitShare
 	}
-	p.rounds++
-	p.placingAt = now
-	s.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	slices.SortStableFunc(candidates, func(a, b *Upstream) int { return s.askOrder(now, p, a) - s.askOrder(now, p, b) })
-	asked := 0
-	for _, u := range candidates {
-		if asked >= probeCount {
-			break
-		}
-		if s.fresh(now, u) || p.asked[KeyOf(u.Info)] && !u.Probing.IsZero() {
-			continue
-		}
-		asked++
-		p.asked[KeyOf(u.Info)] = true
-		if u.Probing.IsZero() {
-			u.Probing = now
-			s.emit(StartProbe{Upstream: u.Info, HealthPath: s.Services[u.Info.Service].HealthPath})
-		}
+	t := p.request.Arrived.Add(time.Duration(share * float64(p.request.objective()-usual)))
+	if earliest := now.Add(shortestWait); t.Before(earliest) {
+		t = earliest
 	}
-	if asked == 0 {
-		s.settle(now, p, true)
+	if latest := p.request.Deadline.Add(-usual / 2); t.After(latest) {
+		t = latest
 	}
+	return t
 }
 
-// askOrder puts upstreams of the own failure domain first, and those asked
-// already last.
-func (s *State) askOrder(now time.Time, p *pending, u *Upstream) int {
-	order := 0
-	if p.asked[KeyOf(u.Info)] {
-		order += 8
-	}
-	if now.Before(u.ColdUntil) {
-		order += 4
-	}
-	if u.Info.Domain != s.Config.Domain {
-		order++
+func (r Request) objective() time.Duration {
+	if r.Route.Objective > 0 {
+		return r.Route.Objective
 	}
-	if u.Trouble > 0.5 || u.Slowness > 2 {
-		order += 2
+	return defaultObjective
+}
+
+// usualTime is how long an upstream usually takes for such a request.
+func (s *State) usualTime(r Request) time.Duration {
+	if t := s.usual[r.Route.Name]; t > 0 {
+		return t
 	}
-	return order
+	return time.Duration(firstUsual * float64(r.objective()))
 }
 
-func (s *State) fresh(now time.Time, u *Upstream) bool {
-	return !u.LoadAt.IsZero() && now.Sub(u.LoadAt) <= loadLifetime
+// enter puts a request into the room: higher ranks first, then those that
+// came first. Second attempts come last.
+func (r *room) enter(p *pending) {
+	i, _ := slices.BinarySearchFunc(r.waiting, p, func(a, b *pending) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), a.request.Arrived.Compare(b.request.Arrived), cmp.Compare(a.request.ID, b.request.ID))
+	})
+	r.waiting = slices.Insert(r.waiting, i, p)
+}
+
+func (r *room) leave(p *pending) {
+	r.waiting = slices.DeleteFunc(r.waiting, func(o *pending) bool { return o == p })
+}
+
+func rank(p *pending) int {
+	if len(p.attempts) > 0 {
+		return hedgeRank
+	}
+	return p.request.Route.Priority
 }
 
-// best finds the cheapest upstream whose load is fresh.
-func (s *State) best(now time.Time, _ *pending, candidates []*Upstream) *Upstream {
-	var best *Upstream
-	bestCost := 0.0
-	for _, u := range candidates {
-		if !s.fresh(now, u) || u.full() {
+// fill gives the requests of a room, in order, the places that are known to be
+// good enough.
+func (s *State) fill(now time.Time, r *room) {
+	for _, p := range slices.Clone(r.waiting) {
+		if !p.placing {
 			continue
 		}
-		if c := s.cost(now, u); best == nil || c < bestCost {
-			best, bestCost = u, c
+		u, cost := s.best(now, p)
+		if u == nil || cost > r.acceptable(p) {
+			continue
 		}
+		s.start(now, p, u)
 	}
-	return best
 }
 
-// settle decides whether the answers so far are enough to place a request. It
-// is late when the patience for this round has ended.
-func (s *State) settle(now time.Time, p *pending, late bool) {
-	candidates := s.candidates(now, p)
-	best := s.best(now, p, candidates)
-	waiting := 0
-	for k := range p.asked {
-		if u := s.upstream(k); u != nil && !u.Probing.IsZero() {
-			waiting++
-		}
-	}
-	cost := 0.0
-	if best != nil {
-		cost = s.cost(now, best)
-	}
+// acceptable is the most that a place may cost at this point of the search.
+func (r *room) acceptable(p *pending) float64 {
 	switch {
-	case best != nil && cost <= goodCost:
-		s.start(now, p, best, len(candidates))
-	case waiting > 0 && !late:
-	case best != nil && (cost <= fairCost || p.rounds >= probeRounds || len(p.asked) >= len(candidates)):
-		s.startOrRefuse(now, p, best, cost, len(candidates))
-	case p.rounds < probeRounds:
-		s.ask(now, p)
-	default:
-		s.noPlace(now, p)
-	}
+	case len(p.attempts) > 0:
+		return hedgeCost
+	case r.swept:
+		return anyCost
+	case r.relaxed:
+		return fairCost
+	}
+	return goodCost
 }
 
-// startOrRefuse sends a request to the best place unless its answer would come
-// too late there.
-func (s *State) startOrRefuse(now time.Time, p *pending, u *Upstream, cost float64, candidates int) {
-	expected := time.Duration(cost * float64(s.usualTime(p.request)))
-	if now.Add(expected / 2).After(p.request.Deadline) {
-		s.refuse(now, p, NotRun{Reason: ReasonOverload})
-		return
+// best finds the cheapest upstream whose load is fresh. Upstreams that the
+// request was sent to already come in only when there is no other.
+func (s *State) best(now time.Time, p *pending) (best *Upstream, bestCost float64) {
+	list := s.byService[p.request.Service]
+	again := len(p.attempts) == 0 && len(p.tried) > 0 && !slices.ContainsFunc(list, func(u *Upstream) bool {
+		return !p.tried[KeyOf(u.Info)] && s.open(now, u)
+	})
+	for _, u := range list {
+		if !s.fresh(now, u) || u.full() || !s.open(now, u) || p.tried[KeyOf(u.Info)] && !again {
+			continue
+		}
+		if c := s.cost(now, u); best == nil || c < bestCost {
+			best, bestCost = u, c
+		}
 	}
-	s.start(now, p, u, candidates)
+	return best, bestCost
 }
 
-// noPlace ends a request, or this attempt to repeat it.
-func (s *State) noPlace(now time.Time, p *pending) {
-	reason := ReasonNoUpstream
-	if len(s.byService[p.request.Service]) > 0 {
-		reason = ReasonOverload
-	}
-	s.refuse(now, p, NotRun{Reason: reason})
+func (s *State) fresh(now time.Time, u *Upstream) bool {
+	return !u.LoadAt.IsZero() && now.Sub(u.LoadAt) <= loadLifetime
 }
 
 // refuse ends the search for a place. Attempts under way go on.
 func (s *State) refuse(now time.Time, p *pending, o NotRun) {
-	p.placing = false
+	s.stopPlacing(p)
 	if len(p.attempts) > 0 {
 		return
 	}
@@ -195,29 +185,28 @@
 	s.finish(now, p, 0)
 }
 
-// usualTime is how long an upstream usually takes for such a request.
-func (s *State) usualTime(r Request) time.Duration {
-	if t := s.usual[r.Route.Name]; t > 0 {
-		return t
-	}
-	objective := r.Route.Objective
-	if objective == 0 {
-		objective = defaultObjective
+func (s *State) stopPlacing(p *pending) {
+	if p.placing {
+		p.placing = false
+		s.room(p.request.Service).leave(p)
 	}
-	return time.Duration(firstUsual * float64(objective))
 }
 
-func (s *State) start(now time.Time, p *pending, u *Upstream, candidates int) {
+// start sends a request to an upstream.
+func (s *State) start(now time.Time, p *pending, u *Upstream) {
 	if p.sent > 0 && !s.budget(p.request.Service).Spend(now) {
-		s.refuse(now, p, NotRun{Reason: ReasonOverload})
+		s.refuse(now, p, NotRun{Reason: ReasonBudget})
 		return
 	}
-	basis := Basis{Load: u.Load, Age: now.Sub(u.LoadAt), Cost: s.cost(now, u), Candidates: candidates}
+	s.stopPlacing(p)
+	basis := Basis{
+		Load: u.Load, Age: now.Sub(u.LoadAt), Cost: s.cost(now, u),
+		Candidates: len(s.byService[p.request.Service]), Waited: now.Sub(p.request.Arrived),
+	}
 	s.nextAttempt++
 	id := s.nextAttempt
 	key := KeyOf(u.Info)
 	expected := time.Duration(basis.Cost * float64(s.usualTime(p.request)))
-	p.placing = false
 	p.attempts[id] = &attempt{upstream: key, began: now, expected: expected}
 	p.tried[key] = true
 	p.made++
@@ -234,36 +223,3 @@
 		Repeat: p.made > 1, Basis: basis,
 	})
 }
-
-// probed takes the answer to a probe, and places the requests that wait for it.
-func (s *State) probed(now time.Time, e Probed) {
-	u := s.upstream(e.Upstream)
-	if u == nil {
-		return
-	}
-	u.Probing = time.Time{}
-	switch {
-	case e.Failed:
-		s.avoid(now, u, 1)
-	case !e.Healthy:
-		u.Healthy = false
-		u.AvoidUntil = now.Add(unhealthyPause)
-	default:
-		u.Healthy = true
-		s.loaded(now, u, e.Load)
-		if e.Cold > 0 {
-			u.ColdUntil = now.Add(e.Cold)
-		}
-	}
-	for _, id := range slices.Sorted(maps.Keys(s.requests)) {
-		if p := s.requests[id]; p != nil && p.placing && p.asked[e.Upstream] {
-			s.settle(now, p, false)
-		}
-	}
-}
-
-func (s *State) loaded(now time.Time, u *Upstream, l Load) {
-	u.Load = l
-	u.LoadAt = now
-	u.Since = 0
-}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -83,12 +83,11 @@
 	sent    int
 	made    int
 	outcome Outcome
-	// placing is true while a place is looked for, since placingAt.
-	placing   bool
-	placingAt time.Time
-	asked     map[Key]bool
-	rounds    int
-	hedgeAt   time.Time
+	// placing is true while the request waits for a place, until giveUpAt at
+	// the latest.
+	placing  bool
+	giveUpAt time.Time
+	hedgeAt  time.Time
 }
 
 type attempt struct {
@@ -111,9 +110,13 @@
 
 	byService  map[string][]*Upstream
 	outDomains []string
-	requests   map[RequestID]*pending
-	owners     map[AttemptID]RequestID
-	budgets    map[string]*retry.Window
+	rooms      map[string]*room
+	// lowest is the lowest rank that came for each service, as a number the
+	// highest.
+	lowest   map[string]int
+	requests map[RequestID]*pending
+	owners   map[AttemptID]RequestID
+	budgets  map[string]*retry.Window
 	// usual is the usual time of a route's requests at an upstream.
 	usual       map[string]time.Duration
 	nextAttempt AttemptID
@@ -126,7 +129,7 @@
 	return &State{
 		Config: cfg, random: random,
 		Upstreams: map[string]*Upstream{}, Services: map[string]route.Service{},
-		byService: map[string][]*Upstream{}, requests: map[RequestID]*pending{},
+		byService: map[string][]*Upstream{}, rooms: map[string]*room{}, lowest: map[string]int{}, requests: map[RequestID]*pending{},
 		owners: map[AttemptID]RequestID{}, budgets: map[string]*retry.Window{},
 		usual: map[string]time.Duration{},
 	}
@@ -169,7 +172,12 @@
 		sooner(p.request.Deadline)
 		sooner(p.hedgeAt)
 		if p.placing {
-			sooner(p.placingAt.Add(probePatience))
+			sooner(p.giveUpAt)
+		}
+	}
+	for _, r := range s.rooms {
+		if len(r.waiting) > 0 {
+			sooner(r.nextAt)
 		}
 	}
 	return next
--- a/placement/repeat.go
+++ b/placement/repeat.go
@@ -18,7 +18,7 @@
 	troubleDecay = 0.6
 	// hedgeFactor is how many times the expected time an idempotent request
 	// waits before it is sent to a second upstream as well.
-	hedgeFactor = 1.5
+	hedgeFactor = 1.3
 	// usualWeight is the weight of one answer in the usual time of a route.
 	usualWeight = 0.1
 	// slownessWeight is the weight of one answer in an upstream's slowness.
@@ -32,6 +32,8 @@
 	leftShare = 0.25
 	// noAttempts serves routes that don't bound their attempts.
 	noAttempts = 2
+	// mostAttempts bounds the attempts that reached no upstream as well.
+	mostAttempts = 6
 )
 
 // tick does what time brings to the requests.
@@ -45,18 +47,21 @@
 			s.expire(now, p)
 			continue
 		}
-		if p.placing && now.Sub(p.placingAt) >= probePatience {
-			s.settle(now, p, true)
+		if p.placing && !now.Before(p.giveUpAt) {
+			s.refuse(now, p, NotRun{Reason: ReasonOverload})
 		}
 		if s.requests[id] != nil && !p.hedgeAt.IsZero() && !now.Before(p.hedgeAt) {
 			s.hedge(now, p)
 		}
 	}
+	for _, service := range slices.Sorted(maps.Keys(s.rooms)) {
+		s.scout(now, s.rooms[service])
+	}
 }
 
 // expire ends a request whose deadline passed.
 func (s *State) expire(now time.Time, p *pending) {
-	p.placing = false
+	s.stopPlacing(p)
 	var o Outcome = Unknown{Reason: ReasonTimeout}
 	if p.sent == 0 {
 		o = NotRun{Reason: ReasonOverload}
@@ -111,6 +116,9 @@
 		s.observe(now, u, a, p, e)
 	}
 	s.decide(now, p, e)
+	if r := s.rooms[p.request.Service]; r != nil && len(r.waiting) > 0 {
+		s.fill(now, r)
+	}
 }
 
 // decide ends the request, repeats it, or waits for another attempt.
@@ -148,7 +156,7 @@
 
 // repeat looks for another upstream if the request may go to one more.
 func (s *State) repeat(now time.Time, p *pending) bool {
-	if !s.mayRepeat(p) || p.made >= 2*noAttempts+probeRounds {
+	if !s.mayRepeat(p) || p.made >= mostAttempts {
 		return false
 	}
 	s.place(now, p)
@@ -215,6 +223,7 @@
 // leave drops a request whose caller is gone.
 func (s *State) leave(id RequestID) {
 	if p := s.requests[id]; p != nil {
+		s.stopPlacing(p)
 		s.cancelAttempts(p)
 		delete(s.requests, id)
 	}
@@ -237,6 +246,7 @@
 		o.RetryAfter = s.retryAfter(now, p.request)
 		p.outcome = o
 	}
+	s.stopPlacing(p)
 	s.cancelAttempts(p)
 	delete(s.requests, p.request.ID)
 	s.emit(Finish{Request: p.request.ID, Outcome: p.outcome, Attempt: answer, Attempts: p.made})
