The fleet is recorded in the log, and restarted voters vote at once

Ruled out: asking followers for a view (they lose theirs in the same moment). Change: a new incarnation is committed as a record, so a new leader knows the fleet at once; voters of this group rely on no lease, so a restarted one votes and stands at once; election timeout 450 ms.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -17,6 +17,7 @@
 	"maps"
 	"slices"
 
+	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/record"
 	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/service"
@@ -47,6 +48,8 @@
 	Original []byte `json:"original,omitempty"`
 	// Retired holds the upstreams that said that they leave, oldest first.
 	Retired []record.Retire `json:"retired,omitempty"`
+	// Upstreams holds the fleet by id, as far as it was recorded.
+	Upstreams map[string]fleet.Upstream `json:"upstreams,omitempty"`
 }
 
 // MaxRetired is how many leaving upstreams are remembered: announcements that
@@ -68,6 +71,7 @@
 		ChangedAt:      map[string]uint64{},
 		OutDomains:     map[string]bool{},
 		DrainedServers: map[string]bool{},
+		Upstreams:      map[string]fleet.Upstream{},
 	}
 }
 
@@ -86,6 +90,7 @@
 	n.Configuration = c.Configuration
 	n.Original = c.Original
 	n.Retired = slices.Clone(c.Retired)
+	maps.Copy(n.Upstreams, c.Upstreams)
 	return n
 }
 
@@ -121,7 +126,7 @@
 		return cmd.ChangeID, true
 	case record.SetServer:
 		return cmd.ChangeID, true
-	case record.PutConfiguration, record.Retire:
+	case record.PutConfiguration, record.Retire, record.Enroll, record.Withdraw:
 		return "", true
 	case record.Noop, record.Claim, record.Settle, record.Release:
 		return "", false
@@ -141,6 +146,14 @@
 		return c.putConfiguration(index, cmd)
 	case record.Retire:
 		c.retire(cmd)
+	case record.Enroll:
+		if known, ok := c.Upstreams[cmd.Upstream.ID]; !ok || known.BornMS <= cmd.Upstream.BornMS {
+			c.Upstreams[cmd.Upstream.ID] = cmd.Upstream
+		}
+	case record.Withdraw:
+		for _, id := range cmd.Upstreams {
+			delete(c.Upstreams, id)
+		}
 	case record.Noop, record.Claim, record.Settle, record.Release:
 		return nil
 	}
--- a/control/members.go
+++ b/control/members.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"github.com/oriolepost/oriolepost/peer"
+	"github.com/oriolepost/oriolepost/record"
 	"github.com/oriolepost/oriolepost/replica"
 )
 
@@ -33,14 +34,33 @@
 		return nil
 	}
 	t.houseAt = now.Add(houseEvery)
-	for _, id := range t.fleet.Expire(now) {
-		t.log.WithFields(log.Fields{"change": "upstream", "what": "expired", "upstream": id, "revision": t.fleet.Revision}).Info("upstream expired")
+	if err := t.withdraw(now); err != nil {
+		return err
 	}
 	t.metrics.GetOrCreateCounter("oriolepost_replica_commit_index").Set(t.replica.Commit)
 	t.offer(now)
 	return t.replaceVoters(now)
 }
 
+// withdraw removes the upstreams that were not heard of for too long. Only the
+// leader hears all of them.
+func (t *task) withdraw(now time.Time) error {
+	if !t.leads() {
+		return nil
+	}
+	gone := t.fleet.Expired(now)
+	if len(gone) == 0 {
+		return nil
+	}
+	t.fleet.Remove(gone)
+	t.log.WithFields(log.Fields{"change": "upstream", "what": "expired", "upstreams": gone, "revision": t.fleet.Revision}).Info("upstreams expired")
+	data, err := encode(record.Withdraw{Upstreams: gone})
+	if err != nil {
+		return err
+	}
+	return t.perform(t.propose(now, data, proposal{}))
+}
+
 // replaceVoters takes the next step towards the voters that should be.
 func (t *task) replaceVoters(now time.Time) error {
 	if !t.leads() {
--- a/control/task.go
+++ b/control/task.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -28,10 +30,10 @@
 	// compactAfter is how many entries the log holds before a snapshot.
 	compactAfter = 512
 	// heartbeatEvery and electionTimeout are the pace of the replicated log:
-	// five heartbeats in an election timeout, and a new leader within about
-	// 1.5 s, so that entries hear of it within the 2 s of a change in force.
-	heartbeatEvery  = 120 * time.Millisecond
-	electionTimeout = 600 * time.Millisecond
+	// five heartbeats in an election timeout, and a new leader within about a
+	// second, so that entries hear of it within the 2 s of a change in force.
+	heartbeatEvery  = 90 * time.Millisecond
+	electionTimeout = 450 * time.Millisecond
 	maxDrift        = 25 * time.Millisecond
 	// maxAppendEntries bounds the entries of one message between replicas.
 	maxAppendEntries = 128
@@ -100,7 +102,7 @@
 func replicaConfig(id string) replica.Config {
 	return replica.Config{
 		ID: id, HeartbeatEvery: heartbeatEvery, ElectionTimeout: electionTimeout,
-		MaxDrift: maxDrift, MaxAppendEntries: maxAppendEntries,
+		VoteAtStart: true, MaxDrift: maxDrift, MaxAppendEntries: maxAppendEntries,
 	}
 }
 
@@ -120,6 +122,10 @@
 	for _, r := range fresh.Catalog.Retired {
 		t.fleet.Retire(r.Upstream, r.BornMS)
 	}
+	now := time.Now()
+	for _, id := range slices.Sorted(maps.Keys(fresh.Catalog.Upstreams)) {
+		t.fleet.Restore(now, fresh.Catalog.Upstreams[id])
+	}
 	t.committed++
 	return nil
 }
@@ -308,6 +314,12 @@
 	case record.Retire:
 		t.fleet.Retire(c.Upstream, c.BornMS)
 		fields["change"], fields["upstream"], fields["born_ms"] = "retired", c.Upstream, c.BornMS
+	case record.Enroll:
+		t.fleet.Restore(time.Now(), c.Upstream)
+		return
+	case record.Withdraw:
+		t.fleet.Remove(c.Upstreams)
+		fields["change"], fields["upstreams"] = "withdrawn", c.Upstreams
 	case record.Noop, record.PutDocument, record.SetServer, record.Claim, record.Settle, record.Release:
 		return
 	}
@@ -352,6 +364,7 @@
 	}).Info("role changed")
 	t.role = e
 	if e.Role == replica.RoleLeader {
+		t.fleet.Refresh(time.Now())
 		return
 	}
 	for index, p := range t.pending {
--- a/control/watch.go
+++ b/control/watch.go
@@ -42,8 +42,9 @@
 		if known := t.fleet.Members[u.ID]; known != nil && u.BornMS == 0 {
 			u.BornMS = known.BornMS
 		}
-	} else {
-		t.take(now, u)
+	} else if news := t.take(now, u); news && t.leads() && !u.Draining {
+		m.answer <- answer{response: peer.Nothing{}}
+		return t.enroll(now, u)
 	}
 	if !t.leads() {
 		m.answer <- answer{err: t.notLeader()}
@@ -65,8 +66,20 @@
 	return t.propose(now, data, proposal{answer: m.answer})
 }
 
-// take enters an announcement and logs what it changed.
-func (t *task) take(now time.Time, u fleet.Upstream) {
+// enroll records an incarnation. Nobody waits for it: until it is committed,
+// only the leader knows the upstream.
+func (t *task) enroll(now time.Time, u fleet.Upstream) []replica.Effect {
+	data, err := encode(record.Enroll{Upstream: u})
+	if err != nil {
+		t.log.WithError(err).WithField("upstream", u.ID).Error("upstream not recorded")
+		return nil
+	}
+	return t.propose(now, data, proposal{})
+}
+
+// take enters an announcement, logs what it changed, and reports whether the
+// incarnation or what is known of it is new.
+func (t *task) take(now time.Time, u fleet.Upstream) bool {
 	change := ""
 	reason := ""
 	switch c := t.fleet.Announce(now, u).(type) {
@@ -76,14 +89,15 @@
 		change = "updated"
 	case fleet.Stale:
 		change, reason = "stale", c.Reason
-	case fleet.Renewed:
-		return
+	case fleet.Repeated, fleet.Renewed:
+		return false
 	}
 	t.metrics.GetOrCreateCounter(`oriolepost_announcements_total{change="` + change + `"}`).Inc()
 	t.log.WithFields(log.Fields{
 		"change": "upstream", "what": change, "reason": reason, "upstream": u.ID, "service": u.Service, "address": u.Address,
 		"born_ms": u.BornMS, "sequence": u.Sequence, "draining": u.Draining, "cold_ms": u.ColdMS, "revision": t.fleet.Revision,
 	}).Info("upstream announced")
+	return change != "stale"
 }
 
 // watch keeps a watch until there is news for it.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -10,7 +10,7 @@
 //
 //	t := fleet.New()
 //	t.Announce(now, announcement)
-//	t.Expire(now)
+//	t.Remove(t.Expired(now))
 //	changed := t.Since(revision)
 package fleet
 
@@ -128,13 +128,18 @@
 // Renewed means that only the lifetime was extended.
 type Renewed struct{}
 
-// Stale means that a newer announcement or a newer incarnation came earlier.
+// Repeated means that this announcement, or a newer one, came earlier: callers
+// repeat it at several control instances.
+type Repeated struct{}
+
+// Stale means that a newer incarnation came earlier.
 type Stale struct{ Reason string }
 
-func (Joined) change()  {}
-func (Updated) change() {}
-func (Renewed) change() {}
-func (Stale) change()   {}
+func (Joined) change()   {}
+func (Updated) change()  {}
+func (Renewed) change()  {}
+func (Repeated) change() {}
+func (Stale) change()    {}
 
 // Announce takes an announcement into the table.
 func (t *Table) Announce(now time.Time, u Upstream) Change {
@@ -146,7 +151,7 @@
 	case old != nil && u.BornMS < old.BornMS:
 		return Stale{Reason: "an older incarnation of this id"}
 	case old != nil && u.BornMS == old.BornMS && u.Sequence <= old.Sequence:
-		return Stale{Reason: "an older announcement"}
+		return Repeated{}
 	case t.addressTaken(u):
 		return Stale{Reason: "the address belongs to a newer incarnation"}
 	}
@@ -212,19 +217,45 @@
 	}
 }
 
-// Expire removes the upstreams that were not heard of for too long and returns
-// their ids in order.
-func (t *Table) Expire(now time.Time) []string {
+// Expired lists the upstreams that were not heard of for too long, in order.
+func (t *Table) Expired(now time.Time) []string {
 	var gone []string
 	for _, id := range slices.Sorted(maps.Keys(t.Members)) {
 		if now.Sub(t.Members[id].Heard) >= Lifetime {
-			t.remove(id)
 			gone = append(gone, id)
 		}
 	}
 	return gone
 }
 
+// Remove drops upstreams.
+func (t *Table) Remove(ids []string) {
+	for _, id := range ids {
+		if t.Members[id] != nil {
+			t.remove(id)
+		}
+	}
+}
+
+// Restore takes an upstream from the records, unless it is known already.
+func (t *Table) Restore(now time.Time, u Upstream) {
+	if old := t.Members[u.ID]; old != nil && old.BornMS >= u.BornMS {
+		return
+	}
+	if born, retired := t.Retired[u.ID]; retired && u.BornMS <= born {
+		u.Draining = true
+	}
+	t.put(&Member{Upstream: u, Heard: now, ColdUntil: now})
+}
+
+// Refresh counts all upstreams as just heard of. A new leader does so, since
+// it can't know what its predecessor heard.
+func (t *Table) Refresh(now time.Time) {
+	for _, m := range t.Members {
+		m.Heard = now
+	}
+}
+
 // Since lists what changed after a revision: upstreams with the cold time that
 // is left, and the ids of those removed.
 func (t *Table) Since(now time.Time, revision uint64) (changed []Upstream, removed []string) {
--- a/jsonform/envelope.go
+++ b/jsonform/envelope.go
@@ -68,6 +68,10 @@
 		return "put_configuration"
 	case record.Retire:
 		return "retire"
+	case record.Enroll:
+		return "enroll"
+	case record.Withdraw:
+		return "withdraw"
 	case record.Claim:
 		return "claim"
 	case record.Settle:
@@ -100,6 +104,10 @@
 		return open(e, func(c record.PutConfiguration) record.Command { return c })
 	case "retire":
 		return open(e, func(c record.Retire) record.Command { return c })
+	case "enroll":
+		return open(e, func(c record.Enroll) record.Command { return c })
+	case "withdraw":
+		return open(e, func(c record.Withdraw) record.Command { return c })
 	case "claim":
 		return open(e, func(c record.Claim) record.Command { return c })
 	case "settle":
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -67,7 +67,8 @@
 	case record.Release:
 		s := l.open(cmd.Service, cmd.AtMS, bounds)
 		return s.release(cmd)
-	case record.Noop, record.PutDocument, record.SetDomain, record.SetServer, record.PutConfiguration, record.Retire:
+	case record.Noop, record.PutDocument, record.SetDomain, record.SetServer, record.PutConfiguration, record.Retire,
+		record.Enroll, record.Withdraw:
 		return nil
 	}
 	return nil
--- a/record/record.go
+++ b/record/record.go
@@ -13,6 +13,7 @@
 package record
 
 import (
+	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/service"
 )
@@ -61,6 +62,17 @@
 	BornMS   int64  `json:"born_ms"`
 }
 
+// Enroll records an upstream's incarnation, so that the fleet is known again
+// as soon as the group has a leader, before the upstreams announce themselves.
+type Enroll struct {
+	Upstream fleet.Upstream `json:"upstream"`
+}
+
+// Withdraw records that upstreams were not heard of for too long.
+type Withdraw struct {
+	Upstreams []string `json:"upstreams"`
+}
+
 // Claim reserves an idempotency key for one claimant.
 type Claim struct {
 	// AtMS is the proposer's wall clock in Unix milliseconds.
@@ -95,6 +107,8 @@
 func (SetDomain) command()        {}
 func (SetServer) command()        {}
 func (PutConfiguration) command() {}
+func (Enroll) command()           {}
+func (Withdraw) command()         {}
 func (Retire) command()           {}
 func (Claim) command()            {}
 func (Settle) command()           {}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -40,6 +40,10 @@
 	// MaxDrift is subtracted from the leader's lease. It bounds by how much
 	// the clocks of two instances may diverge within an election timeout.
 	MaxDrift time.Duration
+	// VoteAtStart lets a restarted voter grant votes and stand for election at
+	// once. It is for users that rely on no lease of a leader: without it such
+	// a voter waits for an election timeout, since it can't know whom it heard.
+	VoteAtStart bool
 	// MaxAppendEntries caps the entries of one message.
 	MaxAppendEntries int
 }
@@ -134,6 +138,10 @@
 	effects []Effect
 }
 
+// startShare is the part of an election timeout within which restarted voters
+// stand for election, so that two seldom do so at the same time.
+const startShare = 2
+
 // New returns a follower with the saved state. The first event should be a
 // Tick.
 func New(cfg Config, saved Saved, random *rand.Rand, now time.Time) *Replica {
@@ -146,6 +154,10 @@
 	}
 	r.Members = r.log.members()
 	r.resetElection(now)
+	if cfg.VoteAtStart {
+		r.leaderHeard = time.Time{}
+		r.electionAt = now.Add(time.Duration(random.Int64N(int64(cfg.ElectionTimeout) / startShare)))
+	}
 	return r
 }
 
--- a/state/state.go
+++ b/state/state.go
@@ -33,7 +33,8 @@
 	switch c := cmd.(type) {
 	case record.Noop:
 		return record.Done{Index: index}
-	case record.PutDocument, record.SetDomain, record.SetServer, record.PutConfiguration, record.Retire:
+	case record.PutDocument, record.SetDomain, record.SetServer, record.PutConfiguration, record.Retire,
+		record.Enroll, record.Withdraw:
 		return s.Catalog.Apply(index, cmd)
 	case record.Claim:
 		return s.Ledger.Apply(cmd, s.Catalog.Documents[c.Service].Idempotency)
