An announcement without news changes nothing; other failure domains cost more

Change: only a cold time that ends later is news; the cost of another failure domain covers the price of the bytes. Scripted tests of the fleet, the one for repeated announcements red before.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -164,7 +164,8 @@
 	u.Draining = u.Draining || old.Draining
 	same := old.Address == u.Address && old.Service == u.Service && old.Domain == u.Domain &&
 		old.Slots == u.Slots && old.Draining == u.Draining
-	if same && !coldUntil.After(old.ColdUntil.Add(coldSlack)) {
+	colder := u.ColdMS > 0 && coldUntil.After(old.ColdUntil.Add(coldSlack))
+	if same && !colder {
 		old.Sequence = u.Sequence
 		return Renewed{}
 	}
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -80,6 +80,7 @@
 	request  placement.Request
 	// upstream, attempt and basis tell of the last attempt.
 	upstream string
+	domain   string
 	basis    placement.Basis
 	started  time.Time
 }
@@ -298,7 +299,7 @@
 		"request_id": w.exchange.Request.ID, "route": w.request.Route.Name, "service": w.request.Service,
 		"version": g.version(), "status": status, "outcome": outcomeName(e.Outcome), "reason": reason,
 		"took_ms": took.Milliseconds(), "left_ms": time.Until(w.request.Deadline).Milliseconds(), "attempts": e.Attempts,
-		"upstream": w.upstream, "load_age_ms": w.basis.Age.Milliseconds(), "cost": w.basis.Cost,
+		"upstream": w.upstream, "upstream_domain": w.domain, "load_age_ms": w.basis.Age.Milliseconds(), "cost": w.basis.Cost,
 		"candidates": w.basis.Candidates, "load": w.basis.Load, "touch_age_ms": g.touchAge().Milliseconds(),
 	}).Info("request finished")
 }
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -15,9 +15,10 @@
 	// and nearlyFullCost what that adds at most.
 	nearlyFull     = 0.8
 	nearlyFullCost = 0.7
-	// domainCost is what the way to another failure domain adds: a few
-	// milliseconds of some hundreds, and bytes between failure domains.
-	domainCost = 0.06
+	// domainCost is what another failure domain adds: a few milliseconds for
+	// the way, and the price of the bytes between failure domains, a tenth of
+	// what a request is worth.
+	domainCost = 0.35
 	// troubleCost is what a recent failure adds.
 	troubleCost = 4.0
 	// unknownCost is the cost of an upstream that does not tell its load.
