Hedges may cost twice the usual time

Ruled out: slower choice of the first place (same probes as before). Change: bound of the cost of a hedge 1.6 to 2.0.

--- a/placement/place.go
+++ b/placement/place.go
@@ -14,7 +14,7 @@
 	fairCost = 1.6
 	// hedgeCost is the most that a second attempt beside a slow one may cost:
 	// it is worth its slot only on an upstream that is nearly idle.
-	hedgeCost = 1.6
+	hedgeCost = 2.0
 	// anyCost is above the cost of every upstream that is not full.
 	anyCost = 1e9
 	// firstUsual is the usual time of a route before the first answer, as a
