Long commands are compressed, the log is bounded in bytes, a full disk is waited for

Ruled out: reading only the newest configuration of the log (the log would still have to carry them all). Scripted test of the full disk.

--- a/control/control.go
+++ b/control/control.go
@@ -24,6 +24,7 @@
 	"fmt"
 	"net"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -32,6 +33,7 @@
 	"github.com/oriolepost/oriolepost/disk"
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/settings"
+	"github.com/oriolepost/oriolepost/timer"
 )
 
 // Options are what a control instance is given besides its settings.
@@ -79,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	folder, err := disk.Open(d.DataFolder, d.IP, randomID())
+	folder, err := openFolder(ctx, d, o.Log)
 	if err != nil {
 		return nil, err
 	}
@@ -100,6 +102,20 @@
 	return c, nil
 }
 
+// openFolder opens the data folder, and waits for room on a full disk.
+func openFolder(ctx context.Context, d settings.Deployment, l log.Interface) (*disk.Folder, error) {
+	for {
+		folder, err := disk.Open(d.DataFolder, d.IP, randomID())
+		if !errors.Is(err, syscall.ENOSPC) {
+			return folder, err
+		}
+		l.WithError(err).WithField("change", "disk").Error("disk is full")
+		if !timer.Pause(ctx, fullPause) {
+			return nil, err
+		}
+	}
+}
+
 // Call brings a request to the leader, which may be this instance.
 func (c *Control) Call(ctx context.Context, r peer.Request) (peer.Response, error) {
 	response, err := c.task.handle(ctx, r)
--- a/control/task.go
+++ b/control/task.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -20,6 +21,7 @@
 	"github.com/oriolepost/oriolepost/replica"
 	"github.com/oriolepost/oriolepost/settings"
 	"github.com/oriolepost/oriolepost/state"
+	"github.com/oriolepost/oriolepost/timer"
 )
 
 const (
@@ -29,6 +31,9 @@
 	maxBatch = 256
 	// compactAfter is how many entries the log holds before a snapshot.
 	compactAfter = 512
+	// compactBytes is how many bytes of commands it holds at most: what a
+	// restarted instance reads within a few tens of milliseconds.
+	compactBytes = 256 << 10
 	// heartbeatEvery and electionTimeout are the pace of the replicated log:
 	// five heartbeats in an election timeout, and a new leader within about a
 	// second, so that entries hear of it within the 2 s of a change in force.
@@ -64,6 +69,11 @@
 	role      replica.RoleChanged
 
 	watchers map[string]*watcher
+	// encoded is the configuration encodedVersion as entries get it.
+	encoded        []byte
+	encodedVersion uint64
+	// logBytes is the size of the commands applied since the last snapshot.
+	logBytes int
 	// committed counts the changes of the state that entries follow.
 	committed uint64
 
@@ -114,7 +124,11 @@
 func (t *task) restore(s replica.Snapshot) error {
 	fresh := state.New()
 	if len(s.Data) > 0 {
-		if err := json.Unmarshal(s.Data, fresh); err != nil {
+		data, err := jsonform.Decompress(s.Data)
+		if err == nil {
+			err = json.Unmarshal(data, fresh)
+		}
+		if err != nil {
 			return fmt.Errorf("restore snapshot %d: %w", s.Index, err)
 		}
 	}
@@ -133,14 +147,14 @@
 // run owns the state until the context ends or the disk fails. After a failed
 // write nothing more may be promised, so the error ends the instance.
 func (t *task) run() error {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
+	wake := time.NewTimer(0)
+	defer wake.Stop()
 	for {
 		var effects []replica.Effect
 		select {
 		case <-t.ctx.Done():
 			return nil
-		case <-timer.C:
+		case <-wake.C:
 		case m := <-t.mailbox:
 			effects = t.drain(m)
 		}
@@ -153,7 +167,7 @@
 			return err
 		}
 		t.answerWatches(time.Now())
-		timer.Reset(max(time.Millisecond, time.Until(t.nextWake())))
+		wake.Reset(max(time.Millisecond, time.Until(t.nextWake())))
 	}
 }
 
@@ -227,7 +241,7 @@
 		}
 	}
 	began := time.Now()
-	if err := t.folder.Sync(); err != nil {
+	if err := t.sync(); err != nil {
 		return err
 	}
 	if t.folder.Syncs > syncs {
@@ -242,6 +256,30 @@
 	return nil
 }
 
+// fullPause is the pause between two tries to write to a full disk.
+const fullPause = 200 * time.Millisecond
+
+// sync waits until what was appended is durable. A full disk is waited for
+// like a slow one: nothing was promised yet, and others can lead meanwhile.
+func (t *task) sync() error {
+	logged := false
+	for {
+		err := t.folder.Sync()
+		var full *disk.FullError
+		if !errors.As(err, &full) {
+			return err
+		}
+		t.metrics.GetOrCreateCounter("oriolepost_disk_full_total").Inc()
+		if !logged {
+			logged = true
+			t.log.WithError(err).WithField("change", "disk").Error("disk is full")
+		}
+		if !timer.Pause(t.ctx, fullPause) {
+			return err
+		}
+	}
+}
+
 func (t *task) performOne(effect replica.Effect) error {
 	switch e := effect.(type) {
 	case replica.SaveHardState, replica.SaveEntries, replica.SaveSnapshot:
@@ -277,6 +315,7 @@
 		if err != nil {
 			return fmt.Errorf("apply entry %d: %w", e.Index, err)
 		}
+		t.logBytes += len(e.Data)
 		result = t.state.Apply(e.Index, c)
 		t.follow(e.Index, c)
 	} else {
@@ -328,10 +367,14 @@
 
 // compact replaces the log by a snapshot when it has grown long.
 func (t *task) compact(index uint64) error {
-	if index < t.replica.FirstKept()+compactAfter {
+	if index < t.replica.FirstKept()+compactAfter && t.logBytes < compactBytes {
 		return nil
 	}
+	t.logBytes = 0
 	data, err := json.Marshal(t.state)
+	if err == nil {
+		data, err = jsonform.Compress(data)
+	}
 	if err != nil {
 		return fmt.Errorf("encode state: %w", err)
 	}
--- a/control/watch.go
+++ b/control/watch.go
@@ -8,9 +8,11 @@
 	"github.com/apex/log"
 
 	"github.com/oriolepost/oriolepost/fleet"
+	"github.com/oriolepost/oriolepost/jsonform"
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/record"
 	"github.com/oriolepost/oriolepost/replica"
+	"github.com/oriolepost/oriolepost/route"
 )
 
 const (
@@ -188,11 +190,25 @@
 		v.Control = append(v.Control, replica.InstanceOf(id))
 	}
 	if c := t.state.Catalog.Configuration; c != nil && c.Version > r.Version {
-		v.Configuration = c
+		v.Configuration = t.encodedConfiguration(*c)
 	}
 	return v
 }
 
+// encodedConfiguration encodes a configuration once for all entries.
+func (t *task) encodedConfiguration(c route.Configuration) []byte {
+	if t.encodedVersion == c.Version && t.encoded != nil {
+		return t.encoded
+	}
+	data, err := jsonform.EncodeConfiguration(c)
+	if err != nil {
+		t.log.WithError(err).WithField("version", c.Version).Error("configuration not sent")
+		return nil
+	}
+	t.encoded, t.encodedVersion = data, c.Version
+	return data
+}
+
 // refuseWatches sends the entries to another instance.
 func (t *task) refuseWatches() {
 	for name, w := range t.watchers {
--- a/disk/disk.go
+++ b/disk/disk.go
@@ -67,10 +67,25 @@
 	return fmt.Sprintf("data folder %s: %s; %s", e.Folder, e.Problem, e.Remedy)
 }
 
+// FullError says that there is no room for a write. Nothing was written.
+type FullError struct {
+	Folder string
+	Cause  error
+}
+
+// Error implements error.
+func (e *FullError) Error() string {
+	return fmt.Sprintf("data folder %s is full: %v", e.Folder, e.Cause)
+}
+
+// Unwrap gives the cause.
+func (e *FullError) Unwrap() error { return e.Cause }
+
 // File is what a journal needs of an open file. Tests put in files that fail.
 type File interface {
 	Write(p []byte) (int, error)
 	Sync() error
+	Truncate(size int64) error
 	Close() error
 }
 
@@ -87,9 +102,11 @@
 	// Syncs counts the syncs of the journal.
 	Syncs int
 
-	lock     *os.File
-	journal  File
-	buffer   []byte
+	lock    *os.File
+	journal File
+	buffer  []byte
+	// length is the length of the journal without the buffer, in bytes.
+	length   int64
 	mirrored mirror
 	// generation counts the snapshots that made a journal void.
 	generation        uint64
--- a/disk/disk_test.go
+++ b/disk/disk_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/onsi/ginkgo/v2"
@@ -52,9 +53,12 @@
 	case "fail":
 		b.fail.writes = c.Bool("write")
 		b.fail.syncs = c.Bool("sync")
+		b.fail.full = c.Bool("full")
 		return ""
 	case "damage":
 		return b.damage(c)
+	case "sync":
+		return problem(b.folder.Sync())
 	}
 	return "unknown command"
 }
@@ -126,7 +130,8 @@
 }
 
 // failing is a disk that refuses to write or to sync.
-type failing struct{ writes, syncs bool }
+// A full one takes a part of a write before it refuses.
+type failing struct{ writes, syncs, full bool }
 
 var (
 	errNoSpace = errors.New("no space left on device")
@@ -147,6 +152,10 @@
 	if f.disk.writes {
 		return 0, errNoSpace
 	}
+	if f.disk.full {
+		n, err := f.File.Write(p[:len(p)/2])
+		return n, errors.Join(err, syscall.ENOSPC)
+	}
 	return f.File.Write(p)
 }
 
--- a/disk/journal.go
+++ b/disk/journal.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io/fs"
 	"os"
+	"syscall"
 
 	"github.com/oriolepost/oriolepost/replica"
 )
@@ -149,15 +150,17 @@
 	return nil
 }
 
-// Sync writes what was appended and waits until it is durable. After an error
-// the folder must not be used any more.
+// Sync writes what was appended and waits until it is durable. After a
+// [FullError] nothing of it is written, and Sync may be called again. After any
+// other error the folder must not be used any more.
 func (f *Folder) Sync() error {
 	if len(f.buffer) == 0 {
 		return nil
 	}
 	if _, err := f.journal.Write(f.buffer); err != nil {
-		return fmt.Errorf("write journal: %w", err)
+		return f.undoWrite(err)
 	}
+	f.length += int64(len(f.buffer))
 	f.buffer = f.buffer[:0]
 	f.Syncs++
 	if err := f.journal.Sync(); err != nil {
@@ -166,6 +169,17 @@
 	return nil
 }
 
+// undoWrite drops what a write that failed for want of room left behind.
+func (f *Folder) undoWrite(err error) error {
+	if !errors.Is(err, syscall.ENOSPC) {
+		return fmt.Errorf("write journal: %w", err)
+	}
+	if failed := f.journal.Truncate(f.length); failed != nil {
+		return fmt.Errorf("write journal: %w", errors.Join(err, failed))
+	}
+	return &FullError{Folder: f.Path, Cause: err}
+}
+
 // saveSnapshot replaces the snapshot first, and then the journal by what
 // follows the snapshot. A crash between the two leaves entries that the
 // snapshot covers or, by their generation, made void; loading drops them.
@@ -182,6 +196,10 @@
 		return fmt.Errorf("encode snapshot: %w", err)
 	}
 	if err := f.replace(snapshotFile, appendFrame(nil, payload)); err != nil {
+		if errors.Is(err, syscall.ENOSPC) && !e.Reset {
+			// The former snapshot and the whole journal say the same.
+			return nil
+		}
 		return fmt.Errorf("write snapshot: %w", err)
 	}
 	kept := f.mirrored.entries
@@ -220,5 +238,6 @@
 		return err
 	}
 	f.journal = journal
+	f.length = int64(len(fresh))
 	return nil
 }
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -34,7 +34,11 @@
 
 type leftMail struct{ exchanges []*ingress.Exchange }
 
-type viewMail struct{ view peer.WatchResponse }
+type viewMail struct {
+	peer.WatchResponse
+	// configuration is set when there is a newer one.
+	configuration *route.Configuration
+}
 
 type probedMail struct {
 	key    placement.Key
@@ -153,7 +157,7 @@
 			}
 		}
 	case viewMail:
-		t.view(m.view)
+		t.view(m)
 	case probedMail:
 		t.keep(m.key, m.conn)
 		m.result.Upstream = m.key
@@ -231,12 +235,12 @@
 }
 
 // view takes what the leader told.
-func (t *task) view(v peer.WatchResponse) {
+func (t *task) view(v viewMail) {
 	event := placement.Viewed{
 		Full: v.Full, Settled: v.Settled, Upstreams: v.Upstreams, Removed: v.Removed,
 		OutDomains: v.OutDomains, Index: v.Index, Count: v.Count,
 	}
-	if c := v.Configuration; c != nil && (t.gateway.table.Load() == nil || c.Version > t.gateway.version()) {
+	if c := v.configuration; c != nil && (t.gateway.table.Load() == nil || c.Version > t.gateway.version()) {
 		table := route.NewTable(*c)
 		event.Services = table.Services
 		t.gateway.table.Store(table)
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 
 	"github.com/oriolepost/oriolepost/control"
+	"github.com/oriolepost/oriolepost/jsonform"
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/timer"
 )
@@ -80,13 +81,20 @@
 	if v.Epoch != w.view.Epoch {
 		w.learn(v.Control)
 	}
-	if v.Configuration != nil && v.Configuration.Version > w.view.Version {
-		w.view.Version = v.Configuration.Version
+	m := viewMail{WatchResponse: v}
+	if len(v.Configuration) > 0 {
+		c, err := jsonform.DecodeConfiguration(v.Configuration)
+		if err != nil {
+			g.options.Log.WithError(err).WithField("epoch", v.Epoch).Error("configuration from the leader is not readable")
+			return
+		}
+		m.configuration = &c
+		w.view.Version = max(w.view.Version, c.Version)
 	}
 	w.view.Epoch, w.view.Revision, w.view.FleetRevision = v.Epoch, v.Revision, v.FleetRevision
 	w.view.Settled, w.view.Index, w.view.Count = v.Settled, v.Index, v.Count
 	select {
-	case g.task.mailbox <- viewMail{v}:
+	case g.task.mailbox <- m:
 	case <-w.ctx.Done():
 	}
 }
--- a/jsonform/envelope.go
+++ b/jsonform/envelope.go
@@ -51,7 +51,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return json.Marshal(e)
+	data, err := json.Marshal(e)
+	if err != nil {
+		return nil, fmt.Errorf("encode command: %w", err)
+	}
+	return Compress(data)
 }
 
 func commandKind(c record.Command) string {
@@ -87,6 +91,10 @@
 	if len(data) == 0 {
 		return record.Noop{}, nil
 	}
+	data, err := Decompress(data)
+	if err != nil {
+		return nil, fmt.Errorf("decode command: %w", err)
+	}
 	var e Envelope
 	if err := json.Unmarshal(data, &e); err != nil {
 		return nil, fmt.Errorf("decode command: %w", err)
--- a/peer/message.go
+++ b/peer/message.go
@@ -22,7 +22,6 @@
 	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/record"
 	"github.com/oriolepost/oriolepost/replica"
-	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/slot"
 )
 
@@ -200,8 +199,9 @@
 	Removed   []string         `json:"removed,omitempty"`
 	// OutDomains are the failure domains that operators took out.
 	OutDomains []string `json:"out_domains,omitempty"`
-	// Configuration is set when it is newer than the entry's.
-	Configuration *route.Configuration `json:"configuration,omitempty"`
+	// Configuration is set when it is newer than the entry's, in the form of
+	// jsonform.EncodeConfiguration.
+	Configuration []byte `json:"configuration,omitempty"`
 	// Control lists the instances that hold the replicated log.
 	Control []string `json:"control,omitempty"`
 	// Index and Count are the entry's place among the entries.
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -37,7 +37,7 @@
 
 // proposeParams is the JSON form of a ProposeRequest.
 type proposeParams struct {
-	Command     json.RawMessage `json:"command"`
+	Command     []byte `json:"command"`
 	TraceParent string          `json:"trace_parent,omitempty"`
 }
 
