Callers refused at a start come back spread over time; control instances are found faster

All callers that were refused for want of a configuration came back at once, and an entry looked for the leader 0.5 s, 300 ms for each one down. Change: refusals at a start carry a time to come back between 200 and 600 ms; an instance that does not answer a dial within 150 ms is passed over.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -19,6 +19,7 @@
 	"bufio"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -40,6 +41,12 @@
 	// firstRequestTime is how long a connection that was opened while the
 	// entry stops may take to send its request.
 	firstRequestTime = 700 * time.Millisecond
+	// startTime is how long an entry needs at most, as a rule, to learn the
+	// configuration after a start.
+	startTime = 400 * time.Millisecond
+	// retryShare is the part of a caller's patience after which it still comes
+	// back: callers honor a third.
+	retryShare = 4
 )
 
 // Exchange is a request and its answer. The entry's task gets it and must
@@ -309,5 +316,10 @@
 		e.closing = true
 	}
 	c.server.options.Post.Refused(e.Request, status, reason)
-	e.Answer <- plain(status, reason)
+	retryAfter := time.Duration(0)
+	if status == http.StatusServiceUnavailable {
+		spread := time.Duration(rand.Int64N(int64(startTime)))
+		retryAfter = min(startTime/2+spread, e.Request.Patience/retryShare)
+	}
+	e.Answer <- Refusal(status, reason, retryAfter)
 }
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -17,10 +17,11 @@
 	// poolMailbox and linkMailbox bound the messages that wait.
 	poolMailbox = 1024
 	linkMailbox = 512
-	// dialTimeout bounds the time to reach another instance.
-	dialTimeout = 300 * time.Millisecond
+	// dialTimeout bounds the time to reach another instance: several times the
+	// way between failure domains. One that is down is passed over quickly.
+	dialTimeout = 150 * time.Millisecond
 	// dialPause is the pause after a failed dial.
-	dialPause = 100 * time.Millisecond
+	dialPause = 40 * time.Millisecond
 	// writeTimeout bounds a write to an instance that does not read.
 	writeTimeout = time.Second
 	// maxTimeouts is how many calls in a row may time out before the
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -38,7 +38,7 @@
 // proposeParams is the JSON form of a ProposeRequest.
 type proposeParams struct {
 	Command     []byte `json:"command"`
-	TraceParent string          `json:"trace_parent,omitempty"`
+	TraceParent string `json:"trace_parent,omitempty"`
 }
 
 // proposeResult is the JSON form of a ProposeResponse.
--- a/placement/place.go
+++ b/placement/place.go
@@ -37,8 +37,6 @@
 	// hopeShare is the share of the expected time that must be left at least
 	// for a request to be sent at all.
 	hopeShare = 0.7
-	// hedgeRank is behind every priority of a route.
-	hedgeRank = 1 << 30
 )
 
 // arrive takes a request in.
@@ -93,6 +91,9 @@
 	return t
 }
 
+// dueAt is until when an answer is on time.
+func (r Request) dueAt() time.Time { return r.Arrived.Add(r.objective()) }
+
 func (r Request) objective() time.Duration {
 	if r.Route.Objective > 0 {
 		return r.Route.Objective
@@ -112,7 +113,7 @@
 // came first. Second attempts come last.
 func (r *room) enter(p *pending) {
 	i, _ := slices.BinarySearchFunc(r.waiting, p, func(a, b *pending) int {
-		return cmp.Or(cmp.Compare(rank(a), rank(b)), a.request.Arrived.Compare(b.request.Arrived), cmp.Compare(a.request.ID, b.request.ID))
+		return cmp.Or(cmp.Compare(len(a.attempts), len(b.attempts)), cmp.Compare(a.request.Route.Priority, b.request.Route.Priority), a.request.Arrived.Compare(b.request.Arrived), cmp.Compare(a.request.ID, b.request.ID))
 	})
 	r.waiting = slices.Insert(r.waiting, i, p)
 }
@@ -121,13 +122,6 @@
 	r.waiting = slices.DeleteFunc(r.waiting, func(o *pending) bool { return o == p })
 }
 
-func rank(p *pending) int {
-	if len(p.attempts) > 0 {
-		return hedgeRank
-	}
-	return p.request.Route.Priority
-}
-
 // fill gives the requests of a room, in order, the places that are known to be
 // good enough.
 func (s *State) fill(now time.Time, r *room) {
@@ -147,7 +141,7 @@
 // cost, though it could be on time elsewhere.
 func (s *State) late(now time.Time, p *pending, cost float64) bool {
 	usual := float64(s.usualTime(p.request))
-	spare := float64(p.request.Arrived.Add(p.request.objective()).Sub(now))
+	spare := float64(p.request.dueAt().Sub(now))
 	return cost*usual > spare && spare > usual && now.Before(p.giveUpAt)
 }
 
--- a/placement/repeat.go
+++ b/placement/repeat.go
@@ -210,10 +210,8 @@
 	case Answered, Unknown:
 		return o
 	case NotRun:
-		if before != nil {
-			if _, unknown := before.(Unknown); unknown {
-				return before
-			}
+		if unknown, ok := before.(Unknown); ok {
+			return unknown
 		}
 		return o
 	}
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -117,7 +117,6 @@
 	jobs     map[placement.AttemptID]*job
 	probes   int
 	attempts int
-	coldMost int
 	out      []string
 	entryOf  map[placement.RequestID]int
 }
