--- a/control/control.go
+++ b/control/control.go
@@ -70,6 +70,13 @@
 	return out, nil
 }
 
+// NewLeader looks for the leader among the seeds, and wherever these point to.
+func NewLeader(pool *peer.Pool, seeds []peer.Address, port int) *peer.Leader {
+	l := peer.NewLeader(pool, seeds)
+	l.Locate(func(instance string) string { return PeerAddress(instance, port) })
+	return l
+}
+
 // Start opens the data folder and starts the instance.
 func Start(ctx context.Context, d settings.Deployment, o Options) (c *Control, err error) {
 	defer func() {
@@ -86,7 +93,8 @@
 		return nil, err
 	}
 	pool := peer.NewPool(ctx, peer.Options{Metrics: o.Metrics, Dial: o.Dial})
-	c = &Control{folder: folder, leader: peer.NewLeader(pool, seeds), Done: make(chan error, 1)}
+	leader := NewLeader(pool, seeds, d.PeerPort)
+	c = &Control{folder: folder, leader: leader, Done: make(chan error, 1)}
 	if c.task, err = newTask(ctx, d, o, folder, pool, c.leader, seeds); err != nil {
 		return nil, errors.Join(err, folder.Close())
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -87,7 +87,7 @@
 	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
 	go g.task.run()
 	pool := peer.NewPool(ctx, peer.Options{Metrics: o.Metrics, Dial: o.Dial})
-	w := &watchTask{gateway: g, ctx: ctx, leader: peer.NewLeader(pool, seeds), seeds: seeds}
+	w := &watchTask{gateway: g, ctx: ctx, leader: control.NewLeader(pool, seeds, d.PeerPort), seeds: seeds}
 	go w.run()
 	g.callers, err = ingress.Listen(ingress.Options{
 		Address: d.Caller, Names: o.Names, Metrics: o.Metrics, Table: g.table.Load,
--- a/peer/leader.go
+++ b/peer/leader.go
@@ -35,6 +35,9 @@
 	instances []Address
 	// guess is the address that led last.
 	guess string
+	// locate gives the address of an instance that is not listed, if the
+	// instance's name tells it; nil otherwise.
+	locate func(instance string) string
 }
 
 // NewLeader returns a Leader that begins its search at the first instance.
@@ -44,6 +47,14 @@
 	return l
 }
 
+// Locate gives the search a way to find instances that are not listed: the
+// leader may have joined after the list was written.
+func (l *Leader) Locate(locate func(instance string) string) {
+	s := <-l.search
+	s.locate = locate
+	l.search <- s
+}
+
 // Learn replaces the instances among which the leader is looked for.
 func (l *Leader) Learn(instances []Address) {
 	s := <-l.search
@@ -73,6 +84,11 @@
 			return a.Address
 		}
 	}
+	if leader != "" && s.locate != nil {
+		if a := s.locate(leader); a != wrong {
+			return a
+		}
+	}
 	i := slices.IndexFunc(s.instances, func(a Address) bool { return a.Address == wrong })
 	return s.instances[(i+1)%len(s.instances)].Address
 }
--- /dev/null
+++ b/upstream/upstream_test.go
@@ -0,0 +1,148 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/oriolepost/oriolepost/header"
+	"github.com/oriolepost/oriolepost/placement"
+	"github.com/oriolepost/oriolepost/script"
+	"github.com/oriolepost/oriolepost/upstream"
+)
+
+func TestUpstream(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "upstream")
+}
+
+var names = header.Names{
+	RequestID: "Request-Id", Deadline: "Deadline", Target: "Target", Signature: "Signature",
+	NotRun: "Not-Run", Load: "Load", Cold: "Cold", Upstream: "Upstream",
+}
+
+// bench is an upstream that answers what the test file says.
+type bench struct {
+	listener net.Listener
+	accepted chan net.Conn
+	conn     *upstream.Conn
+	peer     net.Conn
+}
+
+var _ = script.Describe("upstream", "testdata/*.txt", func() script.Handler {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	b := &bench{listener: l, accepted: make(chan net.Conn, 1)}
+	ginkgo.DeferCleanup(func() {
+		_ = l.Close()
+		if b.peer != nil {
+			_ = b.peer.Close()
+		}
+	})
+	return b.run
+})
+
+func (b *bench) run(c script.Case) string {
+	switch c.Command {
+	case "dial":
+		return b.dial()
+	case "exchange":
+		return b.exchange(c)
+	case "probe":
+		return b.probe(c)
+	case "late":
+		// Bytes that come while the connection is unused.
+		_, err := io.WriteString(b.peer, strings.ReplaceAll(c.Input, "\n", "\r\n"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		time.Sleep(20 * time.Millisecond)
+		return fmt.Sprintf("alive=%v", b.conn.Alive(time.Now()))
+	case "alive":
+		return fmt.Sprintf("alive=%v", b.conn.Alive(time.Now().Add(time.Duration(c.Int("after", 0))*time.Millisecond)))
+	}
+	return "unknown command"
+}
+
+func (b *bench) dial() string {
+	go func() {
+		conn, err := b.listener.Accept()
+		if err == nil {
+			b.accepted <- conn
+		}
+	}()
+	conn, err := upstream.Dial(context.Background(), b.listener.Addr().String())
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	b.conn = conn
+	b.peer = <-b.accepted
+	return ""
+}
+
+// reply reads a request and answers it as the case says.
+func (b *bench) reply(c script.Case, got chan<- string) {
+	r, err := http.ReadRequest(bufio.NewReader(b.peer))
+	if err != nil {
+		got <- "no request"
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	got <- fmt.Sprintf("%s %s target=%s body=%q", r.Method, r.RequestURI, r.Header.Get("Target"), body)
+	text := strings.ReplaceAll(strings.TrimSuffix(c.Input, "\n"), "\n", "\r\n")
+	text = strings.ReplaceAll(text, "<empty>", "")
+	_, _ = io.WriteString(b.peer, text)
+	switch {
+	case c.Bool("reset"):
+		_ = b.peer.(*net.TCPConn).SetLinger(0)
+		_ = b.peer.Close()
+	case c.Bool("close"):
+		_ = b.peer.Close()
+	}
+}
+
+func (b *bench) exchange(c script.Case) string {
+	got := make(chan string, 1)
+	go b.reply(c, got)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if c.Bool("cancel") {
+		time.AfterFunc(50*time.Millisecond, cancel)
+	}
+	body := c.Args["body"]
+	a, o := b.conn.Exchange(ctx, names, upstream.Request{
+		Method: "POST", Target: "/book/1?x=%20", Host: "booking", Header: http.Header{"Request-Id": {"r1"}}, ID: "r1",
+		Body: []byte(body), Length: int64(len(body)), HasBody: body != "", Upstream: "i-1",
+		Deadline: time.Now().Add(time.Duration(c.Int("deadline", 1000)) * time.Millisecond),
+	})
+	text := <-got + "\n" + outcome(o)
+	if _, answered := o.(placement.Answered); answered {
+		text += fmt.Sprintf(" status=%d body=%q signature=%q", a.Status, a.Body, a.Header.Get("Signature"))
+	}
+	return fmt.Sprintf("%s\nreusable=%v", text, b.conn.Reusable())
+}
+
+func outcome(o placement.Outcome) string {
+	switch o := o.(type) {
+	case placement.Answered:
+		return fmt.Sprintf("answered failed=%v", o.Failed)
+	case placement.NotRun:
+		return fmt.Sprintf("not_run %s sent=%v", o.Reason, o.Sent)
+	case placement.Unknown:
+		return "unknown " + string(o.Reason)
+	}
+	return "unknown outcome"
+}
+
+func (b *bench) probe(c script.Case) string {
+	got := make(chan string, 1)
+	go b.reply(c, got)
+	p := b.conn.Probe(context.Background(), names, "i-1", "10.0.0.1:80", "/health")
+	return fmt.Sprintf("%s\nfailed=%v healthy=%v cold=%s load=%+v reusable=%v",
+		<-got, p.Failed, p.Healthy, p.Cold, p.Load, b.conn.Reusable())
+}
