--- a/control/control_test.go
+++ b/control/control_test.go
@@ -226,18 +226,23 @@
 		if err != nil || !ok {
 			return "refused"
 		}
-		request.Epoch, request.Revision, request.FleetRevision = v.Epoch, v.Revision, v.FleetRevision
-		request.Settled, request.Index, request.Count = v.Settled, v.Index, v.Count
+		var view peer.View
+		if len(v.View) > 0 {
+			view, err = peer.DecodeView(v.View)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			request.FleetRevision, request.Settled = view.FleetRevision, view.Settled
+		}
+		request.Epoch, request.Revision, request.Index, request.Count = v.Epoch, v.Revision, v.Index, v.Count
 		b.stamps[c.Args["entry"]] = request
-		text := viewText(v)
+		text := viewText(v, view)
 		if strings.HasPrefix(text, c.Args["expect"]) || time.Now().After(deadline) {
 			return text
 		}
 	}
 }
 
-func viewText(v peer.WatchResponse) string {
-	lines := []string{fmt.Sprintf("entry %d of %d full=%v", v.Index, v.Count, v.Full)}
+func viewText(r peer.WatchResponse, v peer.View) string {
+	lines := []string{fmt.Sprintf("entry %d of %d full=%v", r.Index, r.Count, v.Full)}
 	for _, u := range v.Upstreams {
 		lines = append(lines, fmt.Sprintf("%s born=%d draining=%v", u.ID, u.BornMS, u.Draining))
 	}
--- a/control/task.go
+++ b/control/task.go
@@ -69,9 +69,6 @@
 	role      replica.RoleChanged
 
 	watchers map[string]*watcher
-	// encoded is the configuration encodedVersion as entries get it.
-	encoded        []byte
-	encodedVersion uint64
 	// logBytes is the size of the commands applied since the last snapshot.
 	logBytes int
 	// committed counts the changes of the state that entries follow.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,7 +82,7 @@
 	}
 	g = &Gateway{settings: d, options: o, origin: time.Now()}
 	g.task = newTask(ctx, g, placement.New(placement.Config{
-		Domain: d.Domain, RetryRatio: d.Bounds.RetryRatio, RetryWindow: d.Bounds.RetryWindow,
+		Name: d.Instance, Domain: d.Domain, RetryRatio: d.Bounds.RetryRatio, RetryWindow: d.Bounds.RetryWindow,
 		RetrySlack: d.Bounds.RetrySlack, ColdFactor: d.Bounds.ColdFactor, ColdSlack: d.Bounds.ColdSlack,
 	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
 	go g.task.run()
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -35,9 +35,11 @@
 type leftMail struct{ exchanges []*ingress.Exchange }
 
 type viewMail struct {
-	peer.WatchResponse
-	// configuration is set when there is a newer one.
-	configuration *route.Configuration
+	place placement.Placed
+	// view is what changed; nil when nothing did.
+	view     *peer.View
+	epoch    uint64
+	revision uint64
 }
 
 type probedMail struct {
@@ -235,23 +237,30 @@
 }
 
 // view takes what the leader told.
-func (t *task) view(v viewMail) {
+func (t *task) view(m viewMail) {
+	if m.view != nil {
+		t.changed(m)
+	}
+	t.step(m.place)
+}
+
+func (t *task) changed(m viewMail) {
+	v := m.view
 	event := placement.Viewed{
-		Full: v.Full, Settled: v.Settled, Upstreams: v.Upstreams, Removed: v.Removed,
-		OutDomains: v.OutDomains, Index: v.Index, Count: v.Count,
+		Full: v.Full, Settled: v.Settled, Upstreams: v.Upstreams, Removed: v.Removed, OutDomains: v.OutDomains,
 	}
-	if c := v.configuration; c != nil && (t.gateway.table.Load() == nil || c.Version > t.gateway.version()) {
+	if c := v.Configuration; c != nil && (t.gateway.table.Load() == nil || c.Version > t.gateway.version()) {
 		table := route.NewTable(*c)
 		event.Services = table.Services
 		t.gateway.table.Store(table)
 		t.gateway.options.Log.WithFields(log.Fields{
-			"change": "configuration", "version": c.Version, "routes": len(c.Routes), "epoch": v.Epoch, "revision": v.Revision,
+			"change": "configuration", "version": c.Version, "routes": len(c.Routes), "epoch": m.epoch, "revision": m.revision,
 		}).Info("configuration in force")
 	}
 	if len(v.Upstreams)+len(v.Removed) > 0 || v.Full {
 		t.gateway.options.Log.WithFields(log.Fields{
 			"change": "upstreams", "listed": len(v.Upstreams), "removed": len(v.Removed), "full": v.Full,
-			"settled": v.Settled, "out_domains": v.OutDomains, "epoch": v.Epoch, "revision": v.Revision,
+			"settled": v.Settled, "out_domains": v.OutDomains, "epoch": m.epoch, "revision": m.revision,
 		}).Info("view changed")
 	}
 	t.step(event)
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -7,8 +7,8 @@
 	"github.com/apex/log"
 
 	"github.com/oriolepost/oriolepost/control"
-	"github.com/oriolepost/oriolepost/jsonform"
 	"github.com/oriolepost/oriolepost/peer"
+	"github.com/oriolepost/oriolepost/placement"
 	"github.com/oriolepost/oriolepost/timer"
 )
 
@@ -69,36 +69,44 @@
 	}
 }
 
-func (w *watchTask) take(v peer.WatchResponse) {
+func (w *watchTask) take(r peer.WatchResponse) {
 	g := w.gateway
+	m := viewMail{place: placement.Placed{Index: r.Index, Count: r.Count}}
+	if len(r.View) > 0 {
+		v, err := peer.DecodeView(r.View)
+		if err != nil {
+			g.options.Log.WithError(err).WithField("epoch", r.Epoch).Error("view from the leader is not readable")
+			return
+		}
+		m.view, m.epoch, m.revision = &v, r.Epoch, r.Revision
+		w.follow(r, v)
+	}
 	g.touched.Store(int64(time.Since(g.origin)))
 	if !w.inTouch {
 		w.inTouch = true
 		g.options.Log.WithFields(log.Fields{
-			"change": "control", "from": "out of touch", "to": "in touch", "epoch": v.Epoch, "revision": v.Revision,
+			"change": "control", "from": "out of touch", "to": "in touch", "epoch": r.Epoch, "revision": r.Revision,
 		}).Info("control instances are reached")
 	}
-	if v.Epoch != w.view.Epoch {
-		w.learn(v.Control)
-	}
-	m := viewMail{WatchResponse: v}
-	if len(v.Configuration) > 0 {
-		c, err := jsonform.DecodeConfiguration(v.Configuration)
-		if err != nil {
-			g.options.Log.WithError(err).WithField("epoch", v.Epoch).Error("configuration from the leader is not readable")
-			return
-		}
-		m.configuration = &c
-		w.view.Version = max(w.view.Version, c.Version)
-	}
-	w.view.Epoch, w.view.Revision, w.view.FleetRevision = v.Epoch, v.Revision, v.FleetRevision
-	w.view.Settled, w.view.Index, w.view.Count = v.Settled, v.Index, v.Count
+	w.view.Index, w.view.Count = r.Index, r.Count
 	select {
 	case g.task.mailbox <- m:
 	case <-w.ctx.Done():
 	}
 }
 
+// follow notes which view the entry has from now on.
+func (w *watchTask) follow(r peer.WatchResponse, v peer.View) {
+	if r.Epoch != w.view.Epoch {
+		w.learn(v.Control)
+	}
+	if v.Configuration != nil {
+		w.view.Version = max(w.view.Version, v.Configuration.Version)
+	}
+	w.view.Epoch, w.view.Revision = r.Epoch, r.Revision
+	w.view.FleetRevision, w.view.Settled = v.FleetRevision, v.Settled
+}
+
 // learn remembers the control instances, so that they are found when the
 // seeds of the settings are gone.
 func (w *watchTask) learn(instances []string) {
--- a/jsonform/compress.go
+++ b/jsonform/compress.go
@@ -3,11 +3,8 @@
 import (
 	"bytes"
 	"compress/flate"
-	"encoding/json"
 	"fmt"
 	"io"
-
-	"github.com/oriolepost/oriolepost/route"
 )
 
 const (
@@ -53,23 +50,3 @@
 	}
 	return whole, nil
 }
-
-// EncodeConfiguration gives a configuration the form in which entries get it.
-func EncodeConfiguration(c route.Configuration) ([]byte, error) {
-	data, err := json.Marshal(c)
-	if err != nil {
-		return nil, fmt.Errorf("encode configuration: %w", err)
-	}
-	return Compress(data)
-}
-
-// DecodeConfiguration reads a configuration.
-func DecodeConfiguration(data []byte) (c route.Configuration, err error) {
-	if data, err = Decompress(data); err == nil {
-		err = json.Unmarshal(data, &c)
-	}
-	if err != nil {
-		return route.Configuration{}, fmt.Errorf("decode configuration: %w", err)
-	}
-	return c, nil
-}
--- a/peer/message.go
+++ b/peer/message.go
@@ -22,6 +22,7 @@
 	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/record"
 	"github.com/oriolepost/oriolepost/replica"
+	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/slot"
 )
 
@@ -188,8 +189,18 @@
 // WatchResponse answers a WatchRequest.
 type WatchResponse struct {
 	// Epoch is the leader's term; revisions of two epochs don't compare.
-	Epoch         uint64 `json:"epoch"`
-	Revision      uint64 `json:"revision"`
+	Epoch    uint64 `json:"epoch"`
+	Revision uint64 `json:"revision"`
+	// Index and Count are the entry's place among the entries.
+	Index int `json:"index"`
+	Count int `json:"count"`
+	// View is an encoded [View]; empty when the entry's is the newest. It is
+	// encoded once for all entries that lack the same.
+	View []byte `json:"view,omitempty"`
+}
+
+// View is what entries follow, or what changed of it.
+type View struct {
 	FleetRevision uint64 `json:"fleet_revision"`
 	// Full is true when Upstreams lists all that the leader knows.
 	Full bool `json:"full,omitempty"`
@@ -199,14 +210,10 @@
 	Removed   []string         `json:"removed,omitempty"`
 	// OutDomains are the failure domains that operators took out.
 	OutDomains []string `json:"out_domains,omitempty"`
-	// Configuration is set when it is newer than the entry's, in the form of
-	// jsonform.EncodeConfiguration.
-	Configuration []byte `json:"configuration,omitempty"`
+	// Configuration is set when it is newer than the entry's.
+	Configuration *route.Configuration `json:"configuration,omitempty"`
 	// Control lists the instances that hold the replicated log.
 	Control []string `json:"control,omitempty"`
-	// Index and Count are the entry's place among the entries.
-	Index int `json:"index"`
-	Count int `json:"count"`
 }
 
 func (ReadResponse) response()     {}
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -120,6 +120,26 @@
 	return nil, &RefusedError{Code: CodeMalformed, Reason: fmt.Sprintf("method %q is not known", method)}
 }
 
+// EncodeView gives a view its form on the wire.
+func EncodeView(v View) ([]byte, error) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("encode view: %w", err)
+	}
+	return jsonform.Compress(data)
+}
+
+// DecodeView reads a view.
+func DecodeView(data []byte) (v View, err error) {
+	if data, err = jsonform.Decompress(data); err == nil {
+		err = json.Unmarshal(data, &v)
+	}
+	if err != nil {
+		return View{}, fmt.Errorf("decode view: %w", err)
+	}
+	return v, nil
+}
+
 func decode[T any, S any](params json.RawMessage, as func(T) S) (S, error) {
 	var body T
 	if err := json.Unmarshal(params, &body); err != nil {
--- a/placement/event.go
+++ b/placement/event.go
@@ -78,10 +78,11 @@
 	OutDomains    []string
 	// Services holds the configuration's services; nil when unchanged.
 	Services map[string]route.Service
-	// Index and Count are this entry's place among the entries.
-	Index, Count int
 }
 
+// Placed says that the leader knows this entry, and its place among all.
+type Placed struct{ Index, Count int }
+
 // Ticked lets time pass.
 type Ticked struct{}
 
@@ -90,6 +91,7 @@
 func (Probed) event()       {}
 func (AttemptEnded) event() {}
 func (Viewed) event()       {}
+func (Placed) event()       {}
 func (Ticked) event()       {}
 
 // Outcome is what became of an attempt, or of a request.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -18,6 +18,8 @@
 package placement
 
 import (
+	"cmp"
+	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -29,6 +31,8 @@
 
 // Config holds what an entry is told once.
 type Config struct {
+	// Name is the entry's name; it settles which upstreams the entry asks first.
+	Name string
 	// Domain is the entry's failure domain.
 	Domain string
 	// RetryRatio, RetryWindow and RetrySlack bound the repeats of a service
@@ -53,7 +57,9 @@
 
 // Upstream is what the entry knows of an upstream.
 type Upstream struct {
-	Info      fleet.Upstream
+	Info fleet.Upstream
+	// near is true for the upstreams that this entry asks first.
+	near      bool
 	ColdUntil time.Time
 	// Load is the newest report, taken at LoadAt; Since counts the attempts
 	// that this entry started after it.
@@ -149,6 +155,8 @@
 		s.attemptEnded(now, e)
 	case Viewed:
 		s.viewed(now, e)
+	case Placed:
+		s.placed(now, e)
 	case Ticked:
 		s.tick(now)
 	}
@@ -183,10 +191,17 @@
 	return next
 }
 
+// placed notes this entry's place among the entries.
+func (s *State) placed(now time.Time, e Placed) {
+	s.Touched = now
+	s.Index, s.Count = e.Index, e.Count
+	for _, w := range s.budgets {
+		w.Slack = s.slackShare()
+	}
+}
+
 // viewed takes what the leader told.
 func (s *State) viewed(now time.Time, v Viewed) {
-	s.Touched = now
-	s.Index, s.Count = v.Index, v.Count
 	s.outDomains = v.OutDomains
 	if v.Services != nil {
 		s.Services = v.Services
@@ -211,9 +226,6 @@
 		}
 	}
 	s.index()
-	for _, w := range s.budgets {
-		w.Slack = s.slackShare()
-	}
 }
 
 func (s *State) take(now time.Time, u fleet.Upstream) {
@@ -245,15 +257,41 @@
 		s.byService[u.Info.Service] = append(s.byService[u.Info.Service], u)
 	}
 	for _, list := range s.byService {
-		slices.SortFunc(list, func(a, b *Upstream) int {
-			if a.Info.ID < b.Info.ID {
-				return -1
-			}
-			return 1
-		})
+		slices.SortFunc(list, func(a, b *Upstream) int { return cmp.Compare(a.Info.ID, b.Info.ID) })
+		s.chooseNear(list)
 	}
 }
 
+// nearCount is how many upstreams of a service, in the own failure domain, an
+// entry asks first. Asked that often, their connections stay in use; with
+// hundreds of upstreams each probe would need a new connection otherwise.
+const nearCount = 12
+
+// chooseNear picks the upstreams that this entry asks first, by a hash that
+// gives each entry others.
+func (s *State) chooseNear(list []*Upstream) {
+	var own []*Upstream
+	for _, u := range list {
+		u.near = false
+		if u.Info.Domain == s.Config.Domain {
+			own = append(own, u)
+		}
+	}
+	slices.SortFunc(own, func(a, b *Upstream) int {
+		return cmp.Or(cmp.Compare(s.distance(a), s.distance(b)), cmp.Compare(a.Info.ID, b.Info.ID))
+	})
+	for _, u := range own[:min(nearCount, len(own))] {
+		u.near = true
+	}
+}
+
+func (s *State) distance(u *Upstream) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(s.Config.Name + "/" + u.Info.ID))
+	// The hash mixes its last bytes too little for an order.
+	return h.Sum64() * 0x9e3779b97f4a7c15
+}
+
 // slackShare is this entry's share of the slack of all entries.
 func (s *State) slackShare() float64 { return s.Config.RetrySlack / float64(max(s.Count, minEntries)) }
 
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -167,7 +167,7 @@
 		domain := domains[i%len(domains)]
 		r.domains = append(r.domains, domain)
 		r.entries = append(r.entries, placement.New(placement.Config{
-			Domain: domain, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 60, ColdFactor: 1.5, ColdSlack: 5,
+			Name: strconv.Itoa(i), Domain: domain, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 60, ColdFactor: 1.5, ColdSlack: 5,
 		}, rand.New(rand.NewPCG(uint64(i), 1))))
 	}
 	return ""
@@ -194,7 +194,8 @@
 // tell gives all entries the view.
 func (r *replay) tell(cold map[string]time.Duration) {
 	for i, e := range r.entries {
-		v := placement.Viewed{Full: true, Index: i, Count: len(r.entries), OutDomains: r.out, Services: map[string]route.Service{}}
+		r.perform(i, e.Step(r.now, placement.Placed{Index: i, Count: len(r.entries)}))
+		v := placement.Viewed{Full: true, OutDomains: r.out, Services: map[string]route.Service{}}
 		for _, m := range r.order {
 			u := m.info
 			u.ColdMS = cold[u.ID].Milliseconds()
--- a/placement/scout.go
+++ b/placement/scout.go
@@ -130,18 +130,21 @@
 	return len(r.pending)
 }
 
-// askOrder puts upstreams of the own failure domain first, and doubtful ones
-// last.
+// askOrder puts near upstreams first, then those of the own failure domain,
+// and doubtful ones last.
 func (s *State) askOrder(now time.Time, u *Upstream) int {
 	order := 0
 	if now.Before(u.ColdUntil) || !u.Probing.IsZero() {
-		order += 4
+		order += 8
 	}
 	if u.Info.Domain != s.Config.Domain {
+		order += 2
+	}
+	if !u.near {
 		order++
 	}
 	if u.Trouble > doubtfulTrouble || u.Slowness > doubtfulSlowness {
-		order += 2
+		order += 4
 	}
 	return order
 }
