Logs through a bounded queue, metrics on a port, oriolepost explain

Cause: an instance wrote its log itself and would have waited for a reader that stopped; the metrics of an instance on the platform were served nowhere; a request with several attempts told only of its last one. Ruled out: a larger pipe buffer (it fills all the same). Change: a task owns the output; two bounded queues, the one for requests that were served is dropped first; drops are counted and told; the line of a request lists its attempts; metrics on port 9464; explain prints the story of a request, an upstream or a configuration from logs of several instances.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -25,6 +25,7 @@
 	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/script"
 	"github.com/oriolepost/oriolepost/settings"
+	"github.com/oriolepost/oriolepost/timer"
 )
 
 func TestControl(t *testing.T) {
@@ -97,7 +98,7 @@
 		b.cut.Store(&cut)
 		return ""
 	case "wait":
-		time.Sleep(time.Duration(c.Int("ms", 0)) * time.Millisecond)
+		timer.Pause(context.Background(), time.Duration(c.Int("ms", 0))*time.Millisecond)
 		return ""
 	case "configure":
 		return b.call(c, name, peer.ProposeRequest{Command: record.PutConfiguration{
@@ -201,11 +202,11 @@
 	if err != nil {
 		return "refused"
 	}
-	switch response := response.(type) {
-	case peer.ReadResponse:
-		return string(response.Original)
-	case peer.ProposeResponse:
-		if done, ok := response.Result.(record.Done); ok && done.Version > 0 {
+	if read, ok := response.(peer.ReadResponse); ok {
+		return string(read.Original)
+	}
+	if proposed, ok := response.(peer.ProposeResponse); ok {
+		if done, ok := proposed.Result.(record.Done); ok && done.Version > 0 {
 			return fmt.Sprintf("in force: %d", done.Version)
 		}
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -17,9 +17,9 @@
 import (
 	"fmt"
 	"maps"
-	"net"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -77,16 +77,28 @@
 	case u.BornMS <= 0:
 		return &InvalidError{"born_ms", u.BornMS, "a Unix time in milliseconds"}
 	}
-	host, port, err := net.SplitHostPort(u.Address)
-	if err != nil || net.ParseIP(host) == nil {
-		return &InvalidError{"address", fmt.Sprintf("%q", u.Address), "IP:port"}
-	}
-	if n, err := strconv.Atoi(port); err != nil || n < 1 || n > 65535 {
+	if !validAddress(u.Address) {
 		return &InvalidError{"address", fmt.Sprintf("%q", u.Address), "IP:port"}
 	}
 	return nil
 }
 
+// maxPort is the highest TCP port.
+const maxPort = 65535
+
+// validAddress reports whether an address is an IPv4 address with a port.
+func validAddress(address string) bool {
+	host, port, ok := strings.Cut(address, ":")
+	parts := strings.Split(host, ".")
+	if n, err := strconv.Atoi(port); !ok || err != nil || n < 1 || n > maxPort || len(parts) != 4 {
+		return false
+	}
+	return !slices.ContainsFunc(parts, func(p string) bool {
+		_, err := strconv.ParseUint(p, 10, 8)
+		return err != nil
+	})
+}
+
 // Member is an upstream with what the table knows besides.
 type Member struct {
 	Upstream
--- a/gateway/conns.go
+++ b/gateway/conns.go
@@ -90,7 +90,7 @@
 		Rest: r.Rest, Length: r.Length, HasBody: r.HasBody, Upstream: e.Upstream.ID, Deadline: e.Deadline,
 	}
 	go func() {
-		m := attemptMail{key: key, attempt: e.Attempt}
+		m := attemptMail{key: key, request: e.Request, attempt: e.Attempt, began: time.Now()}
 		c, err := connected(ctx, unused, e.Upstream)
 		if err != nil {
 			m.outcome = placement.NotRun{Reason: placement.ReasonUnsent}
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -13,6 +15,7 @@
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/placement"
 	"github.com/oriolepost/oriolepost/route"
+	"github.com/oriolepost/oriolepost/telemetry"
 	"github.com/oriolepost/oriolepost/upstream"
 )
 
@@ -50,7 +53,9 @@
 
 type attemptMail struct {
 	key     placement.Key
+	request placement.RequestID
 	attempt placement.AttemptID
+	began   time.Time
 	answer  upstream.Answer
 	outcome placement.Outcome
 	conn    *upstream.Conn
@@ -89,6 +94,8 @@
 	domain   string
 	basis    placement.Basis
 	started  time.Time
+	// tries tells of each attempt that ended, for the log.
+	tries []string
 }
 
 func newTask(ctx context.Context, g *Gateway, p *placement.State) *task {
@@ -227,6 +234,7 @@
 		delete(t.cancels, m.attempt)
 	}
 	t.answers[m.attempt] = m.answer
+	t.note(m)
 	t.step(placement.AttemptEnded{Attempt: m.attempt, Outcome: m.outcome, Load: m.answer.Load})
 	if a, left := t.answers[m.attempt]; left {
 		if a.Rest != nil {
@@ -236,6 +244,24 @@
 	}
 }
 
+// note remembers the end of an attempt for the line of its request.
+func (t *task) note(m attemptMail) {
+	w := t.exchanges[m.request]
+	if w == nil {
+		return
+	}
+	text := outcomeName(m.outcome)
+	switch o := m.outcome.(type) {
+	case placement.Answered:
+		text += " " + strconv.Itoa(m.answer.Status)
+	case placement.NotRun:
+		text += " " + string(o.Reason)
+	case placement.Unknown:
+		text += " " + string(o.Reason)
+	}
+	w.tries = append(w.tries, fmt.Sprintf("%s after %d ms: %s", m.key.ID, time.Since(m.began).Milliseconds(), text))
+}
+
 // view takes what the leader told.
 func (t *task) view(m viewMail) {
 	if m.view != nil {
@@ -308,12 +334,15 @@
 	took := time.Since(w.request.Arrived)
 	g.options.Metrics.GetOrCreateCounter(fmt.Sprintf(`oriolepost_requests_total{outcome=%q,status="%d"}`, outcomeName(e.Outcome), status)).Inc()
 	g.options.Metrics.GetOrCreateHistogram("oriolepost_request_seconds").Update(took.Seconds())
+	_, served := e.Outcome.(placement.Answered)
 	g.options.Log.WithFields(log.Fields{
-		"request_id": w.exchange.Request.ID, "route": w.request.Route.Name, "service": w.request.Service,
+		telemetry.OrdinaryField: served && status < http.StatusInternalServerError,
+		"request_id":            w.exchange.Request.ID, "route": w.request.Route.Name, "service": w.request.Service,
 		"version": g.version(), "status": status, "outcome": outcomeName(e.Outcome), "reason": reason,
 		"took_ms": took.Milliseconds(), "left_ms": time.Until(w.request.Deadline).Milliseconds(), "attempts": e.Attempts,
 		"upstream": w.upstream, "upstream_domain": w.domain, "load_age_ms": w.basis.Age.Milliseconds(), "cost": w.basis.Cost,
-		"candidates": w.basis.Candidates, "load": w.basis.Load, "touch_age_ms": g.touchAge().Milliseconds(),
+		"candidates": w.basis.Candidates, "load": w.basis.Load, "waited_ms": w.basis.Waited.Milliseconds(),
+		"tries": strings.Join(w.tries, "; "), "touch_age_ms": g.touchAge().Milliseconds(),
 	}).Info("request finished")
 }
 
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -143,15 +143,7 @@
 }
 
 func (c *conn) push(e *Exchange) {
-	kept := c.open[:0]
-	for _, o := range c.open {
-		select {
-		case <-o.written:
-		default:
-			kept = append(kept, o)
-		}
-	}
-	c.open = append(kept, e)
+	c.open = append(c.unanswered(), e)
 	c.served = true
 	c.exchanges <- e
 }
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -39,8 +39,8 @@
 }
 
 // ServeLogger returns the log of an instance on a platform.
-func ServeLogger(w io.Writer, d settings.Deployment) log.Interface {
-	l := &log.Logger{Handler: json.New(w), Level: log.InfoLevel}
+func ServeLogger(o *Outlet, d settings.Deployment) log.Interface {
+	l := &log.Logger{Handler: o, Level: log.InfoLevel}
 	return l.WithFields(log.Fields{"instance": d.Instance, "failure_domain": d.Domain})
 }
 
--- a/terminal/serve.go
+++ b/terminal/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -59,6 +60,10 @@
 	// heapPercent is how much garbage may pile up: memory is dearer than the
 	// collector's time where instances are this small.
 	heapPercent = 50
+	// metricsPort is the port of the metrics, as deploy/system.toml states it.
+	metricsPort = 9464
+	// outletTime bounds writing the last lines of the log.
+	outletTime = 200 * time.Millisecond
 	// controlStopTime bounds handing over the lead at a stop.
 	controlStopTime = 1500 * time.Millisecond
 )
@@ -71,7 +76,9 @@
 		return nil, err
 	}
 	debug.SetGCPercent(heapPercent)
-	s.log = telemetry.ServeLogger(t.Out, s.settings)
+	outlet := telemetry.NewOutlet(t.Out, s.metrics)
+	defer closeOutlet(outlet)
+	s.log = telemetry.ServeLogger(outlet, s.settings)
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	if err := s.start(running); err != nil {
@@ -83,6 +90,13 @@
 	return nil, err
 }
 
+// closeOutlet writes the last lines of the log.
+func closeOutlet(o *telemetry.Outlet) {
+	ctx, cancel := context.WithTimeout(context.Background(), outletTime)
+	defer cancel()
+	o.Close(ctx)
+}
+
 func (s *serveWork) start(ctx context.Context) error {
 	d := s.settings
 	if d.Control != "" {
@@ -111,6 +125,23 @@
 	if s.control == nil && s.gateway == nil {
 		return &UsageError{Problem: "the settings name no address to serve"}
 	}
+	return s.serveMetrics()
+}
+
+// serveMetrics serves the counters and histograms.
+func (s *serveWork) serveMetrics() error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		s.metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	l, err := httplisten.Start(control.PeerAddress(s.settings.IP, metricsPort), &http.Server{
+		Handler: mux, ReadHeaderTimeout: httplisten.HeaderTimeout, IdleTimeout: httplisten.IdleTimeout,
+	}, s.metrics)
+	if err != nil {
+		return err
+	}
+	s.listeners = append(s.listeners, l)
 	return nil
 }
 
--- a/terminal/terminal.go
+++ b/terminal/terminal.go
@@ -52,7 +52,7 @@
 // verbs is the table of all verbs, in the order of help.
 func verbs() []verb {
 	return []verb{
-		nodeVerb, serveVerb, checkVerb, applyVerb, getVerb, domainVerb, serverVerb, statusVerb,
+		nodeVerb, serveVerb, checkVerb, applyVerb, getVerb, domainVerb, serverVerb, statusVerb, explainVerb,
 		standinVerb, loadVerb, demoVerb, soakVerb, experimentVerb,
 	}
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -145,6 +145,7 @@
 // receive reads answers until one belongs to the request.
 func (c *Conn) receive(ctx context.Context, names header.Names, r Request) (Answer, placement.Outcome) {
 	for range maxForeign + 1 {
+		//nolint:bodyclose // A body that is read to its end needs no close, and whoever gets the rest of one closes it.
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			c.broken = true
--- a/upstream/probe.go
+++ b/upstream/probe.go
@@ -32,6 +32,7 @@
 		c.broken = true
 		return failed
 	}
+	//nolint:bodyclose // The body is read to its end, or the connection closed.
 	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
 		c.broken = true
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -17,6 +17,7 @@
 	"github.com/oriolepost/oriolepost/header"
 	"github.com/oriolepost/oriolepost/placement"
 	"github.com/oriolepost/oriolepost/script"
+	"github.com/oriolepost/oriolepost/timer"
 	"github.com/oriolepost/oriolepost/upstream"
 )
 
@@ -63,7 +64,7 @@
 		// Bytes that come while the connection is unused.
 		_, err := io.WriteString(b.peer, strings.ReplaceAll(c.Input, "\n", "\r\n"))
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
-		time.Sleep(20 * time.Millisecond)
+		timer.Pause(context.Background(), 20*time.Millisecond)
 		return fmt.Sprintf("alive=%v", b.conn.Alive(time.Now()))
 	case "alive":
 		return fmt.Sprintf("alive=%v", b.conn.Alive(time.Now().Add(time.Duration(c.Int("after", 0))*time.Millisecond)))
