--- a/control/task.go
+++ b/control/task.go
@@ -30,7 +30,7 @@
 	// maxBatch bounds the messages that share one sync.
 	maxBatch = 256
 	// compactAfter is how many entries the log holds before a snapshot.
-	compactAfter = 512
+	compactAfter = 128
 	// compactBytes is how many bytes of commands it holds at most: what a
 	// restarted instance reads within a few tens of milliseconds.
 	compactBytes = 256 << 10
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -341,7 +341,7 @@
 		"version": g.version(), "status": status, "outcome": outcomeName(e.Outcome), "reason": reason,
 		"took_ms": took.Milliseconds(), "left_ms": time.Until(w.request.Deadline).Milliseconds(), "attempts": e.Attempts,
 		"upstream": w.upstream, "upstream_domain": w.domain, "load_age_ms": w.basis.Age.Milliseconds(), "cost": w.basis.Cost,
-		"candidates": w.basis.Candidates, "load": w.basis.Load, "waited_ms": w.basis.Waited.Milliseconds(),
+		"known_upstreams": w.basis.Candidates, "open_upstreams": e.Open, "room": e.Room, "load": w.basis.Load, "waited_ms": w.basis.Waited.Milliseconds(),
 		"tries": strings.Join(w.tries, "; "), "touch_age_ms": g.touchAge().Milliseconds(),
 	}).Info("request finished")
 }
--- a/placement/event.go
+++ b/placement/event.go
@@ -29,14 +29,14 @@
 
 // Load is what an upstream said of its load.
 type Load struct {
-	Running int
-	Waiting int
-	Slots   int
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+	Slots   int `json:"slots"`
 	// Pace is how long work takes on its machine just now, in hundredths of
 	// the usual time.
-	Pace int
+	Pace int `json:"pace"`
 	// Known is false when the upstream does not tell its load.
-	Known bool
+	Known bool `json:"known"`
 }
 
 // Event is what the placement reacts to.
@@ -201,6 +201,9 @@
 	Attempt AttemptID
 	// Attempts is how many attempts were made.
 	Attempts int
+	// Open is how many upstreams might have got the request, and Room how many
+	// requests waited with it, at its end.
+	Open, Room int
 }
 
 // Forget says that an upstream is gone; its connections are of no more use.
--- a/placement/place.go
+++ b/placement/place.go
@@ -51,7 +51,7 @@
 // place looks for a place for the next attempt of a request, and lets it wait
 // in the room of its service until there is one.
 func (s *State) place(now time.Time, p *pending) {
-	if !slices.ContainsFunc(s.byService[p.request.Service], func(u *Upstream) bool { return s.open(now, u) }) {
+	if s.countOpen(now, p.request.Service) == 0 {
 		s.refuse(now, p, s.nowhere(p))
 		return
 	}
@@ -63,6 +63,17 @@
 	s.scout(now, r)
 }
 
+// countOpen counts the upstreams of a service that may get requests.
+func (s *State) countOpen(now time.Time, service string) int {
+	n := 0
+	for _, u := range s.byService[service] {
+		if s.open(now, u) {
+			n++
+		}
+	}
+	return n
+}
+
 // nowhere tells why there is no upstream to ask.
 func (s *State) nowhere(p *pending) NotRun {
 	if len(s.byService[p.request.Service]) > 0 {
--- a/placement/repeat.go
+++ b/placement/repeat.go
@@ -247,7 +247,10 @@
 	s.stopPlacing(p)
 	s.cancelAttempts(p)
 	delete(s.requests, p.request.ID)
-	s.emit(Finish{Request: p.request.ID, Outcome: p.outcome, Attempt: answer, Attempts: p.made})
+	s.emit(Finish{
+		Request: p.request.ID, Outcome: p.outcome, Attempt: answer, Attempts: p.made,
+		Open: s.countOpen(now, p.request.Service), Room: len(s.room(p.request.Service).waiting),
+	})
 }
 
 // retryAfter is when a caller that is refused should come back: soon enough
