Requests that can't be on time take only places of no use to others

Change: a caller's first try is told from the time that it has left; a late request takes an upstream that is not nearly full, or one where others would be late too.

--- a/gateway/task.go
+++ b/gateway/task.go
@@ -83,6 +83,8 @@
 	// answers holds the answers of attempts until their request is finished.
 	answers map[placement.AttemptID]upstream.Answer
 	conns   map[placement.Key][]*upstream.Conn
+	// patience is the longest time that a caller on a route said it waits.
+	patience map[string]time.Duration
 }
 
 // work is a request under way.
@@ -104,7 +106,7 @@
 		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		exchanges: map[placement.RequestID]*work{}, ids: map[*ingress.Exchange]placement.RequestID{},
 		cancels: map[placement.AttemptID]context.CancelFunc{}, answers: map[placement.AttemptID]upstream.Answer{},
-		conns: map[placement.Key][]*upstream.Conn{},
+		conns: map[placement.Key][]*upstream.Conn{}, patience: map[string]time.Duration{},
 	}
 }
 
@@ -191,7 +193,7 @@
 	}
 	service, weighted := e.Route.PickPart(t.random.Float64())
 	request := placement.Request{
-		ID: id, Route: e.Route, Service: service, Arrived: r.Received,
+		ID: id, Route: e.Route, Service: service, Arrived: r.Received, First: t.firstTry(r, e.Route.Name),
 		Deadline: r.Received.Add(wait), Once: r.Rest != nil,
 	}
 	t.exchanges[id] = &work{exchange: e, request: request}
@@ -203,6 +205,15 @@
 	t.step(placement.Arrived{Request: request})
 }
 
+// firstTry tells when a caller first tried: callers that come back have less
+// time left than those that come new on the same route.
+func (t *task) firstTry(r *ingress.Request, name string) time.Time {
+	if r.Patience > t.patience[name] {
+		t.patience[name] = r.Patience
+	}
+	return r.Received.Add(r.Patience - t.patience[name])
+}
+
 func (t *task) step(e placement.Event) {
 	for _, effect := range t.placement.Step(time.Now(), e) {
 		t.perform(effect)
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -73,6 +73,11 @@
 	return u.Load.Running+u.Load.Waiting+u.Since >= comfortable
 }
 
+// nearlyFull reports whether one more request would slow an upstream down.
+func (u *Upstream) nearlyFull() bool {
+	return u.Load.Known && float64(u.Load.Running+u.Load.Waiting+u.Since+1) > nearlyFull*float64(u.Load.Slots)
+}
+
 // open reports whether an upstream may get requests at all.
 func (s *State) open(now time.Time, u *Upstream) bool {
 	if u.Info.Draining || !u.Healthy && now.Before(u.AvoidUntil) || slices.Contains(s.outDomains, u.Info.Domain) {
--- a/placement/event.go
+++ b/placement/event.go
@@ -20,6 +20,9 @@
 	// Service is the part of the route that the request goes to.
 	Service string
 	Arrived time.Time
+	// First is when the caller first tried, as far as that can be told; its
+	// objective counts from then.
+	First time.Time
 	// Deadline is when the caller gets a final answer at the latest: the end
 	// of the caller's patience or of the route's timeout.
 	Deadline time.Time
--- a/placement/place.go
+++ b/placement/place.go
@@ -26,7 +26,7 @@
 	// late, that a request waits for a place. The rest is for upstreams that
 	// turn slow. A longer wait serves no more requests under overload, only
 	// later ones.
-	waitShare = 0.1
+	waitShare = 0.2
 	// urgentWaitShare is the same for ranks above the lowest of the service.
 	urgentWaitShare = 0.3
 	// shortestWait is how long a request may wait for a place even when it is
@@ -57,6 +57,7 @@
 	}
 	r := s.room(p.request.Service)
 	p.placing = true
+	p.late = now.Add(s.usualTime(p.request)).After(p.request.dueAt())
 	p.giveUpAt = s.giveUpTime(now, p)
 	r.enter(p)
 	s.fill(now, r)
@@ -103,7 +104,7 @@
 }
 
 // dueAt is until when an answer is on time.
-func (r Request) dueAt() time.Time { return r.Arrived.Add(r.objective()) }
+func (r Request) dueAt() time.Time { return r.First.Add(r.objective()) }
 
 func (r Request) objective() time.Duration {
 	if r.Route.Objective > 0 {
@@ -141,7 +142,7 @@
 			continue
 		}
 		u, cost := s.best(now, p)
-		if u == nil || cost > r.acceptable(p) || s.late(now, p, cost) {
+		if u == nil || cost > r.acceptable(p) || s.late(now, p, cost) || p.late && !s.spare(now, u, p) {
 			continue
 		}
 		s.start(now, p, u)
@@ -156,12 +157,21 @@
 	return cost*usual > spare && spare > usual && now.Before(p.giveUpAt)
 }
 
+// spare reports whether a place is of no use to requests that can be on time:
+// because there are others, or because they would be late there too.
+func (s *State) spare(now time.Time, u *Upstream, p *pending) bool {
+	if !u.nearlyFull() {
+		return true
+	}
+	return s.cost(now, u)*float64(s.usualTime(p.request)) > float64(p.request.objective())
+}
+
 // giveUp ends the wait of a request: it takes what place there is, be it a
 // late one, and is refused when there is none.
 func (s *State) giveUp(now time.Time, p *pending) {
 	u, cost := s.best(now, p)
 	hopeless := now.Add(time.Duration(cost * float64(s.usualTime(p.request)) * hopeShare)).After(p.request.Deadline)
-	if u == nil || hopeless || len(p.attempts) > 0 {
+	if u == nil || hopeless || len(p.attempts) > 0 || p.late && !s.spare(now, u, p) {
 		s.refuse(now, p, NotRun{Reason: ReasonOverload})
 		return
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -91,7 +91,9 @@
 	outcome Outcome
 	// placing is true while the request waits for a place, until giveUpAt at
 	// the latest.
-	placing  bool
+	placing bool
+	// late is true when the answer can't be on time any more.
+	late     bool
 	giveUpAt time.Time
 	hedgeAt  time.Time
 }
