One package for saving what a replica promises and for its proposals

Ruled out: one task for both (they own different state). Change: package quorum; service.FieldError for wrong fields everywhere new. Before and after: tests of node, control, fleet and platform the same, green. Conclusion: one copy.

--- a/control/task.go
+++ b/control/task.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -17,6 +16,7 @@
 	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/jsonform"
 	"github.com/oriolepost/oriolepost/peer"
+	"github.com/oriolepost/oriolepost/quorum"
 	"github.com/oriolepost/oriolepost/record"
 	"github.com/oriolepost/oriolepost/replica"
 	"github.com/oriolepost/oriolepost/settings"
@@ -61,11 +61,7 @@
 	ctx      context.Context
 	random   *rand.Rand
 
-	nextToken uint64
-	// proposals holds the answers by token until the index is known, and
-	// pending by index until the entry is applied.
-	proposals map[uint64]proposal
-	pending   map[uint64]proposal
+	proposals *quorum.Proposals[proposal]
 	role      replica.RoleChanged
 
 	watchers map[string]*watcher
@@ -83,7 +79,6 @@
 
 // proposal is a command on its way through the log.
 type proposal struct {
-	term   uint64
 	answer chan<- answer
 	// read is true when the answer is the configuration.
 	read bool
@@ -95,8 +90,8 @@
 		metrics: o.Metrics, log: o.Log, fleet: fleet.New(),
 		mailbox:   make(chan mail, mailboxSize),
 		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		proposals: map[uint64]proposal{}, pending: map[uint64]proposal{},
-		watchers: map[string]*watcher{}, standbys: map[string]replica.Identity{},
+		proposals: quorum.NewProposals[proposal](),
+		watchers:  map[string]*watcher{}, standbys: map[string]replica.Identity{},
 	}
 	t.plan = replica.Plan{Target: d.Voters(), After: replaceAfter, Domains: map[string]string{}}
 	if err := t.restore(f.Saved.Snapshot); err != nil {
@@ -224,27 +219,14 @@
 // is committed, everything that was acknowledged before it is applied, and no
 // clock is needed to know that.
 func (t *task) propose(now time.Time, data []byte, p proposal) []replica.Effect {
-	t.nextToken++
-	t.proposals[t.nextToken] = p
-	return t.replica.Step(now, replica.Propose{Token: t.nextToken, Data: data})
+	return t.replica.Step(now, replica.Propose{Token: t.proposals.Add(p), Data: data})
 }
 
 // perform saves, syncs, then sends and applies.
 func (t *task) perform(effects []replica.Effect) error {
-	syncs := t.folder.Syncs
-	for _, e := range effects {
-		if err := t.folder.Append(e); err != nil {
-			return err
-		}
-	}
-	began := time.Now()
-	if err := t.sync(); err != nil {
+	if err := t.save(effects); err != nil {
 		return err
 	}
-	if t.folder.Syncs > syncs {
-		t.metrics.GetOrCreateCounter("oriolepost_disk_syncs_total").Add(t.folder.Syncs - syncs)
-		t.metrics.GetOrCreateHistogram("oriolepost_disk_sync_seconds").UpdateDuration(began)
-	}
 	for _, e := range effects {
 		if err := t.performOne(e); err != nil {
 			return err
@@ -256,25 +238,18 @@
 // fullPause is the pause between two tries to write to a full disk.
 const fullPause = 200 * time.Millisecond
 
-// sync waits until what was appended is durable. A full disk is waited for
-// like a slow one: nothing was promised yet, and others can lead meanwhile.
-func (t *task) sync() error {
+// save waits for room on a full disk as if it were a slow one: nothing was
+// promised yet, and others can lead meanwhile.
+func (t *task) save(effects []replica.Effect) error {
 	logged := false
-	for {
-		err := t.folder.Sync()
-		var full *disk.FullError
-		if !errors.As(err, &full) {
-			return err
-		}
+	return quorum.Save(t.folder, effects, t.metrics, func(err error) bool {
 		t.metrics.GetOrCreateCounter("oriolepost_disk_full_total").Inc()
 		if !logged {
 			logged = true
 			t.log.WithError(err).WithField("change", "disk").Error("disk is full")
 		}
-		if !timer.Pause(t.ctx, fullPause) {
-			return err
-		}
-	}
+		return timer.Pause(t.ctx, fullPause)
+	})
 }
 
 func (t *task) performOne(effect replica.Effect) error {
@@ -288,14 +263,9 @@
 	case replica.Restore:
 		return t.restore(e.Snapshot)
 	case replica.Appended:
-		p := t.proposals[e.Token]
-		delete(t.proposals, e.Token)
-		p.term = e.Term
-		t.pending[e.Index] = p
+		t.proposals.Appended(e)
 	case replica.Refused:
-		p := t.proposals[e.Token]
-		delete(t.proposals, e.Token)
-		if p.answer != nil {
+		if p, ok := t.proposals.Refused(e); ok && p.answer != nil {
 			p.answer <- answer{err: t.notLeader()}
 		}
 	case replica.RoleChanged:
@@ -318,17 +288,16 @@
 	} else {
 		t.state.Applied = e.Index
 	}
-	if p, ok := t.pending[e.Index]; ok {
-		delete(t.pending, e.Index)
-		t.conclude(p, e, result)
+	if p, lost, ok := t.proposals.Applied(e); ok {
+		t.conclude(p, lost, result)
 	}
 	return t.compact(e.Index)
 }
 
-func (t *task) conclude(p proposal, e replica.Entry, result record.Result) {
+func (t *task) conclude(p proposal, lost bool, result record.Result) {
 	switch {
 	case p.answer == nil:
-	case p.term != e.Term:
+	case lost:
 		p.answer <- answer{err: t.lost()}
 	case p.read:
 		p.answer <- answer{response: peer.ReadResponse{Original: t.state.Catalog.Original}}
@@ -407,8 +376,7 @@
 		t.fleet.Refresh(time.Now())
 		return
 	}
-	for index, p := range t.pending {
-		delete(t.pending, index)
+	for _, p := range t.proposals.Abandon() {
 		if p.answer != nil {
 			p.answer <- answer{err: t.lost()}
 		}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -21,6 +21,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/oriolepost/oriolepost/service"
 )
 
 // Lifetime is how long an announcement counts: four announcements at 1.5 s.
@@ -49,36 +51,24 @@
 	Revision uint64 `json:"-"`
 }
 
-// InvalidError says which field of an announcement is wrong.
-type InvalidError struct {
-	Field   string
-	Value   any
-	Allowed string
-}
-
-// Error implements error.
-func (e *InvalidError) Error() string {
-	return fmt.Sprintf("announcement: field %s is %v, allowed: %s", e.Field, e.Value, e.Allowed)
-}
-
-// Check returns an [InvalidError] for the first field that is wrong.
+// Check returns a [service.FieldError] for the first field that is wrong.
 func (u Upstream) Check() error {
 	switch {
 	case u.ID == "":
-		return &InvalidError{"id", `""`, "the upstream's id"}
+		return wrong("id", `""`, "the upstream's id")
 	case u.Service == "":
-		return &InvalidError{"service", `""`, "a service"}
+		return wrong("service", `""`, "a service")
 	case u.Domain == "":
-		return &InvalidError{"failure_domain", `""`, "a failure domain"}
+		return wrong("failure_domain", `""`, "a failure domain")
 	case u.Slots < 1:
-		return &InvalidError{"slots", u.Slots, "1 or more"}
+		return wrong("slots", u.Slots, "1 or more")
 	case u.ColdMS < 0:
-		return &InvalidError{"cold_ms", u.ColdMS, "0 or more"}
+		return wrong("cold_ms", u.ColdMS, "0 or more")
 	case u.BornMS <= 0:
-		return &InvalidError{"born_ms", u.BornMS, "a Unix time in milliseconds"}
+		return wrong("born_ms", u.BornMS, "a Unix time in milliseconds")
 	}
 	if !validAddress(u.Address) {
-		return &InvalidError{"address", fmt.Sprintf("%q", u.Address), "IP:port"}
+		return wrong("address", fmt.Sprintf("%q", u.Address), "IP:port")
 	}
 	return nil
 }
@@ -292,3 +282,8 @@
 func (t *Table) Complete(revision uint64) bool {
 	return len(t.Removed) < maxRemoved || t.Removed[0].Revision <= revision+1
 }
+
+// wrong tells which field of the announcement is wrong.
+func wrong(field string, value any, allowed string) error {
+	return &service.FieldError{Document: "announcement", Field: field, Value: value, Allowed: allowed}
+}
--- a/node/votertask.go
+++ b/node/votertask.go
@@ -13,6 +13,7 @@
 	"github.com/oriolepost/oriolepost/disk"
 	"github.com/oriolepost/oriolepost/jsonform"
 	"github.com/oriolepost/oriolepost/peer"
+	"github.com/oriolepost/oriolepost/quorum"
 	"github.com/oriolepost/oriolepost/record"
 	"github.com/oriolepost/oriolepost/replica"
 	"github.com/oriolepost/oriolepost/settings"
@@ -66,23 +67,14 @@
 	random   *rand.Rand
 
 	addresses map[string]string
-	nextToken uint64
-	// proposals holds the answers by token until the index is known.
-	proposals map[uint64]chan<- proposeAnswer
-	// pending holds the answers by log index.
-	pending  map[uint64]pendingProposal
-	reports  map[string]chan<- slot.Reply
-	standbys map[string]replica.Identity
-	entries  map[string]string
-	joinAt   time.Time
-	planAt   time.Time
-	forming  bool
-	role     replica.RoleChanged
-}
-
-type pendingProposal struct {
-	term   uint64
-	answer chan<- proposeAnswer
+	proposals *quorum.Proposals[chan<- proposeAnswer]
+	reports   map[string]chan<- slot.Reply
+	standbys  map[string]replica.Identity
+	entries   map[string]string
+	joinAt    time.Time
+	planAt    time.Time
+	forming   bool
+	role      replica.RoleChanged
 }
 
 type proposeAnswer struct {
@@ -97,8 +89,7 @@
 		mailbox:   make(chan voterMail, voterMailbox),
 		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		addresses: map[string]string{},
-		proposals: map[uint64]chan<- proposeAnswer{},
-		pending:   map[uint64]pendingProposal{},
+		proposals: quorum.NewProposals[chan<- proposeAnswer](),
 		reports:   map[string]chan<- slot.Reply{},
 		standbys:  map[string]replica.Identity{},
 		entries:   map[string]string{},
@@ -209,27 +200,14 @@
 			return nil
 		}
 	}
-	t.nextToken++
-	t.proposals[t.nextToken] = m.answer
-	return t.replica.Step(now, replica.Propose{Token: t.nextToken, Data: m.data})
+	return t.replica.Step(now, replica.Propose{Token: t.proposals.Add(m.answer), Data: m.data})
 }
 
 // perform saves, syncs, then sends and applies.
 func (t *voterTask) perform(effects []replica.Effect) error {
-	syncs := t.folder.Syncs
-	for _, e := range effects {
-		if err := t.folder.Append(e); err != nil {
-			return err
-		}
-	}
-	began := time.Now()
-	if err := t.folder.Sync(); err != nil {
+	if err := quorum.Save(t.folder, effects, t.metrics, nil); err != nil {
 		return err
 	}
-	if t.folder.Syncs > syncs {
-		t.metrics.GetOrCreateCounter("oriolepost_disk_syncs_total").Add(t.folder.Syncs - syncs)
-		t.metrics.GetOrCreateHistogram("oriolepost_disk_sync_seconds").UpdateDuration(began)
-	}
 	for _, e := range effects {
 		if err := t.performOne(e); err != nil {
 			return err
@@ -248,11 +226,7 @@
 	case replica.Restore:
 		return t.restore(e.Snapshot)
 	case replica.Appended:
-		answer := t.proposals[e.Token]
-		delete(t.proposals, e.Token)
-		if answer != nil {
-			t.pending[e.Index] = pendingProposal{term: e.Term, answer: answer}
-		}
+		t.proposals.Appended(e)
 	case replica.Refused:
 		t.refuse(e)
 	case replica.RoleChanged:
@@ -280,12 +254,11 @@
 		result = t.state.Apply(e.Index, c)
 		t.stepOwner(slot.Configured{Catalog: t.state.Catalog})
 	}
-	if p, ok := t.pending[e.Index]; ok {
-		delete(t.pending, e.Index)
-		if p.term == e.Term {
-			p.answer <- proposeAnswer{result: result}
+	if answer, lost, ok := t.proposals.Applied(e); ok {
+		if lost {
+			answer <- proposeAnswer{err: t.lost()}
 		} else {
-			p.answer <- proposeAnswer{err: t.lost()}
+			answer <- proposeAnswer{result: result}
 		}
 	}
 	return t.compact(e.Index)
@@ -319,9 +292,7 @@
 }
 
 func (t *voterTask) refuse(e replica.Refused) {
-	answer := t.proposals[e.Token]
-	delete(t.proposals, e.Token)
-	if answer != nil {
+	if answer, ok := t.proposals.Refused(e); ok {
 		answer <- proposeAnswer{err: t.notLeader()}
 	}
 }
@@ -338,9 +309,8 @@
 	if e.Role == replica.RoleLeader {
 		return
 	}
-	for index, p := range t.pending {
-		delete(t.pending, index)
-		p.answer <- proposeAnswer{err: t.lost()}
+	for _, answer := range t.proposals.Abandon() {
+		answer <- proposeAnswer{err: t.lost()}
 	}
 	t.stepOwner(slot.Deposed{})
 }
--- a/route/route.go
+++ b/route/route.go
@@ -16,6 +16,8 @@
 	"fmt"
 	"strings"
 	"time"
+
+	"github.com/oriolepost/oriolepost/service"
 )
 
 // Configuration is the whole configuration under one version.
@@ -75,19 +77,7 @@
 	IdleTimeout   time.Duration `json:"idle_timeout_ns,omitempty"`
 }
 
-// InvalidError says which field of a configuration is wrong.
-type InvalidError struct {
-	Field   string
-	Value   any
-	Allowed string
-}
-
-// Error implements error.
-func (e *InvalidError) Error() string {
-	return fmt.Sprintf("configuration: field %s is %v, allowed: %s", e.Field, e.Value, e.Allowed)
-}
-
-// Check returns an [InvalidError] for the first field that is wrong.
+// Check returns a [service.FieldError] for the first field that is wrong.
 func (c Configuration) Check() error {
 	services, err := c.checkServices()
 	if err != nil {
@@ -101,7 +91,7 @@
 		}
 		place := normalHost(r.Host) + r.Prefix
 		if other, taken := places[place]; taken {
-			return &InvalidError{field, place, fmt.Sprintf("a host and prefix other than those of routes[%d]", other)}
+			return wrong(field, place, fmt.Sprintf("a host and prefix other than those of routes[%d]", other))
 		}
 		places[place] = i
 	}
@@ -112,7 +102,7 @@
 	names := map[string]bool{}
 	for i, s := range c.Services {
 		if s.Name == "" || names[s.Name] {
-			return nil, &InvalidError{fmt.Sprintf("services[%d].name", i), fmt.Sprintf("%q", s.Name), "a name of its own"}
+			return nil, wrong(fmt.Sprintf("services[%d].name", i), fmt.Sprintf("%q", s.Name), "a name of its own")
 		}
 		names[s.Name] = true
 	}
@@ -122,20 +112,20 @@
 func (r Route) check(field string, services map[string]bool) error {
 	switch {
 	case r.Host == "":
-		return &InvalidError{field + ".host", `""`, "a host name"}
+		return wrong(field+".host", `""`, "a host name")
 	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
-		return &InvalidError{field + ".prefix", fmt.Sprintf("%q", r.Prefix), "a path between two slashes"}
+		return wrong(field+".prefix", fmt.Sprintf("%q", r.Prefix), "a path between two slashes")
 	case len(r.Parts) == 0:
-		return &InvalidError{field + ".parts", "empty", "one service or more"}
+		return wrong(field+".parts", "empty", "one service or more")
 	case r.Timeout < 0 || r.Objective < 0 || r.MaxAttempts < 0:
-		return &InvalidError{field, "negative", "times and attempts of 0 or more"}
+		return wrong(field, "negative", "times and attempts of 0 or more")
 	}
 	for i, p := range r.Parts {
 		switch {
 		case !services[p.Service]:
-			return &InvalidError{fmt.Sprintf("%s.parts[%d].service", field, i), fmt.Sprintf("%q", p.Service), "a service of this configuration"}
+			return wrong(fmt.Sprintf("%s.parts[%d].service", field, i), fmt.Sprintf("%q", p.Service), "a service of this configuration")
 		case p.Weight < 0:
-			return &InvalidError{fmt.Sprintf("%s.parts[%d].weight", field, i), p.Weight, "0 or more"}
+			return wrong(fmt.Sprintf("%s.parts[%d].weight", field, i), p.Weight, "0 or more")
 		}
 	}
 	return nil
@@ -209,3 +199,8 @@
 	}
 	return r.Parts[len(r.Parts)-1].Service, true
 }
+
+// wrong tells which field of the configuration is wrong.
+func wrong(field string, value any, allowed string) error {
+	return &service.FieldError{Document: "configuration", Field: field, Value: value, Allowed: allowed}
+}
