Announcements are acknowledged at once and gathered for the leader; addresses of tests by process

And a proof failed once: three stand-ins found their address in use (30714 to 30716), as the soak, another process at the same time, had taken addresses that were only found free. Ruled out: the log (4 syncs a second). For the proof: no load was needed, the two ranges overlapped by chance; the code showed it. Change: an announcement that binds nobody is acknowledged at once, gathered for 100 ms and passed on; incarnations are recorded many at a time, and those that a new leader had heard of before; each process takes its test addresses from a block of its own. The demo's cluster has its own package.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -147,9 +147,7 @@
 	case record.Retire:
 		c.retire(cmd)
 	case record.Enroll:
-		if known, ok := c.Upstreams[cmd.Upstream.ID]; !ok || known.BornMS <= cmd.Upstream.BornMS {
-			c.Upstreams[cmd.Upstream.ID] = cmd.Upstream
-		}
+		c.enroll(cmd)
 	case record.Withdraw:
 		for _, id := range cmd.Upstreams {
 			delete(c.Upstreams, id)
@@ -172,6 +170,14 @@
 	return record.Done{Index: index, Version: c.Configuration.Version}
 }
 
+func (c *Catalog) enroll(e record.Enroll) {
+	for _, u := range e.Upstreams {
+		if known, ok := c.Upstreams[u.ID]; !ok || known.BornMS <= u.BornMS {
+			c.Upstreams[u.ID] = u
+		}
+	}
+}
+
 func (c *Catalog) retire(r record.Retire) {
 	c.Retired = slices.DeleteFunc(c.Retired, func(old record.Retire) bool {
 		return old.Upstream == r.Upstream && old.BornMS <= r.BornMS
--- a/demo/cluster.go
+++ b/cluster/cluster.go
@@ -1,5 +1,5 @@
-// Package demo runs a whole system in one process on loopback: voters, entry
-// instances, stand-in servers and a load. The demonstration, the experiments
+// Package cluster runs a whole system in one process on loopback: voters, entry
+// instances and stand-in servers. The demonstration, the experiments, the soak
 // and the proofs use it.
 //
 // The instances are real: they talk over TCP and write to data folders. Only
@@ -7,9 +7,9 @@
 //
 // # Usage
 //
-//	c, err := demo.StartCluster(demo.ClusterConfig{Entries: 5, Folder: folder})
+//	c, err := cluster.Start(cluster.Config{Entries: 5, Folder: folder})
 //	defer c.Stop()
-package demo
+package cluster
 
 import (
 	"context"
@@ -18,6 +18,7 @@
 	"math/rand/v2"
 	"net"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,8 +36,8 @@
 	"github.com/oriolepost/oriolepost/timer"
 )
 
-// ClusterConfig describes a system.
-type ClusterConfig struct {
+// Config describes a system.
+type Config struct {
 	// Entries is the number of instances; the first Voters of them have disks.
 	Entries int
 	// Voters is the number of voters, Standbys that of further disks.
@@ -58,7 +59,7 @@
 
 // Cluster is a running system.
 type Cluster struct {
-	Config   ClusterConfig
+	Config   Config
 	Settings []settings.Settings
 	// Nodes holds nil for instances that are stopped.
 	Nodes   []*node.Node
@@ -71,8 +72,8 @@
 // listenersPerInstance is how many addresses an instance listens on.
 const listenersPerInstance = 4
 
-// StartCluster starts all instances of a system.
-func StartCluster(c ClusterConfig) (cluster *Cluster, err error) {
+// Start starts all instances of a system.
+func Start(c Config) (cluster *Cluster, err error) {
 	defer func() {
 		if err != nil {
 			err = fmt.Errorf("start cluster: %w", err)
@@ -108,15 +109,36 @@
 	lastPort  = 32000
 )
 
-// nextPort counts through the ports, from a place that differs by process.
+// blockPorts is how many ports one process takes its addresses from. Other
+// processes that run at the same time have blocks of their own, so that none
+// takes an address that another has found free but does not yet listen on.
+const blockPorts = 1000
+
+// nextPort counts through the ports of this process's block.
 var nextPort atomic.Int64
 
-func init() { nextPort.Store(rand.Int64N(lastPort - firstPort)) }
+// claimBlock finds a block that no other process has. The listener on its first
+// port is the claim; it is held until the process ends.
+var claimBlock = sync.OnceValues(func() (first int64, err error) {
+	blocks := int64((lastPort - firstPort) / blockPorts)
+	start := rand.Int64N(blocks)
+	for i := range blocks {
+		first = firstPort + (start+i)%blocks*blockPorts
+		if _, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first)); err == nil {
+			return first, nil
+		}
+	}
+	return 0, fmt.Errorf("claim a block of ports: %w", err)
+})
 
 // FreeAddresses finds loopback addresses that nobody listens on.
 func FreeAddresses(n int) (addresses []string, err error) {
-	for range lastPort - firstPort {
-		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+	first, err := claimBlock()
+	if err != nil {
+		return nil, err
+	}
+	for range blockPorts {
+		port := first + 1 + nextPort.Add(1)%(blockPorts-1)
 		address := fmt.Sprintf("127.0.0.1:%d", port)
 		l, err := net.Listen("tcp", address)
 		if err != nil {
@@ -133,17 +155,17 @@
 }
 
 // instance makes the settings of one instance.
-func (c ClusterConfig) instance(i int, addresses []string) settings.Settings {
+func (c Config) instance(i int, addresses []string) settings.Settings {
 	s := settings.Defaults()
 	s.Instance = c.name(i)
-	s.Domain = c.domain(i)
+	s.Domain = c.Domain(i)
 	a := addresses[i*listenersPerInstance:]
 	s.Listen = settings.Listen{Caller: a[0], Platform: a[1], Operator: a[2], Peer: a[3]}
 	s.PeerPlainText = true
 	s.Stop = settings.Stop{BalancerMS: 500, DeadlineMS: 5000}
 	for j := range c.Voters + c.Standbys {
 		s.Control = append(s.Control, settings.ControlInstance{
-			Instance: c.name(j), Domain: c.domain(j), Voter: j < c.Voters,
+			Instance: c.name(j), Domain: c.Domain(j), Voter: j < c.Voters,
 			Address: addresses[j*listenersPerInstance+3],
 		})
 	}
@@ -156,10 +178,11 @@
 	return s
 }
 
-func (c ClusterConfig) domain(i int) string { return c.Domains[i%len(c.Domains)] }
+// Domain is the failure domain of the instance with a number.
+func (c Config) Domain(i int) string { return c.Domains[i%len(c.Domains)] }
 
-func (c ClusterConfig) name(i int) string {
-	return fmt.Sprintf("%s-%d", c.domain(i), i/len(c.Domains)+1)
+func (c Config) name(i int) string {
+	return fmt.Sprintf("%s-%d", c.Domain(i), i/len(c.Domains)+1)
 }
 
 // StartNode starts an instance that is not running.
--- /dev/null
+++ b/control/announce.go
@@ -0,0 +1,147 @@
+package control
+
+import (
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/oriolepost/oriolepost/fleet"
+	"github.com/oriolepost/oriolepost/peer"
+	"github.com/oriolepost/oriolepost/record"
+	"github.com/oriolepost/oriolepost/replica"
+)
+
+const (
+	// forwardTime is how long announcements are gathered for the leader. It
+	// delays the news of an upstream by as much; with a thousand upstreams the
+	// leader gets some ten messages a second from each instance instead of
+	// hundreds in all.
+	forwardTime = 100 * time.Millisecond
+	// maxGathered bounds the announcements that wait for a leader. Upstreams
+	// announce themselves again.
+	maxGathered = 4096
+)
+
+// announce takes an announcement into the fleet. One that upstreams repeat is
+// acknowledged at once, with or without a leader: it binds nobody. A farewell is
+// committed before it is acknowledged, so that it outlives this leader.
+func (t *task) announce(now time.Time, m announceMail) []replica.Effect {
+	u := m.request.Upstream
+	u.Sequence = m.request.Sequence
+	if m.request.Leaving {
+		if known := t.fleet.Members[u.ID]; known != nil && u.BornMS == 0 {
+			u.BornMS = known.BornMS
+		}
+	} else if !u.Draining {
+		m.answer <- answer{response: peer.Nothing{}}
+		return t.renewOne(now, m.request)
+	}
+	if !t.leads() {
+		m.answer <- answer{err: t.notLeader()}
+		return nil
+	}
+	if !m.request.Leaving {
+		t.take(now, u)
+	}
+	if born, retired := t.fleet.Retired[u.ID]; retired && u.BornMS <= born {
+		m.answer <- answer{response: peer.Nothing{}}
+		return nil
+	}
+	data, err := encode(record.Retire{Upstream: u.ID, BornMS: u.BornMS})
+	if err != nil {
+		m.answer <- answer{err: err}
+		return nil
+	}
+	return t.propose(now, data, proposal{answer: m.answer})
+}
+
+// renewOne takes an announcement that is acknowledged already. Who does not
+// lead passes it on.
+func (t *task) renewOne(now time.Time, r peer.AnnounceRequest) []replica.Effect {
+	u := r.Upstream
+	u.Sequence = r.Sequence
+	news := t.take(now, u)
+	if t.leads() {
+		if news {
+			return t.enroll(now, []fleet.Upstream{u})
+		}
+		return nil
+	}
+	if len(t.gathered) == 0 {
+		t.gatherUntil = now.Add(forwardTime)
+	}
+	if len(t.gathered) < maxGathered {
+		t.gathered = append(t.gathered, r)
+	}
+	return nil
+}
+
+// renew takes the announcements that another instance gathered.
+func (t *task) renew(now time.Time, m renewMail) []replica.Effect {
+	if !t.leads() {
+		return nil
+	}
+	var news []fleet.Upstream
+	for _, r := range m.announcements {
+		u := r.Upstream
+		u.Sequence = r.Sequence
+		if t.take(now, u) {
+			news = append(news, u)
+		}
+	}
+	return t.enroll(now, news)
+}
+
+// forward sends the leader what was gathered for it.
+func (t *task) forward(now time.Time) {
+	if t.gatherUntil.IsZero() || now.Before(t.gatherUntil) {
+		return
+	}
+	leader := replica.InstanceOf(t.replica.Leader)
+	if leader == "" {
+		t.gatherUntil = now.Add(forwardTime)
+		return
+	}
+	if !t.leads() {
+		t.pool.Notify(PeerAddress(leader, t.settings.PeerPort), peer.RenewRequest{Announcements: t.gathered})
+	}
+	t.gathered = nil
+	t.gatherUntil = time.Time{}
+}
+
+// enroll records incarnations. Nobody waits for it: until it is committed,
+// only the leader knows the upstreams.
+func (t *task) enroll(now time.Time, list []fleet.Upstream) []replica.Effect {
+	if len(list) == 0 {
+		return nil
+	}
+	data, err := encode(record.Enroll{Upstreams: list})
+	if err != nil {
+		t.log.WithError(err).WithField("upstreams", len(list)).Error("upstreams not recorded")
+		return nil
+	}
+	return t.propose(now, data, proposal{})
+}
+
+// take enters an announcement, logs what it changed, and reports whether the
+// incarnation or what is known of it is new.
+func (t *task) take(now time.Time, u fleet.Upstream) bool {
+	change := ""
+	reason := ""
+	switch c := t.fleet.Announce(now, u).(type) {
+	case fleet.Joined:
+		change = "joined"
+	case fleet.Updated:
+		change = "updated"
+	case fleet.Stale:
+		change, reason = "stale", c.Reason
+	case fleet.Repeated, fleet.Renewed:
+		return false
+	}
+	t.metrics.GetOrCreateCounter(`oriolepost_announcements_total{change="` + change + `"}`).Inc()
+	t.log.WithFields(log.Fields{
+		"change": "upstream", "what": change, "reason": reason, "upstream": u.ID, "service": u.Service, "address": u.Address,
+		"born_ms": u.BornMS, "sequence": u.Sequence, "draining": u.Draining, "cold_ms": u.ColdMS, "revision": t.fleet.Revision,
+	}).Info("upstream announced")
+	return change != "stale"
+}
--- a/control/mail.go
+++ b/control/mail.go
@@ -28,6 +28,8 @@
 	answer  chan<- answer
 }
 
+type renewMail struct{ announcements []peer.AnnounceRequest }
+
 type watchMail struct {
 	request peer.WatchRequest
 	answer  chan<- answer
@@ -48,6 +50,7 @@
 func (proposeMail) mail()  {}
 func (readMail) mail()     {}
 func (announceMail) mail() {}
+func (renewMail) mail()    {}
 func (watchMail) mail()    {}
 func (joinMail) mail()     {}
 func (identifyMail) mail() {}
@@ -81,8 +84,10 @@
 	if err := t.post(m); err != nil {
 		return peer.Nothing{}, err
 	}
-	if _, noReply := m.(replicaMail); noReply {
+	switch m.(type) {
+	case replicaMail, renewMail:
 		return peer.Nothing{}, nil
+	case proposeMail, readMail, announceMail, watchMail, joinMail, identifyMail, formMail, handOverMail:
 	}
 	select {
 	case a := <-reply:
@@ -107,6 +112,8 @@
 		return readMail{reply}, nil
 	case peer.AnnounceRequest:
 		return announceMail{r, reply}, nil
+	case peer.RenewRequest:
+		return renewMail{r.Announcements}, nil
 	case peer.WatchRequest:
 		return watchMail{r, reply}, nil
 	case peer.IdentifyRequest:
--- a/control/members.go
+++ b/control/members.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/record"
 	"github.com/oriolepost/oriolepost/replica"
@@ -37,6 +38,9 @@
 	if err := t.withdraw(now); err != nil {
 		return err
 	}
+	if err := t.recordMissing(now); err != nil {
+		return err
+	}
 	t.metrics.GetOrCreateCounter("oriolepost_replica_commit_index").Set(t.replica.Commit)
 	t.offer(now)
 	return t.replaceVoters(now)
@@ -61,6 +65,21 @@
 	return t.perform(t.propose(now, data, proposal{}))
 }
 
+// recordMissing records the upstreams that this leader heard of before it led.
+func (t *task) recordMissing(now time.Time) error {
+	if !t.leads() {
+		return nil
+	}
+	var missing []fleet.Upstream
+	for _, id := range slices.Sorted(maps.Keys(t.fleet.Members)) {
+		m := t.fleet.Members[id]
+		if known, ok := t.state.Catalog.Upstreams[id]; !ok || known.BornMS < m.BornMS {
+			missing = append(missing, m.Upstream)
+		}
+	}
+	return t.perform(t.enroll(now, missing))
+}
+
 // replaceVoters takes the next step towards the voters that should be.
 func (t *task) replaceVoters(now time.Time) error {
 	if !t.leads() {
--- a/control/task.go
+++ b/control/task.go
@@ -29,7 +29,8 @@
 	mailboxSize = 4096
 	// maxBatch bounds the messages that share one sync.
 	maxBatch = 256
-	// compactAfter is how many entries the log holds before a snapshot.
+	// compactAfter is how many entries the log holds before a snapshot, with one
+	// more for each upstream: a snapshot costs as much as it is long.
 	compactAfter = 128
 	// compactBytes is how many bytes of commands it holds at most: what a
 	// restarted instance reads within a few tens of milliseconds.
@@ -65,6 +66,9 @@
 	role      replica.RoleChanged
 
 	watchers map[string]*watcher
+	// gathered are announcements for the leader, sent at gatherUntil.
+	gathered    []peer.AnnounceRequest
+	gatherUntil time.Time
 	// logBytes is the size of the commands applied since the last snapshot.
 	logBytes int
 	// committed counts the changes of the state that entries follow.
@@ -158,6 +162,7 @@
 		if err := t.keepHouse(now); err != nil {
 			return err
 		}
+		t.forward(now)
 		t.answerWatches(time.Now())
 		wake.Reset(max(time.Millisecond, time.Until(t.nextWake())))
 	}
@@ -169,8 +174,10 @@
 	if due := t.replica.NextWake(); due.Before(next) {
 		next = due
 	}
-	if due := t.nextWatchDue(); !due.IsZero() && due.Before(next) {
-		next = due
+	for _, due := range []time.Time{t.nextWatchDue(), t.gatherUntil} {
+		if !due.IsZero() && due.Before(next) {
+			next = due
+		}
 	}
 	return next
 }
@@ -200,6 +207,8 @@
 		return t.propose(now, nil, proposal{answer: m.answer, read: true})
 	case announceMail:
 		return t.announce(now, m)
+	case renewMail:
+		return t.renew(now, m)
 	case watchMail:
 		t.watch(now, m)
 	case joinMail:
@@ -320,7 +329,9 @@
 		t.fleet.Retire(c.Upstream, c.BornMS)
 		fields["change"], fields["upstream"], fields["born_ms"] = "retired", c.Upstream, c.BornMS
 	case record.Enroll:
-		t.fleet.Restore(time.Now(), c.Upstream)
+		for _, u := range c.Upstreams {
+			t.fleet.Restore(time.Now(), u)
+		}
 		return
 	case record.Withdraw:
 		t.fleet.Remove(c.Upstreams)
@@ -333,7 +344,8 @@
 
 // compact replaces the log by a snapshot when it has grown long.
 func (t *task) compact(index uint64) error {
-	if index < t.replica.FirstKept()+compactAfter && t.logBytes < compactBytes {
+	kept := compactAfter + uint64(len(t.fleet.Members))
+	if index < t.replica.FirstKept()+kept && t.logBytes < compactBytes {
 		return nil
 	}
 	t.logBytes = 0
--- a/control/watch.go
+++ b/control/watch.go
@@ -5,11 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/apex/log"
-
 	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/peer"
-	"github.com/oriolepost/oriolepost/record"
 	"github.com/oriolepost/oriolepost/replica"
 )
 
@@ -39,73 +36,6 @@
 	earliest time.Time
 }
 
-// announce takes an announcement into the fleet. A farewell is committed
-// before it is acknowledged, so that it outlives this leader.
-func (t *task) announce(now time.Time, m announceMail) []replica.Effect {
-	u := m.request.Upstream
-	u.Sequence = m.request.Sequence
-	if m.request.Leaving {
-		if known := t.fleet.Members[u.ID]; known != nil && u.BornMS == 0 {
-			u.BornMS = known.BornMS
-		}
-	} else if news := t.take(now, u); news && t.leads() && !u.Draining {
-		m.answer <- answer{response: peer.Nothing{}}
-		return t.enroll(now, u)
-	}
-	if !t.leads() {
-		m.answer <- answer{err: t.notLeader()}
-		return nil
-	}
-	if !m.request.Leaving && !u.Draining {
-		m.answer <- answer{response: peer.Nothing{}}
-		return nil
-	}
-	if born, retired := t.fleet.Retired[u.ID]; retired && u.BornMS <= born {
-		m.answer <- answer{response: peer.Nothing{}}
-		return nil
-	}
-	data, err := encode(record.Retire{Upstream: u.ID, BornMS: u.BornMS})
-	if err != nil {
-		m.answer <- answer{err: err}
-		return nil
-	}
-	return t.propose(now, data, proposal{answer: m.answer})
-}
-
-// enroll records an incarnation. Nobody waits for it: until it is committed,
-// only the leader knows the upstream.
-func (t *task) enroll(now time.Time, u fleet.Upstream) []replica.Effect {
-	data, err := encode(record.Enroll{Upstream: u})
-	if err != nil {
-		t.log.WithError(err).WithField("upstream", u.ID).Error("upstream not recorded")
-		return nil
-	}
-	return t.propose(now, data, proposal{})
-}
-
-// take enters an announcement, logs what it changed, and reports whether the
-// incarnation or what is known of it is new.
-func (t *task) take(now time.Time, u fleet.Upstream) bool {
-	change := ""
-	reason := ""
-	switch c := t.fleet.Announce(now, u).(type) {
-	case fleet.Joined:
-		change = "joined"
-	case fleet.Updated:
-		change = "updated"
-	case fleet.Stale:
-		change, reason = "stale", c.Reason
-	case fleet.Repeated, fleet.Renewed:
-		return false
-	}
-	t.metrics.GetOrCreateCounter(`oriolepost_announcements_total{change="` + change + `"}`).Inc()
-	t.log.WithFields(log.Fields{
-		"change": "upstream", "what": change, "reason": reason, "upstream": u.ID, "service": u.Service, "address": u.Address,
-		"born_ms": u.BornMS, "sequence": u.Sequence, "draining": u.Draining, "cold_ms": u.ColdMS, "revision": t.fleet.Revision,
-	}).Info("upstream announced")
-	return change != "stale"
-}
-
 // watch keeps a watch until there is news for it.
 func (t *task) watch(now time.Time, m watchMail) {
 	if !t.leads() || t.replica.LeadingSince().IsZero() {
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -1,3 +1,9 @@
+// Package demo is the demonstration: a whole system in one process on
+// loopback, a load through it, and a small table of what callers got.
+//
+// # Usage
+//
+//	result, err := demo.Run(ctx, demo.Config{Entries: 5, Servers: 6}, progress)
 package demo
 
 import (
@@ -7,6 +13,7 @@
 	"os"
 	"time"
 
+	"github.com/oriolepost/oriolepost/cluster"
 	"github.com/oriolepost/oriolepost/load"
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/service"
@@ -68,19 +75,19 @@
 	}
 	defer func() { err = errors.Join(err, os.RemoveAll(folder)) }()
 	progress(fmt.Sprintf("starting %d instances, %d of them voters", c.Entries, voters))
-	cluster, err := StartCluster(ClusterConfig{Entries: c.Entries, Voters: voters, Folder: folder})
+	running, err := cluster.Start(cluster.Config{Entries: c.Entries, Voters: voters, Folder: folder})
 	if err != nil {
 		return Result{}, err
 	}
-	defer cluster.Stop()
-	if err := cluster.prepare(ctx, c, progress); err != nil {
+	defer running.Stop()
+	if err := prepare(ctx, running, c, progress); err != nil {
 		return Result{}, fmt.Errorf("demo: %w", err)
 	}
-	return cluster.measure(ctx, c, progress)
+	return measure(ctx, running, c, progress)
 }
 
 // prepare puts a document in force, starts the servers and warms them up.
-func (c *Cluster) prepare(ctx context.Context, cfg Config, progress func(string)) error {
+func prepare(ctx context.Context, c *cluster.Cluster, cfg Config, progress func(string)) error {
 	wait, cancel := context.WithTimeout(ctx, settleTime)
 	defer cancel()
 	d := service.Defaults(demoService)
@@ -93,7 +100,7 @@
 	for i := range cfg.Servers {
 		s := standin.Defaults()
 		s.Name = fmt.Sprintf("%s-%d", demoService, i+1)
-		s.Domain = c.Config.domain(i)
+		s.Domain = c.Config.Domain(i)
 		s.ServiceMS = demoServiceMS
 		s.ColdMS = demoColdMS
 		s.Seed = uint64(i)
@@ -109,47 +116,8 @@
 	return c.WarmUp(ctx, cfg.Rate, settleTime)
 }
 
-// WarmUp calls all services until every server is warm.
-func (c *Cluster) WarmUp(ctx context.Context, rate float64, limit time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	loading, stop := context.WithCancel(ctx)
-	done := make(chan error, 1)
-	go func() {
-		_, err := load.Run(loading, c.Load(rate/4, limit))
-		done <- err
-	}()
-	_, err := c.WaitStatus(ctx, func(s peer.StatusResponse) bool {
-		for _, v := range s.Servers {
-			if v.Limit < v.Slots {
-				return false
-			}
-		}
-		return len(s.Servers) > 0
-	})
-	stop()
-	return errors.Join(err, <-done)
-}
-
-// Load gives a load of all services through all instances.
-func (c *Cluster) Load(rate float64, duration time.Duration) load.Config {
-	names := map[string]bool{}
-	var services []string
-	for _, s := range c.Servers {
-		if !names[s.Config.Service] {
-			names[s.Config.Service] = true
-			services = append(services, s.Config.Service)
-		}
-	}
-	return load.Config{
-		Targets: c.Targets(), Services: services, Rate: rate, Duration: duration,
-		WriteShare: 0.4, KeyedShare: 0.25, ResendShare: 0.1, BodyBytes: 512,
-		Deadline: 2 * time.Second, Seed: uint64(time.Now().UnixNano()),
-	}
-}
-
 // measure runs the load through the entries and then at the servers directly.
-func (c *Cluster) measure(ctx context.Context, cfg Config, progress func(string)) (Result, error) {
+func measure(ctx context.Context, c *cluster.Cluster, cfg Config, progress func(string)) (Result, error) {
 	progress(fmt.Sprintf("servers are warm; %.0f calls a second for %v", cfg.Rate, cfg.Duration))
 	before := len(c.Runs())
 	through := c.Load(cfg.Rate, cfg.Duration)
@@ -159,8 +127,8 @@
 	}
 	v := load.Judge(report.History, c.Runs()[before:])
 	// The direct load knows no limits, so the limits are judged before it.
-	v.OverLimit += c.overLimit()
-	probes := c.probeCostShare()
+	v.OverLimit += overLimit(c)
+	probes := probeCostShare(c)
 	progress("calling the servers directly for comparison")
 	direct := through
 	direct.Targets = nil
@@ -182,7 +150,7 @@
 }
 
 // overLimit counts the arrivals beyond the servers' limits.
-func (c *Cluster) overLimit() int {
+func overLimit(c *cluster.Cluster) int {
 	n := 0
 	for _, s := range c.Servers {
 		n += s.Report().OverLimit
@@ -190,7 +158,7 @@
 	return n
 }
 
-func (c *Cluster) probeCostShare() float64 {
+func probeCostShare(c *cluster.Cluster) float64 {
 	busy, probes := 0.0, 0.0
 	for _, s := range c.Servers {
 		r := s.Report()
--- a/experiment/added.go
+++ b/experiment/added.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/oriolepost/oriolepost/choice"
-	"github.com/oriolepost/oriolepost/demo"
+	"github.com/oriolepost/oriolepost/cluster"
 	"github.com/oriolepost/oriolepost/load"
 )
 
@@ -36,7 +36,7 @@
 	return nil
 }
 
-func addedAt(ctx context.Context, c *demo.Cluster, rate float64) (Point, error) {
+func addedAt(ctx context.Context, c *cluster.Cluster, rate float64) (Point, error) {
 	var through50, through99, direct50, direct99, late []float64
 	for i := range addedRuns {
 		l := c.Load(rate, addedDuration)
@@ -61,7 +61,7 @@
 	}}, nil
 }
 
-func directLoad(c *demo.Cluster, rate float64, p choice.Policy, seed uint64) load.DirectReport {
+func directLoad(c *cluster.Cluster, rate float64, p choice.Policy, seed uint64) load.DirectReport {
 	d := load.Direct{
 		Service: c.Servers[0].Config.Service, Callers: len(c.Settings), Policy: p,
 		Rate: rate, Duration: addedDuration, Deadline: 2 * time.Second, Seed: seed,
--- a/experiment/capacity.go
+++ b/experiment/capacity.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"github.com/oriolepost/oriolepost/demo"
+	"github.com/oriolepost/oriolepost/cluster"
 	"github.com/oriolepost/oriolepost/load"
 	"github.com/oriolepost/oriolepost/timer"
 )
@@ -85,7 +85,7 @@
 }
 
 // capacityLoad calls for a while, or only waits when the rate is zero.
-func capacityLoad(ctx context.Context, c *demo.Cluster, rate, keyed float64) (float64, error) {
+func capacityLoad(ctx context.Context, c *cluster.Cluster, rate, keyed float64) (float64, error) {
 	if rate == 0 {
 		timer.Pause(ctx, capacityTime)
 		return 0, nil
--- a/experiment/choice.go
+++ b/experiment/choice.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/oriolepost/oriolepost/choice"
-	"github.com/oriolepost/oriolepost/demo"
+	"github.com/oriolepost/oriolepost/cluster"
 	"github.com/oriolepost/oriolepost/load"
 	"github.com/oriolepost/oriolepost/standin"
 )
@@ -69,7 +69,7 @@
 	}
 }
 
-func choiceThrough(ctx context.Context, c *demo.Cluster, busy, rate float64, report Report) error {
+func choiceThrough(ctx context.Context, c *cluster.Cluster, busy, rate float64, report Report) error {
 	before := overLimit(c)
 	quiet := noise(c)
 	defer quiet()
@@ -89,7 +89,7 @@
 }
 
 // noise makes one server after the other straggle until it is stopped.
-func noise(c *demo.Cluster) (stop func()) {
+func noise(c *cluster.Cluster) (stop func()) {
 	done := make(chan struct{})
 	ended := make(chan struct{})
 	go func() {
@@ -114,7 +114,7 @@
 	}
 }
 
-func overLimit(c *demo.Cluster) int {
+func overLimit(c *cluster.Cluster) int {
 	n := 0
 	for _, s := range c.Servers {
 		n += s.Report().OverLimit
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -24,7 +24,7 @@
 	"syscall"
 	"time"
 
-	"github.com/oriolepost/oriolepost/demo"
+	"github.com/oriolepost/oriolepost/cluster"
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/service"
 	"github.com/oriolepost/oriolepost/standin"
@@ -55,12 +55,12 @@
 const startLimit = 60 * time.Second
 
 // start starts a system and brings all its servers to their full limits.
-func start(ctx context.Context, s setup) (c *demo.Cluster, stop func() error, err error) {
+func start(ctx context.Context, s setup) (c *cluster.Cluster, stop func() error, err error) {
 	folder, err := os.MkdirTemp("", "oriolepost-experiment-")
 	if err != nil {
 		return nil, nil, err
 	}
-	c, err = demo.StartCluster(demo.ClusterConfig{Entries: s.entries, Voters: s.voters, Folder: folder})
+	c, err = cluster.Start(cluster.Config{Entries: s.entries, Voters: s.voters, Folder: folder})
 	if err != nil {
 		return nil, nil, errors.Join(err, os.RemoveAll(folder))
 	}
@@ -74,7 +74,7 @@
 	return c, stop, nil
 }
 
-func (s setup) fill(ctx context.Context, c *demo.Cluster) error {
+func (s setup) fill(ctx context.Context, c *cluster.Cluster) error {
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
 	for i := range s.services {
@@ -99,8 +99,8 @@
 	return c.WarmUp(ctx, float64(200*s.services), startLimit)
 }
 
-func (s setup) startServers(c *demo.Cluster, name string) error {
-	domains := demo.DefaultDomains()
+func (s setup) startServers(c *cluster.Cluster, name string) error {
+	domains := cluster.DefaultDomains()
 	for i := range s.servers {
 		cfg := standin.Defaults()
 		cfg.Name = fmt.Sprintf("%s-%d", name, i+1)
@@ -128,7 +128,7 @@
 }
 
 // measureUsage reads the processor time and the counters of all instances.
-func measureUsage(c *demo.Cluster) usage {
+func measureUsage(c *cluster.Cluster) usage {
 	var r syscall.Rusage
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &r)
 	u := usage{at: time.Now(), processor: time.Duration(r.Utime.Nano() + r.Stime.Nano())}
--- a/node/handler.go
+++ b/node/handler.go
@@ -33,7 +33,7 @@
 		return peer.Nothing{}, nil
 	case peer.ReplicaMessage, peer.ReportRequest, peer.ProposeRequest, peer.IdentifyRequest,
 		peer.JoinRequest, peer.StatusRequest, peer.ConfirmRequest,
-		peer.AnnounceRequest, peer.ReadRequest, peer.WatchRequest:
+		peer.AnnounceRequest, peer.RenewRequest, peer.ReadRequest, peer.WatchRequest:
 	}
 	if n.voter == nil {
 		return nil, &peer.RefusedError{Code: peer.CodeNotLeader, Reason: "this instance has no disk"}
@@ -94,7 +94,7 @@
 		return await(ctx, t, confirmMail{r.Index, answer, refuse}, answer, refuse,
 			func(in bool) peer.Response { return peer.ConfirmResponse{InForce: in} })
 	case peer.BorrowRequest, peer.ReturnRequest, peer.PokeRequest,
-		peer.AnnounceRequest, peer.ReadRequest, peer.WatchRequest:
+		peer.AnnounceRequest, peer.RenewRequest, peer.ReadRequest, peer.WatchRequest:
 	}
 	return nil, &peer.RefusedError{Code: peer.CodeMalformed, Reason: "not a request for a voter"}
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -94,6 +94,12 @@
 	Leaving bool `json:"leaving,omitempty"`
 }
 
+// RenewRequest brings the leader the announcements that another control
+// instance has gathered. It has no response; what is lost comes again.
+type RenewRequest struct {
+	Announcements []AnnounceRequest `json:"announcements"`
+}
+
 // ReadRequest asks the leader for the newest configuration.
 type ReadRequest struct{}
 
@@ -117,6 +123,7 @@
 }
 
 func (AnnounceRequest) request() {}
+func (RenewRequest) request()    {}
 func (ReadRequest) request()     {}
 func (WatchRequest) request()    {}
 func (ReplicaMessage) request()  {}
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -24,6 +24,7 @@
 	methodStatus   = "status"
 	methodConfirm  = "confirm"
 	methodAnnounce = "announce"
+	methodRenew    = "renew"
 	methodRead     = "read"
 	methodWatch    = "watch"
 )
@@ -79,6 +80,8 @@
 		return methodConfirm, r, false, nil
 	case AnnounceRequest:
 		return methodAnnounce, r, false, nil
+	case RenewRequest:
+		return methodRenew, r, true, nil
 	case ReadRequest:
 		return methodRead, r, false, nil
 	case WatchRequest:
@@ -112,6 +115,8 @@
 		return decode(params, func(r ConfirmRequest) Request { return r })
 	case methodAnnounce:
 		return decode(params, func(r AnnounceRequest) Request { return r })
+	case methodRenew:
+		return decode(params, func(r RenewRequest) Request { return r })
 	case methodRead:
 		return ReadRequest{}, nil
 	case methodWatch:
@@ -204,7 +209,7 @@
 		return decode(result, func(r ReadResponse) Response { return r })
 	case WatchRequest:
 		return decode(result, func(r WatchResponse) Response { return r })
-	case AnnounceRequest, ReplicaMessage, ReturnRequest, PokeRequest, JoinRequest:
+	case AnnounceRequest, RenewRequest, ReplicaMessage, ReturnRequest, PokeRequest, JoinRequest:
 		return Nothing{}, nil
 	}
 	return Nothing{}, nil
--- a/proofs/proofs_test.go
+++ b/proofs/proofs_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"github.com/oriolepost/oriolepost/demo"
+	"github.com/oriolepost/oriolepost/cluster"
 	"github.com/oriolepost/oriolepost/terminal"
 )
 
@@ -52,7 +52,7 @@
 	e.Setenv("ROOT", root)
 	e.Setenv("HOME", os.Getenv("HOME"))
 	e.Setenv("GOFLAGS", os.Getenv("GOFLAGS"))
-	addresses, err := demo.FreeAddresses(addressesPerScenario)
+	addresses, err := cluster.FreeAddresses(addressesPerScenario)
 	for i, a := range addresses {
 		e.Setenv(fmt.Sprintf("A%d", i+1), a)
 	}
--- a/proofs/verbs_test.go
+++ b/proofs/verbs_test.go
@@ -35,7 +35,7 @@
 func verbs() map[string]func(*testscript.TestScript, bool, []string) {
 	return map[string]func(*testscript.TestScript, bool, []string){
 		"expand":    expand,
-		"cluster":   cluster,
+		"cluster":   clusterVerb,
 		"await":     await,
 		"fetch":     fetch,
 		"call":      callURL,
@@ -65,12 +65,12 @@
 	}
 }
 
-// cluster N VOTERS [OPTION...] writes the settings n1.json to nN.json of a
+// clusterVerb is "cluster N VOTERS [OPTION...]": it writes the settings n1.json to nN.json of a
 // system. The option tls uses the certificates of the verb of that name, tokens
 // sets the operators' tokens "root" for all teams and "dental" for that team,
 // trace samples all calls into the files trace-n1 to trace-nN, and impatient
 // gives callers 100 ms for each part of a body.
-func cluster(ts *testscript.TestScript, _ bool, args []string) {
+func clusterVerb(ts *testscript.TestScript, _ bool, args []string) {
 	total, err := strconv.Atoi(args[0])
 	ts.Check(err)
 	voters, err := strconv.Atoi(args[1])
--- a/record/record.go
+++ b/record/record.go
@@ -62,10 +62,10 @@
 	BornMS   int64  `json:"born_ms"`
 }
 
-// Enroll records an upstream's incarnation, so that the fleet is known again
+// Enroll records upstreams' incarnations, so that the fleet is known again
 // as soon as the group has a leader, before the upstreams announce themselves.
 type Enroll struct {
-	Upstream fleet.Upstream `json:"upstream"`
+	Upstreams []fleet.Upstream `json:"upstreams"`
 }
 
 // Withdraw records that upstreams were not heard of for too long.
--- a/soak/disturb.go
+++ b/soak/disturb.go
@@ -6,7 +6,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/oriolepost/oriolepost/demo"
+	"github.com/oriolepost/oriolepost/cluster"
 	"github.com/oriolepost/oriolepost/operator"
 	"github.com/oriolepost/oriolepost/standin"
 	"github.com/oriolepost/oriolepost/timer"
@@ -15,7 +15,7 @@
 // disturber injects faults, one after the other. It owns the cluster's nodes
 // while it runs.
 type disturber struct {
-	cluster *demo.Cluster
+	running *cluster.Cluster
 	cuts    *cuts
 	random  *rand.Rand
 	faults  map[string]int
@@ -77,12 +77,12 @@
 
 func (d *disturber) heal() {
 	d.cuts.set(map[string]bool{})
-	for i := range d.cluster.Nodes {
-		if d.cluster.Nodes[i] == nil {
-			_ = d.cluster.StartNode(i)
+	for i := range d.running.Nodes {
+		if d.running.Nodes[i] == nil {
+			_ = d.running.StartNode(i)
 		}
 	}
-	for _, s := range d.cluster.Servers {
+	for _, s := range d.running.Servers {
 		s.Set(standin.Healthy{})
 	}
 }
@@ -93,30 +93,30 @@
 }
 
 func (d *disturber) killInstance(ctx context.Context) error {
-	i := d.random.IntN(len(d.cluster.Nodes))
-	d.cluster.KillNode(i)
+	i := d.random.IntN(len(d.running.Nodes))
+	d.running.KillNode(i)
 	timer.Pause(ctx, d.shortWhile())
-	return d.cluster.StartNode(i)
+	return d.running.StartNode(i)
 }
 
 func (d *disturber) killTwoVoters(ctx context.Context) error {
 	first := d.random.IntN(voters)
 	second := (first + 1) % voters
-	d.cluster.KillNode(first)
-	d.cluster.KillNode(second)
+	d.running.KillNode(first)
+	d.running.KillNode(second)
 	timer.Pause(ctx, d.shortWhile())
-	if err := d.cluster.StartNode(first); err != nil {
+	if err := d.running.StartNode(first); err != nil {
 		return err
 	}
-	return d.cluster.StartNode(second)
+	return d.running.StartNode(second)
 }
 
 func (d *disturber) stopInstance(ctx context.Context) error {
-	i := d.random.IntN(len(d.cluster.Nodes))
-	if err := d.cluster.StopNode(ctx, i); err != nil {
+	i := d.random.IntN(len(d.running.Nodes))
+	if err := d.running.StopNode(ctx, i); err != nil {
 		return err
 	}
-	return d.cluster.StartNode(i)
+	return d.running.StartNode(i)
 }
 
 func (d *disturber) cutInstance(ctx context.Context) error {
@@ -129,10 +129,10 @@
 
 // cutFor cuts what an instance sends, or also what it receives.
 func (d *disturber) cutFor(ctx context.Context, both bool) error {
-	i := d.random.IntN(len(d.cluster.Settings))
-	name := d.cluster.Settings[i].Instance
+	i := d.random.IntN(len(d.running.Settings))
+	name := d.running.Settings[i].Instance
 	pairs := map[string]bool{}
-	for _, s := range d.cluster.Settings {
+	for _, s := range d.running.Settings {
 		pairs[name+">"+s.Instance] = true
 		if both {
 			pairs[s.Instance+">"+name] = true
@@ -145,7 +145,7 @@
 }
 
 func (d *disturber) serverFault(ctx context.Context) error {
-	s := d.cluster.Servers[d.random.IntN(len(d.cluster.Servers))]
+	s := d.running.Servers[d.random.IntN(len(d.running.Servers))]
 	all := []standin.Fault{
 		standin.Straggle{Factor: 10},
 		standin.FailFast{},
@@ -163,16 +163,16 @@
 }
 
 func (d *disturber) rebootServer(context.Context) error {
-	d.cluster.Servers[d.random.IntN(len(d.cluster.Servers))].Set(standin.Reboot{})
+	d.running.Servers[d.random.IntN(len(d.running.Servers))].Set(standin.Reboot{})
 	return nil
 }
 
 func (d *disturber) domainOutAndIn(ctx context.Context) error {
-	domain := demo.DefaultDomains()[d.random.IntN(len(demo.DefaultDomains()))]
+	domain := cluster.DefaultDomains()[d.random.IntN(len(cluster.DefaultDomains()))]
 	for _, order := range []string{"out", "in"} {
 		d.changes++
 		o := operator.ChangeOptions{ChangeID: fmt.Sprintf("order-%d", d.changes), WaitMS: operator.DefaultWaitMS}
-		c := d.cluster.Operator(d.random.IntN(len(d.cluster.Nodes)))
+		c := d.running.Operator(d.random.IntN(len(d.running.Nodes)))
 		if _, err := c.Order(ctx, "domains", domain, order, o); err != nil {
 			return err
 		}
--- a/soak/history.go
+++ b/soak/history.go
@@ -8,7 +8,7 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"github.com/oriolepost/oriolepost/demo"
+	"github.com/oriolepost/oriolepost/cluster"
 	"github.com/oriolepost/oriolepost/operator"
 	"github.com/oriolepost/oriolepost/service"
 	"github.com/oriolepost/oriolepost/timer"
@@ -49,11 +49,11 @@
 )
 
 // changeDocuments lets operators race until the context ends.
-func changeDocuments(ctx context.Context, cluster *demo.Cluster) []documentOperation {
+func changeDocuments(ctx context.Context, running *cluster.Cluster) []documentOperation {
 	results := make(chan []documentOperation)
 	began := time.Now()
 	for client := range changers {
-		go func() { results <- change(ctx, cluster, client, began) }()
+		go func() { results <- change(ctx, running, client, began) }()
 	}
 	var all []documentOperation
 	for range changers {
@@ -64,10 +64,10 @@
 
 // change reads a document and replaces it, each time through the next
 // instance.
-func change(ctx context.Context, cluster *demo.Cluster, client int, began time.Time) []documentOperation {
+func change(ctx context.Context, running *cluster.Cluster, client int, began time.Time) []documentOperation {
 	var history []documentOperation
 	for n := 0; ctx.Err() == nil; n++ {
-		api := cluster.Operator((client + n) % len(cluster.Settings))
+		api := running.Operator((client + n) % len(running.Settings))
 		read := readDocument(ctx, api, client, began)
 		history = append(history, read)
 		if read.outcome == outcomeDone {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -19,7 +19,7 @@
 	"os"
 	"time"
 
-	"github.com/oriolepost/oriolepost/demo"
+	"github.com/oriolepost/oriolepost/cluster"
 	"github.com/oriolepost/oriolepost/load"
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/service"
@@ -86,56 +86,56 @@
 	}
 	defer func() { err = errors.Join(err, os.RemoveAll(folder)) }()
 	cuts := newCuts()
-	cluster, err := demo.StartCluster(demo.ClusterConfig{
+	running, err := cluster.Start(cluster.Config{
 		Entries: entries, Voters: voters, Folder: folder, Dial: cuts.dialer,
 	})
 	if err != nil {
 		return Result{}, err
 	}
-	defer cluster.Stop()
-	cuts.learn(cluster.Settings)
-	if err := prepare(ctx, cluster); err != nil {
+	defer running.Stop()
+	cuts.learn(running.Settings)
+	if err := prepare(ctx, running); err != nil {
 		return Result{}, err
 	}
-	return run(ctx, c, cluster, cuts)
+	return run(ctx, c, running, cuts)
 }
 
-func prepare(ctx context.Context, cluster *demo.Cluster) error {
+func prepare(ctx context.Context, running *cluster.Cluster) error {
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
 	d := service.Defaults(soakService)
 	d.Cold.HoldMS = coldMS + 200
 	d.Cold.StepMS = 100
 	d.Limits.MaxDeadlineMS = 2000
-	if _, err := cluster.Apply(ctx, d); err != nil {
+	if _, err := running.Apply(ctx, d); err != nil {
 		return err
 	}
 	for i := range servers {
 		s := standin.Defaults()
 		s.Name = fmt.Sprintf("server-%d", i+1)
-		s.Domain = demo.DefaultDomains()[i%len(demo.DefaultDomains())]
+		s.Domain = cluster.DefaultDomains()[i%len(cluster.DefaultDomains())]
 		s.ServiceMS = serviceMS
 		s.ColdMS = coldMS
 		s.AnnounceMS = 250
 		s.Seed = uint64(i)
-		if _, err := cluster.StartServer(s); err != nil {
+		if _, err := running.StartServer(s); err != nil {
 			return err
 		}
 	}
-	_, err := cluster.WaitStatus(ctx, func(s peer.StatusResponse) bool {
+	_, err := running.WaitStatus(ctx, func(s peer.StatusResponse) bool {
 		return len(s.Servers) == servers && len(s.Entries) == entries
 	})
 	return err
 }
 
 // run calls, changes and disturbs at the same time.
-func run(ctx context.Context, c Config, cluster *demo.Cluster, cuts *cuts) (Result, error) {
+func run(ctx context.Context, c Config, running *cluster.Cluster, cuts *cuts) (Result, error) {
 	type ended struct {
 		report load.Report
 		err    error
 	}
 	calls := make(chan ended, 1)
-	l := cluster.Load(c.Rate, c.Duration)
+	l := running.Load(c.Rate, c.Duration)
 	l.Seed = c.Seed
 	l.WriteShare, l.KeyedShare, l.ResendShare = 0.6, 0.5, 0.3
 	go func() {
@@ -144,8 +144,8 @@
 	}()
 	changing, stop := context.WithCancel(ctx)
 	history := make(chan []documentOperation, 1)
-	go func() { history <- changeDocuments(changing, cluster) }()
-	d := &disturber{cluster: cluster, cuts: cuts, random: rand.New(rand.NewPCG(c.Seed, 11)), faults: map[string]int{}}
+	go func() { history <- changeDocuments(changing, running) }()
+	d := &disturber{running: running, cuts: cuts, random: rand.New(rand.NewPCG(c.Seed, 11)), faults: map[string]int{}}
 	d.run(ctx, c)
 	stop()
 	operations := <-history
@@ -156,12 +156,12 @@
 	r := Result{
 		Seed: c.Seed, Faults: d.faults, Calls: end.report.Calls, Answered: end.report.Answered,
 		NotRun: end.report.NotRun, Unknown: end.report.Unknown, Changes: len(operations),
-		Verdict: load.Judge(end.report.History, cluster.Runs()),
+		Verdict: load.Judge(end.report.History, running.Runs()),
 	}
 	if !linearizable(operations) {
 		r.Reverted = 1
 	}
-	for _, s := range cluster.Servers {
+	for _, s := range running.Servers {
 		r.ColdOverLimit += s.Report().ColdOverLimit
 	}
 	return r, nil
--- a/story/story.go
+++ b/story/story.go
@@ -95,7 +95,7 @@
 		if l.text("change") == "" {
 			continue
 		}
-		if slices.ContainsFunc(own, func(o Line) bool { return l.bearsOn(o) }) {
+		if slices.ContainsFunc(own, l.bearsOn) {
 			out = append(out, l)
 		}
 	}
