--- a/placement/cost.go
+++ b/placement/cost.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"slices"
 	"time"
 )
@@ -21,6 +22,9 @@
 	domainCost = 0.35
 	// troubleCost is what a recent failure adds.
 	troubleCost = 4.0
+	// troubleHalf is the time in which half of the trouble is forgotten. Without
+	// it an upstream that failed would be left alone for good once all did.
+	troubleHalf = 500 * time.Millisecond
 	// unknownCost is the cost of an upstream that does not tell its load.
 	unknownCost = 1.0
 	// coldCost multiplies the cost of a cold upstream: it runs at half pace.
@@ -46,7 +50,12 @@
 	if now.Before(u.ColdUntil) {
 		c *= coldCost
 	}
-	return c + u.Trouble*troubleCost
+	return c + u.trouble(now)*troubleCost
+}
+
+// trouble is what counts of the recent failures by now.
+func (u *Upstream) trouble(now time.Time) float64 {
+	return u.Trouble * math.Exp2(-float64(now.Sub(u.TroubleAt))/float64(troubleHalf))
 }
 
 // cost is the expected time of one more request under a load, with as many
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -71,8 +71,10 @@
 	// Healthy is false after a probe was answered with "not healthy".
 	Healthy  bool
 	InFlight map[AttemptID]time.Time
-	// Trouble is the recent failures, and AvoidUntil the pause they bring.
+	// Trouble is the recent failures as of TroubleAt, and AvoidUntil the pause
+	// they bring.
 	Trouble    float64
+	TroubleAt  time.Time
 	AvoidUntil time.Time
 	// Slowness is how many times longer than expected answers took.
 	Slowness float64
--- a/placement/repeat.go
+++ b/placement/repeat.go
@@ -14,6 +14,8 @@
 	// doubles with each further one up to longestPause.
 	firstPause   = 250 * time.Millisecond
 	longestPause = 4 * time.Second
+	// mostTrouble bounds what failures add up to.
+	mostTrouble = 4.0
 	// troubleDecay is how much of the trouble an answer leaves.
 	troubleDecay = 0.6
 	// hedgeFactor is how many times the expected time an idempotent request
@@ -174,7 +176,8 @@
 			s.avoid(now, u, 0.7)
 			return
 		}
-		u.Trouble *= troubleDecay
+		u.Trouble = u.trouble(now) * troubleDecay
+		u.TroubleAt = now
 		took := now.Sub(a.began)
 		s.slower(u, float64(took)/float64(max(a.expected, time.Millisecond)))
 		usual := s.usualTime(p.request)
@@ -197,7 +200,8 @@
 
 // avoid leaves an upstream alone for a while after a failure.
 func (s *State) avoid(now time.Time, u *Upstream, weight float64) {
-	u.Trouble = min(u.Trouble+weight, 4)
+	u.Trouble = min(u.trouble(now)+weight, mostTrouble)
+	u.TroubleAt = now
 	pause := time.Duration(float64(firstPause) * u.Trouble * u.Trouble)
 	u.AvoidUntil = now.Add(min(pause, longestPause))
 	u.LoadAt = time.Time{}
