--- a/placement/cost.go
+++ b/placement/cost.go
@@ -25,6 +25,12 @@
 	// troubleHalf is the time in which half of the trouble is forgotten. Without
 	// it an upstream that failed would be left alone for good once all did.
 	troubleHalf = 500 * time.Millisecond
+	// slownessHalf is the time in which half of an upstream's slowness is
+	// forgotten, so that one that has recovered is tried again.
+	slownessHalf = 4 * time.Second
+	// slownessSlack is by how much answers may be slower than expected without
+	// the upstream being slow: times vary by a third.
+	slownessSlack = 0.5
 	// unknownCost is the cost of an upstream that does not tell its load.
 	unknownCost = 1.0
 	// coldCost multiplies the cost of a cold upstream: it runs at half pace.
@@ -43,7 +49,7 @@
 	if u.Load.Known {
 		c = u.Load.cost(u.Since)
 	}
-	c *= max(1, u.Slowness-0.5)
+	c *= max(1, u.slowness(now)-slownessSlack)
 	if u.Info.Domain != s.Config.Domain {
 		c += domainCost
 	}
@@ -53,6 +59,11 @@
 	return c + u.trouble(now)*troubleCost
 }
 
+// slowness is what counts by now of how slow answers were.
+func (u *Upstream) slowness(now time.Time) float64 {
+	return 1 + (u.Slowness-1)*math.Exp2(-float64(now.Sub(u.SlownessAt))/float64(slownessHalf))
+}
+
 // trouble is what counts of the recent failures by now.
 func (u *Upstream) trouble(now time.Time) float64 {
 	return u.Trouble * math.Exp2(-float64(now.Sub(u.TroubleAt))/float64(troubleHalf))
--- a/placement/place.go
+++ b/placement/place.go
@@ -130,8 +130,13 @@
 	r.waiting = slices.Insert(r.waiting, i, p)
 }
 
+// leave takes a request out of the room. The sweep ends with the last one: the
+// next request begins with the upstreams that suit it best.
 func (r *room) leave(p *pending) {
 	r.waiting = slices.DeleteFunc(r.waiting, func(o *pending) bool { return o == p })
+	if len(r.waiting) == 0 {
+		r.rest()
+	}
 }
 
 // fill gives the requests of a room, in order, the places that are known to be
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -76,8 +76,10 @@
 	Trouble    float64
 	TroubleAt  time.Time
 	AvoidUntil time.Time
-	// Slowness is how many times longer than expected answers took.
-	Slowness float64
+	// Slowness is how many times longer than expected answers took, as of
+	// SlownessAt.
+	Slowness   float64
+	SlownessAt time.Time
 	// coldSent are the requests sent within the last second while cold.
 	coldSent []time.Time
 }
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,128 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/oriolepost/oriolepost/fleet"
+	"github.com/oriolepost/oriolepost/placement"
+	"github.com/oriolepost/oriolepost/route"
+	"github.com/oriolepost/oriolepost/script"
+)
+
+// steps is one entry whose every event stands in the test file.
+type steps struct {
+	state *placement.State
+	now   time.Time
+	route *route.Route
+}
+
+var _ = script.Describe("steps", "testdata/steps/*.txt", func() script.Handler {
+	s := &steps{
+		now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+		state: placement.New(placement.Config{
+			Name: "e1", Domain: "palermo", RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 80, ColdFactor: 1.5, ColdSlack: 5,
+		}, rand.New(rand.NewPCG(1, 1))),
+	}
+	return s.run
+})
+
+func (s *steps) run(c script.Case) string {
+	s.now = s.now.Add(time.Duration(c.Int("after", 0)) * time.Millisecond)
+	switch c.Command {
+	case "view":
+		return s.view(c)
+	case "placed":
+		return s.step(placement.Placed{Index: c.Int("index", 0), Count: c.Int("count", 1)})
+	case "request":
+		r := &route.Route{
+			Name: "r", Idempotent: c.Bool("idempotent"), MaxAttempts: c.Int("attempts", 2), Objective: time.Second,
+			Priority: c.Int("priority", 0), Parts: []route.Part{{Service: "booking", Weight: 1}},
+		}
+		return s.step(placement.Arrived{Request: placement.Request{
+			ID: placement.RequestID(c.Int("id", 1)), Route: r, Service: "booking", Arrived: s.now, First: s.now,
+			Deadline: s.now.Add(time.Duration(c.Int("deadline", 2000)) * time.Millisecond),
+		}})
+	case "probed":
+		return s.step(placement.Probed{
+			Upstream: placement.Key{ID: c.Args["upstream"], BornMS: 1}, Failed: c.Bool("failed"), Healthy: !c.Bool("ill"),
+			Cold: time.Duration(c.Int("cold", 0)) * time.Millisecond,
+			Load: placement.Load{Running: c.Int("running", 0), Slots: 6, Pace: c.Int("pace", 100), Known: true},
+		})
+	case "ended":
+		return s.step(placement.AttemptEnded{Attempt: placement.AttemptID(c.Int("attempt", 1)), Outcome: ended(c)})
+	case "left":
+		return s.step(placement.Left{Request: placement.RequestID(c.Int("id", 1))})
+	case "tick":
+		return s.step(placement.Ticked{})
+	}
+	return "unknown command"
+}
+
+func (s *steps) view(c script.Case) string {
+	v := placement.Viewed{
+		Full: c.Bool("full"), Settled: c.Bool("full"), OutDomains: c.List("out"),
+		Services: map[string]route.Service{"booking": {Name: "booking", HealthPath: "/health", ColdRate: 6}},
+	}
+	for _, text := range c.List("upstreams") {
+		id, domain, _ := strings.Cut(text, "/")
+		domain, cold, _ := strings.Cut(domain, "/")
+		u := fleet.Upstream{ID: id, Service: "booking", Domain: domain, Slots: 6, BornMS: 1}
+		if n, err := strconv.Atoi(cold); err == nil {
+			u.ColdMS = int64(n)
+		}
+		u.Draining = cold == "draining"
+		v.Upstreams = append(v.Upstreams, u)
+	}
+	return s.step(v)
+}
+
+func ended(c script.Case) placement.Outcome {
+	reason := placement.Reason(c.Args["reason"])
+	switch c.Args["outcome"] {
+	case "not_run":
+		return placement.NotRun{Reason: reason, Sent: !c.Bool("unsent")}
+	case "unknown":
+		return placement.Unknown{Reason: reason}
+	}
+	return placement.Answered{Failed: c.Bool("failed")}
+}
+
+func (s *steps) step(e placement.Event) string {
+	var lines []string
+	for _, effect := range s.state.Step(s.now, e) {
+		lines = append(lines, effectText(effect))
+	}
+	return strings.Join(lines, "\n")
+}
+
+func effectText(effect placement.Effect) string {
+	switch e := effect.(type) {
+	case placement.StartProbe:
+		return "probe " + e.Upstream.ID
+	case placement.StartAttempt:
+		return fmt.Sprintf("start request=%d attempt=%d at %s repeat=%v", e.Request, e.Attempt, e.Upstream.ID, e.Repeat)
+	case placement.CancelAttempt:
+		return fmt.Sprintf("cancel attempt=%d", e.Attempt)
+	case placement.Finish:
+		return fmt.Sprintf("finish request=%d %s", e.Request, outcomeText(e.Outcome))
+	case placement.Forget:
+		return "forget " + e.Upstream.ID
+	}
+	return "unknown effect"
+}
+
+func outcomeText(o placement.Outcome) string {
+	switch o := o.(type) {
+	case placement.Answered:
+		return "answered"
+	case placement.NotRun:
+		return fmt.Sprintf("not_run %s come_back=%v", o.Reason, o.RetryAfter > 0)
+	case placement.Unknown:
+		return "unknown " + string(o.Reason)
+	}
+	return "unknown outcome"
+}
--- a/placement/repeat.go
+++ b/placement/repeat.go
@@ -25,6 +25,10 @@
 	usualWeight = 0.1
 	// slownessWeight is the weight of one answer in an upstream's slowness.
 	slownessWeight = 0.3
+	// mostSlowness bounds what one answer counts, and timeoutSlowness is what an
+	// answer counts that did not come in time.
+	mostSlowness    = 8.0
+	timeoutSlowness = 3.0
 	// shortestRetryAfter and longestRetryAfter bound when callers are asked
 	// to come back, in a spread that keeps them from coming together.
 	shortestRetryAfter = 60 * time.Millisecond
@@ -70,7 +74,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(p.attempts)) {
 		if u := s.upstream(p.attempts[id].upstream); u != nil {
-			s.slower(u, 3)
+			s.slower(now, u, timeoutSlowness)
 		}
 	}
 	p.outcome = merge(p.outcome, o)
@@ -179,7 +183,7 @@
 		u.Trouble = u.trouble(now) * troubleDecay
 		u.TroubleAt = now
 		took := now.Sub(a.began)
-		s.slower(u, float64(took)/float64(max(a.expected, time.Millisecond)))
+		s.slower(now, u, float64(took)/float64(max(a.expected, time.Millisecond)))
 		usual := s.usualTime(p.request)
 		ratio := float64(usual) / float64(max(a.expected, time.Millisecond))
 		s.usual[p.request.Route.Name] = usual + time.Duration(usualWeight*(float64(took)*ratio-float64(usual)))
@@ -194,8 +198,11 @@
 	}
 }
 
-func (s *State) slower(u *Upstream, ratio float64) {
-	u.Slowness += slownessWeight * (min(ratio, 8) - u.Slowness)
+// slower takes how many times longer than expected an answer took.
+func (s *State) slower(now time.Time, u *Upstream, ratio float64) {
+	known := u.slowness(now)
+	u.Slowness = known + slownessWeight*(min(ratio, mostSlowness)-known)
+	u.SlownessAt = now
 }
 
 // avoid leaves an upstream alone for a while after a failure.
--- a/placement/scout.go
+++ b/placement/scout.go
@@ -143,7 +143,7 @@
 	if !u.near {
 		order++
 	}
-	if u.trouble(now) > doubtfulTrouble || u.Slowness > doubtfulSlowness {
+	if u.trouble(now) > doubtfulTrouble || u.slowness(now) > doubtfulSlowness {
 		order += 4
 	}
 	return order
