--- a/gateway/conns.go
+++ b/gateway/conns.go
@@ -78,7 +78,7 @@
 // attempt starts an attempt.
 func (t *task) attempt(e placement.StartAttempt) {
 	w := t.exchanges[e.Request]
-	w.upstream, w.domain, w.basis, w.started = e.Upstream.ID, e.Upstream.Domain, e.Basis, time.Now()
+	w.upstream, w.domain, w.basis = e.Upstream.ID, e.Upstream.Domain, e.Basis
 	key := placement.KeyOf(e.Upstream)
 	unused := t.unused(key)
 	ctx, cancel := context.WithCancel(t.ctx)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -214,7 +214,11 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case "reset":
-		panic(http.ErrAbortHandler)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_ = conn.Close()
+		}
+		return
 	case "slow":
 		select {
 		case <-time.After(700 * time.Millisecond):
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -17,7 +17,6 @@
 type steps struct {
 	state *placement.State
 	now   time.Time
-	route *route.Route
 }
 
 var _ = script.Describe("steps", "testdata/steps/*.txt", func() script.Handler {
--- a/settings/deployment.go
+++ b/settings/deployment.go
@@ -41,8 +41,6 @@
 
 // Bounds are the limits that the platform's users set.
 type Bounds struct {
-	// Drain is how soon after its farewell an upstream gets nothing more.
-	Drain time.Duration
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace time.Duration
 	// RetryRatio, RetryWindow and RetrySlack bound the repeats of a service
@@ -54,8 +52,6 @@
 	// must not be passed in any second.
 	ColdFactor float64
 	ColdSlack  float64
-	// CatchUp is how long a returned instance counts as lost.
-	CatchUp time.Duration
 }
 
 // Voters is how many instances hold the log, so that a majority remains when
--- a/terminal/serve.go
+++ b/terminal/serve.go
@@ -60,6 +60,9 @@
 	// heapPercent is how much garbage may pile up: memory is dearer than the
 	// collector's time where instances are this small.
 	heapPercent = 50
+	// memoryShare is the share of the process's limit from which on the
+	// collector works harder; the rest is for what it does not count.
+	memoryShare = 0.7
 	// metricsPort is the port of the metrics, as deploy/system.toml states it.
 	metricsPort = 9464
 	// outletTime bounds writing the last lines of the log.
@@ -76,6 +79,9 @@
 		return nil, err
 	}
 	debug.SetGCPercent(heapPercent)
+	if s.settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.settings.MemoryMB<<20)))
+	}
 	outlet := telemetry.NewOutlet(t.Out, s.metrics)
 	defer closeOutlet(outlet)
 	s.log = telemetry.ServeLogger(outlet, s.settings)
