A leader without a quorum does not wake for watches; a dead writer frees its reader

Cause: read as a newcomer: a leader that no quorum answers woke every millisecond for watches that it may not answer, until it stepped down; and a reader could wait for ever for a writer that had ended, with requests under way that nobody gave up. Change: no wake without a lease; the reader heeds the writer's end and gives up what is not answered. Before and after: tests of control, ingress and gateway green before and after; no case forces the second one.

--- a/control/watch.go
+++ b/control/watch.go
@@ -55,8 +55,13 @@
 	w.due = now.Add(watchPause)
 }
 
+// nextWatchDue is when the next watch must be answered; the zero time means
+// that none can be, since a quorum has to answer first.
 func (t *task) nextWatchDue() time.Time {
 	var next time.Time
+	if t.replica.LeaseEnd(time.Now()).IsZero() {
+		return next
+	}
 	for _, w := range t.watchers {
 		if w.waiting == nil {
 			continue
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -138,14 +138,20 @@
 	if e.Request.Rest == nil {
 		return true
 	}
-	<-e.written
+	select {
+	case <-e.written:
+	case <-c.dead:
+	}
 	return !e.closing
 }
 
 func (c *conn) push(e *Exchange) {
 	c.open = append(c.unanswered(), e)
 	c.served = true
-	c.exchanges <- e
+	select {
+	case c.exchanges <- e:
+	case <-c.dead:
+	}
 }
 
 // readFailed ends the reading. A request that can't be taken is answered; a
@@ -164,12 +170,8 @@
 		// The entry stops, or the connection was unused for too long.
 		return
 	}
-	select {
-	case <-c.dead:
-	default:
-		if left := c.unanswered(); len(left) > 0 {
-			c.server.options.Post.Left(left)
-		}
+	if left := c.unanswered(); len(left) > 0 {
+		c.server.options.Post.Left(left)
 	}
 }
 
