--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -17,6 +17,8 @@
 type steps struct {
 	state *placement.State
 	now   time.Time
+	// asked are the upstreams whose probes are not answered.
+	asked []string
 }
 
 var _ = script.Describe("steps", "testdata/steps/*.txt", func() script.Handler {
@@ -51,6 +53,8 @@
 			Cold: time.Duration(c.Int("cold", 0)) * time.Millisecond,
 			Load: placement.Load{Running: c.Int("running", 0), Slots: 6, Pace: c.Int("pace", 100), Known: true},
 		})
+	case "answer_all":
+		return s.answerAll(c)
 	case "ended":
 		return s.step(placement.AttemptEnded{Attempt: placement.AttemptID(c.Int("attempt", 1)), Outcome: ended(c)})
 	case "left":
@@ -61,6 +65,24 @@
 	return "unknown command"
 }
 
+// answerAll answers the probes that are under way, but not those that the
+// answers bring about.
+func (s *steps) answerAll(c script.Case) string {
+	var lines []string
+	asked := s.asked
+	s.asked = nil
+	for _, id := range asked {
+		text := s.step(placement.Probed{
+			Upstream: placement.Key{ID: id, BornMS: 1}, Healthy: true,
+			Load: placement.Load{Running: c.Int("running", 0), Slots: 6, Pace: c.Int("pace", 100), Known: true},
+		})
+		if text != "" {
+			lines = append(lines, text)
+		}
+	}
+	return strings.Join(lines, "\n")
+}
+
 func (s *steps) view(c script.Case) string {
 	v := placement.Viewed{
 		Full: c.Bool("full"), Settled: c.Bool("full"), OutDomains: c.List("out"),
@@ -93,6 +115,9 @@
 func (s *steps) step(e placement.Event) string {
 	var lines []string
 	for _, effect := range s.state.Step(s.now, e) {
+		if p, ok := effect.(placement.StartProbe); ok {
+			s.asked = append(s.asked, p.Upstream.ID)
+		}
 		lines = append(lines, effectText(effect))
 	}
 	return strings.Join(lines, "\n")
--- a/placement/scout.go
+++ b/placement/scout.go
@@ -106,8 +106,7 @@
 	clear(r.pending)
 }
 
-// askSome sends one round of probes and gives their number. Upstreams of the
-// own failure domain come first.
+// askSome sends one round of probes and gives their number.
 func (s *State) askSome(now time.Time, r *room) int {
 	var candidates []*Upstream
 	for _, u := range s.byService[r.service] {
@@ -116,7 +115,9 @@
 		}
 	}
 	s.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	slices.SortStableFunc(candidates, func(a, b *Upstream) int { return s.askOrder(now, a) - s.askOrder(now, b) })
+	slices.SortStableFunc(candidates, func(a, b *Upstream) int {
+		return s.askOrder(now, a, r.rounds) - s.askOrder(now, b, r.rounds)
+	})
 	clear(r.pending)
 	for _, u := range candidates[:min(probeCount, len(candidates))] {
 		key := KeyOf(u.Info)
@@ -130,17 +131,20 @@
 	return len(r.pending)
 }
 
-// askOrder puts near upstreams first, then those of the own failure domain,
-// and doubtful ones last.
-func (s *State) askOrder(now time.Time, u *Upstream) int {
+// askOrder puts upstreams into the order in which they are asked: near ones in
+// the first round, others of the own failure domain in the next, those of other
+// failure domains in the last, so that each sweep looks beyond the own one
+// however many upstreams there are. Doubtful ones are last.
+func (s *State) askOrder(now time.Time, u *Upstream, round int) int {
 	order := 0
 	if now.Before(u.ColdUntil) || !u.Probing.IsZero() {
 		order += 8
 	}
-	if u.Info.Domain != s.Config.Domain {
+	own := u.Info.Domain == s.Config.Domain
+	switch {
+	case round+1 >= sweepRounds && own, round == 0 && !own:
 		order += 2
-	}
-	if !u.near {
+	case round == 0 && !u.near, round == 1 && (u.near || !own):
 		order++
 	}
 	if u.trouble(now) > doubtfulTrouble || u.slowness(now) > doubtfulSlowness {
