All log lines that wait are written at a stop

Cause: at a stop the outlet gathered once, at most 64 KB; what waited beyond that was dropped without a count. Change: the outlet writes until no line waits. Conclusion: a defect, mended; the lines of a stop's last requests were those that were lost.

--- a/telemetry/outlet.go
+++ b/telemetry/outlet.go
@@ -89,8 +89,7 @@
 		case line := <-o.ordinary:
 			b.Write(line)
 		case <-o.stop:
-			o.gather(&b)
-			_, _ = o.out.Write(b.Bytes())
+			o.flush()
 			return
 		}
 		o.gather(&b)
@@ -103,6 +102,18 @@
 	}
 }
 
+// flush writes all lines that wait, in as many writes as they need.
+func (o *Outlet) flush() {
+	for {
+		var b bytes.Buffer
+		o.gather(&b)
+		if b.Len() == 0 {
+			return
+		}
+		_, _ = o.out.Write(b.Bytes())
+	}
+}
+
 // gather takes the lines that wait, up to a bound.
 func (o *Outlet) gather(b *bytes.Buffer) {
 	for b.Len() < maxWrite {
