Control traffic of hundreds of instances: news told together, renewals as ids

Each entry was told at a time of its own, so that the same news was encoded for each; each renewal of an upstream went to the leader whole; upstreams not recorded yet were proposed again every 300 ms while the command that records them was under way. Ruled out: replication (one learner at most gets the log). Change: all entries are told at the same time and share one encoding; the pause of a watch and the time between two tellings grow with the number of entries; followers pass renewals that say nothing new on as ids, every 400 ms; one command of at most 256 upstreams is under way at a time, 20 ms after the news.

--- a/control/announce.go
+++ b/control/announce.go
@@ -17,6 +17,13 @@
 	// leader gets some ten messages a second from each instance instead of
 	// hundreds in all.
 	forwardTime = 100 * time.Millisecond
+	// renewalForwardTime is the same for announcements that bring nothing new:
+	// short against the lifetime of an announcement.
+	renewalForwardTime = 400 * time.Millisecond
+	// forwardWholeEvery is how often an upstream's announcement is passed on
+	// whole though it brings nothing new: one that did may have been lost on its
+	// way to the leader.
+	forwardWholeEvery = 8
 	// maxGathered bounds the announcements that wait for a leader. Upstreams
 	// announce themselves again.
 	maxGathered = 4096
@@ -34,7 +41,8 @@
 		}
 	} else if !u.Draining {
 		m.answer <- answer{response: peer.Nothing{}}
-		return t.renewOne(now, m.request)
+		t.renewOne(now, m.request)
+		return nil
 	}
 	if !t.leads() {
 		m.answer <- answer{err: t.notLeader()}
@@ -57,39 +65,43 @@
 
 // renewOne takes an announcement that is acknowledged already. Who does not
 // lead passes it on.
-func (t *task) renewOne(now time.Time, r peer.AnnounceRequest) []replica.Effect {
+func (t *task) renewOne(now time.Time, r peer.AnnounceRequest) {
 	u := r.Upstream
 	u.Sequence = r.Sequence
 	news := t.take(now, u)
 	if t.leads() {
-		if news {
-			return t.enroll(now, []fleet.Upstream{u})
-		}
-		return nil
-	}
-	if len(t.gathered) == 0 {
-		t.gatherUntil = now.Add(forwardTime)
+		return
 	}
-	if len(t.gathered) < maxGathered {
+	due := now.Add(forwardTime)
+	if !news && t.recorded(u) && u.Sequence%forwardWholeEvery != 0 {
+		t.heard = append(t.heard, u.ID)
+		due = now.Add(renewalForwardTime)
+	} else if len(t.gathered) < maxGathered {
 		t.gathered = append(t.gathered, r)
 	}
-	return nil
+	if t.gatherUntil.IsZero() || due.Before(t.gatherUntil) {
+		t.gatherUntil = due
+	}
+}
+
+// recorded reports whether the log has an incarnation, so that the leader
+// knows it, too.
+func (t *task) recorded(u fleet.Upstream) bool {
+	known, ok := t.state.Catalog.Upstreams[u.ID]
+	return ok && known.BornMS == u.BornMS
 }
 
 // renew takes the announcements that another instance gathered.
-func (t *task) renew(now time.Time, m renewMail) []replica.Effect {
+func (t *task) renew(now time.Time, m renewMail) {
 	if !t.leads() {
-		return nil
+		return
 	}
-	var news []fleet.Upstream
-	for _, r := range m.announcements {
+	for _, r := range m.request.Announcements {
 		u := r.Upstream
 		u.Sequence = r.Sequence
-		if t.take(now, u) {
-			news = append(news, u)
-		}
+		t.take(now, u)
 	}
-	return t.enroll(now, news)
+	t.fleet.Renew(now, m.request.Heard)
 }
 
 // forward sends the leader what was gathered for it.
@@ -99,38 +111,45 @@
 	}
 	leader := replica.InstanceOf(t.replica.Leader)
 	if leader == "" {
+		t.heard = nil
 		t.gatherUntil = now.Add(forwardTime)
 		return
 	}
 	if !t.leads() {
-		t.pool.Notify(PeerAddress(leader, t.settings.PeerPort), peer.RenewRequest{Announcements: t.gathered})
+		t.pool.Notify(PeerAddress(leader, t.settings.PeerPort), peer.RenewRequest{Announcements: t.gathered, Heard: t.heard})
 	}
-	t.gathered = nil
+	t.gathered, t.heard = nil, nil
 	t.gatherUntil = time.Time{}
 }
 
 // enroll records incarnations. Nobody waits for it: until it is committed,
 // only the leader knows the upstreams.
 func (t *task) enroll(now time.Time, list []fleet.Upstream) []replica.Effect {
-	if len(list) == 0 {
-		return nil
-	}
 	data, err := encode(record.Enroll{Upstreams: list})
 	if err != nil {
 		t.log.WithError(err).WithField("upstreams", len(list)).Error("upstreams not recorded")
 		return nil
 	}
-	return t.propose(now, data, proposal{})
+	t.enrolling = true
+	return t.propose(now, data, proposal{enrolls: true})
+}
+
+// recordSoon has upstreams that are new recorded together with others.
+func (t *task) recordSoon(now time.Time) {
+	if due := now.Add(recordTime); due.Before(t.recordAt) {
+		t.recordAt = due
+	}
 }
 
-// take enters an announcement, logs what it changed, and reports whether the
-// incarnation or what is known of it is new.
+// take enters an announcement, logs what it changed, and reports whether it
+// changed anything.
 func (t *task) take(now time.Time, u fleet.Upstream) bool {
 	change := ""
 	reason := ""
 	switch c := t.fleet.Announce(now, u).(type) {
 	case fleet.Joined:
 		change = "joined"
+		t.recordSoon(now)
 	case fleet.Updated:
 		change = "updated"
 	case fleet.Stale:
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -214,11 +214,13 @@
 }
 
 // watch follows the leader's view as an entry does, and prints what it tells.
-// With expect it goes on until a line begins so.
+// With expect it goes on until the text begins so, and with holds until it
+// contains that: what upstreams announce reaches the leader some time later.
 func (b *bench) watch(c script.Case, name string) string {
 	request := b.stamps[c.Args["entry"]]
 	request.Entry = c.Args["entry"]
 	deadline := time.Now().Add(callTime)
+	full := false
 	for {
 		ctx, cancel := context.WithTimeout(context.Background(), callTime)
 		response, err := b.instances[name].control.Call(ctx, request)
@@ -235,10 +237,12 @@
 		}
 		request.Epoch, request.Revision, request.Index, request.Count = v.Epoch, v.Revision, v.Index, v.Count
 		b.stamps[c.Args["entry"]] = request
+		view.Full = view.Full || full
 		text := viewText(v, view)
-		if strings.HasPrefix(text, c.Args["expect"]) || time.Now().After(deadline) {
+		if strings.HasPrefix(text, c.Args["expect"]) && strings.Contains(text, c.Args["holds"]) || time.Now().After(deadline) {
 			return text
 		}
+		full = view.Full
 	}
 }
 
--- a/control/mail.go
+++ b/control/mail.go
@@ -28,7 +28,7 @@
 	answer  chan<- answer
 }
 
-type renewMail struct{ announcements []peer.AnnounceRequest }
+type renewMail struct{ request peer.RenewRequest }
 
 type watchMail struct {
 	request peer.WatchRequest
@@ -113,7 +113,7 @@
 	case peer.AnnounceRequest:
 		return announceMail{r, reply}, nil
 	case peer.RenewRequest:
-		return renewMail{r.Announcements}, nil
+		return renewMail{r}, nil
 	case peer.WatchRequest:
 		return watchMail{r, reply}, nil
 	case peer.IdentifyRequest:
--- a/control/members.go
+++ b/control/members.go
@@ -39,9 +39,6 @@
 	if err := t.withdraw(now); err != nil {
 		return err
 	}
-	if err := t.recordMissing(now); err != nil {
-		return err
-	}
 	t.metrics.GetOrCreateCounter("oriolepost_replica_commit_index").Set(t.replica.Commit)
 	t.offer(now)
 	return t.replaceVoters(now)
@@ -66,19 +63,33 @@
 	return t.perform(t.propose(now, data, proposal{}))
 }
 
-// recordMissing records the upstreams that this leader heard of before it led.
+// recordTime is how long upstreams that are new are gathered before they are
+// recorded: some syncs of a disk, so that many share one.
+const recordTime = 20 * time.Millisecond
+
+// maxEnrolled bounds the incarnations that one command records. Commands that
+// long keep a sync and a message between replicas within a few milliseconds.
+const maxEnrolled = 256
+
+// recordMissing records the upstreams that this leader heard of. One command is
+// under way at a time: until it is applied, what it records would still count as
+// missing.
 func (t *task) recordMissing(now time.Time) error {
-	if !t.leads() {
+	if !t.leads() || t.enrolling || now.Before(t.recordAt) {
 		return nil
 	}
+	t.recordAt = now.Add(houseEvery)
 	var missing []fleet.Upstream
 	for id, m := range t.fleet.Members {
 		if known, ok := t.state.Catalog.Upstreams[id]; !ok || known.BornMS < m.BornMS {
 			missing = append(missing, m.Upstream)
 		}
 	}
+	if len(missing) == 0 {
+		return nil
+	}
 	slices.SortFunc(missing, func(a, b fleet.Upstream) int { return cmp.Compare(a.ID, b.ID) })
-	return t.perform(t.enroll(now, missing))
+	return t.perform(t.enroll(now, missing[:min(maxEnrolled, len(missing))]))
 }
 
 // replaceVoters takes the next step towards the voters that should be.
--- a/control/task.go
+++ b/control/task.go
@@ -66,8 +66,16 @@
 	role      replica.RoleChanged
 
 	watchers map[string]*watcher
-	// gathered are announcements for the leader, sent at gatherUntil.
+	// tellAt is when news may be told to the entries again.
+	tellAt time.Time
+	// recordAt is when upstreams are looked for that the log lacks, and enrolling
+	// is true while a command that records some is under way.
+	recordAt  time.Time
+	enrolling bool
+	// gathered are announcements for the leader, and heard the upstreams whose
+	// announcements brought nothing new; both are sent at gatherUntil.
 	gathered    []peer.AnnounceRequest
+	heard       []string
 	gatherUntil time.Time
 	// logBytes is the size of the commands applied since the last snapshot.
 	logBytes int
@@ -86,6 +94,8 @@
 	answer chan<- answer
 	// read is true when the answer is the configuration.
 	read bool
+	// enrolls is true for a command that records upstreams.
+	enrolls bool
 }
 
 func newTask(ctx context.Context, d settings.Deployment, o Options, f *disk.Folder, pool *peer.Pool, leader *peer.Leader, seeds []peer.Address) (*task, error) {
@@ -162,6 +172,9 @@
 		if err := t.keepHouse(now); err != nil {
 			return err
 		}
+		if err := t.recordMissing(now); err != nil {
+			return err
+		}
 		t.forward(now)
 		t.answerWatches(time.Now())
 		wake.Reset(max(time.Millisecond, time.Until(t.nextWake())))
@@ -174,7 +187,10 @@
 	if due := t.replica.NextWake(); due.Before(next) {
 		next = due
 	}
-	for _, due := range []time.Time{t.nextWatchDue(), t.gatherUntil} {
+	if t.leads() && !t.enrolling && t.recordAt.Before(next) {
+		next = t.recordAt
+	}
+	for _, due := range []time.Time{t.nextWatchDue(time.Now()), t.gatherUntil} {
 		if !due.IsZero() && due.Before(next) {
 			next = due
 		}
@@ -208,7 +224,7 @@
 	case announceMail:
 		return t.announce(now, m)
 	case renewMail:
-		return t.renew(now, m)
+		t.renew(now, m)
 	case watchMail:
 		t.watch(now, m)
 	case joinMail:
@@ -274,8 +290,8 @@
 	case replica.Appended:
 		t.proposals.Appended(e)
 	case replica.Refused:
-		if p, ok := t.proposals.Refused(e); ok && p.answer != nil {
-			p.answer <- answer{err: t.notLeader()}
+		if p, ok := t.proposals.Refused(e); ok {
+			t.conclude(p, t.notLeader(), nil)
 		}
 	case replica.RoleChanged:
 		t.roleChanged(e)
@@ -298,16 +314,24 @@
 		t.state.Applied = e.Index
 	}
 	if p, lost, ok := t.proposals.Applied(e); ok {
-		t.conclude(p, lost, result)
+		var err error
+		if lost {
+			err = t.lost()
+		}
+		t.conclude(p, err, result)
 	}
 	return t.compact(e.Index)
 }
 
-func (t *task) conclude(p proposal, lost bool, result record.Result) {
+// conclude answers whoever waits for a proposal.
+func (t *task) conclude(p proposal, err error, result record.Result) {
 	switch {
+	case p.enrolls:
+		t.enrolling = false
+		t.recordSoon(time.Now())
 	case p.answer == nil:
-	case lost:
-		p.answer <- answer{err: t.lost()}
+	case err != nil:
+		p.answer <- answer{err: err}
 	case p.read:
 		p.answer <- answer{response: peer.ReadResponse{Original: t.state.Catalog.Original}}
 	default:
@@ -389,9 +413,7 @@
 		return
 	}
 	for _, p := range t.proposals.Abandon() {
-		if p.answer != nil {
-			p.answer <- answer{err: t.lost()}
-		}
+		t.conclude(p, t.lost(), nil)
 	}
 	t.refuseWatches()
 }
--- a/control/watch.go
+++ b/control/watch.go
@@ -13,12 +13,19 @@
 const (
 	// watchPause is how long a watch without news waits for its answer. Two
 	// answers in a second show a lost leader in time for the 2 s in which a
-	// change must be in force.
-	watchPause = 450 * time.Millisecond
-	// gatherTime is how long changes are gathered between two answers to an
-	// entry: when hundreds of upstreams start, each is told in one of a few
-	// answers. It is short against the 2 s in which a change must be in force.
-	gatherTime = 120 * time.Millisecond
+	// change must be in force. With hundreds of entries it grows by
+	// watchPauseEach for each, up to longestWatchPause: below the 900 ms after
+	// which an entry gives a watch up.
+	watchPause        = 450 * time.Millisecond
+	watchPauseEach    = 2 * time.Millisecond
+	longestWatchPause = 650 * time.Millisecond
+	// gatherTime is how long changes are gathered before entries are told again,
+	// all at the same time, so that what they lack is the same and is encoded
+	// once. It grows by gatherTimeEach for each entry, up to longestGatherTime:
+	// short against the 2 s in which a change must be in force.
+	gatherTime        = 120 * time.Millisecond
+	gatherTimeEach    = 1500 * time.Microsecond
+	longestGatherTime = 400 * time.Millisecond
 	// entryLifetime is how long an entry counts after its last watch.
 	entryLifetime = 2 * time.Second
 	// settleTime is how long a new leader listens before its fleet counts as
@@ -31,9 +38,8 @@
 	seen time.Time
 	// waiting is the watch that is not answered yet; nil when there is none.
 	waiting *watchMail
-	// due is when it is answered at the latest, earliest when at the earliest.
-	due      time.Time
-	earliest time.Time
+	// due is when it is answered at the latest.
+	due time.Time
 }
 
 // watch keeps a watch until there is news for it.
@@ -52,52 +58,69 @@
 	}
 	w.seen = now
 	w.waiting = &m
-	w.due = now.Add(watchPause)
+	w.due = now.Add(clamp(time.Duration(len(t.watchers))*watchPauseEach, watchPause, longestWatchPause))
 }
 
+func clamp(d, least, most time.Duration) time.Duration { return min(max(d, least), most) }
+
 // nextWatchDue is when the next watch must be answered; the zero time means
 // that none can be, since a quorum has to answer first.
-func (t *task) nextWatchDue() time.Time {
+func (t *task) nextWatchDue(now time.Time) time.Time {
 	var next time.Time
-	if t.replica.LeaseEnd(time.Now()).IsZero() {
+	if t.replica.LeaseEnd(now).IsZero() {
 		return next
 	}
 	for _, w := range t.watchers {
 		if w.waiting == nil {
 			continue
 		}
-		due := w.due
-		if t.changed(time.Now(), w.waiting.request) {
-			due = w.earliest
-		}
-		if next.IsZero() || due.Before(next) {
+		if due := t.dueAt(now, w); next.IsZero() || due.Before(next) {
 			next = due
 		}
 	}
 	return next
 }
 
+// dueAt is when a watch is answered. An entry that follows another leader, or
+// none, has nothing to go by and is told at once.
+func (t *task) dueAt(now time.Time, w *watcher) time.Time {
+	switch {
+	case !t.changed(now, w.waiting.request):
+		return w.due
+	case w.waiting.request.Epoch != t.replica.Term || t.tellAt.Before(w.seen):
+		return w.seen
+	}
+	return t.tellAt
+}
+
 // answerWatches answers the watches for which there is news, or which waited
 // long enough. Before it has committed an entry of its own term a leader may
 // not know what was acknowledged, so it tells nothing.
 func (t *task) answerWatches(now time.Time) {
-	if !t.leads() || len(t.watchers) == 0 || t.replica.LeaseEnd(now).IsZero() {
+	if !t.leads() || len(t.watchers) == 0 {
+		return
+	}
+	if due := t.nextWatchDue(now); due.IsZero() || now.Before(due) {
 		return
 	}
 	names := t.liveEntries(now)
 	encoded := map[peer.WatchRequest][]byte{}
+	told := false
 	for i, name := range names {
 		w := t.watchers[name]
-		if w.waiting == nil || now.Before(w.earliest) || now.Before(w.due) && !t.news(now, w.waiting.request, len(names)) {
+		if w.waiting == nil || now.Before(t.dueAt(now, w)) {
 			continue
 		}
+		told = told || w.waiting.request.Epoch == t.replica.Term && t.changed(now, w.waiting.request)
 		w.waiting.answer <- answer{response: peer.WatchResponse{
 			Epoch: t.replica.Term, Revision: t.revision(), Index: i, Count: len(names),
 			View: t.encodedView(now, w.waiting.request, encoded),
 		}}
 		w.waiting = nil
 		w.seen = now
-		w.earliest = now.Add(gatherTime)
+	}
+	if told {
+		t.tellAt = now.Add(clamp(time.Duration(len(names))*gatherTimeEach, gatherTime, longestGatherTime))
 	}
 }
 
@@ -121,10 +144,6 @@
 // revision counts the changes of everything that entries follow.
 func (t *task) revision() uint64 { return t.fleet.Revision + t.committed }
 
-func (t *task) news(now time.Time, r peer.WatchRequest, count int) bool {
-	return t.changed(now, r) || r.Count != count
-}
-
 // changed reports whether an entry's view is not the newest.
 func (t *task) changed(now time.Time, r peer.WatchRequest) bool {
 	return r.Epoch != t.replica.Term || r.Revision != t.revision() || r.Settled != t.settled(now)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -265,6 +265,15 @@
 	t.put(&Member{Upstream: u, Heard: now, ColdUntil: now})
 }
 
+// Renew counts upstreams as just heard of.
+func (t *Table) Renew(now time.Time, ids []string) {
+	for _, id := range ids {
+		if m := t.Members[id]; m != nil {
+			m.Heard = now
+		}
+	}
+}
+
 // Refresh counts all upstreams as just heard of. A new leader does so, since
 // it can't know what its predecessor heard.
 func (t *Table) Refresh(now time.Time) {
--- a/peer/message.go
+++ b/peer/message.go
@@ -97,7 +97,9 @@
 // RenewRequest brings the leader the announcements that another control
 // instance has gathered. It has no response; what is lost comes again.
 type RenewRequest struct {
-	Announcements []AnnounceRequest `json:"announcements"`
+	Announcements []AnnounceRequest `json:"announcements,omitempty"`
+	// Heard are the ids of upstreams that said nothing new.
+	Heard []string `json:"heard,omitempty"`
 }
 
 // ReadRequest asks the leader for the newest configuration.
