Upstreams get work up to the knee of their curve; late requests wait for idle ones

Answers of one route took 300 ms with up to four busy, 436 with five, 527 with six, so four slots bring as many answers as six, in time. Requests whose answer could only be late took places from others, and came back at once when refused. Change: an upstream counts as full from two thirds of its slots; a request that is late, or would be at the cheapest place when its wait is over, gets only a place where half of that is idle, and is refused otherwise; who can't be on time any more is asked to come back later, up to 2 s, in the window that callers honor. The replay's machines slow down as measured, and an entry takes 2 ms to send.

--- a/placement/cost.go
+++ b/placement/cost.go
@@ -16,6 +16,9 @@
 	// and 404 ms with four, five and six of six slots busy.
 	nearlyFull     = 0.67
 	nearlyFullCost = 0.9
+	// lateShare is the share of busy slots up to which requests whose answer is
+	// late in any case get a place: half of what an upstream does well.
+	lateShare = 0.34
 	// domainCost is what another failure domain adds: a few milliseconds for
 	// the way, and the price of the bytes between failure domains, a tenth of
 	// what a request is worth.
@@ -83,19 +86,23 @@
 	return c
 }
 
-// full reports whether an upstream has as much work as it does well. Nearly
-// full machines slow down, so that the last slots bring less than they cost.
+// full reports whether an upstream has as much work as it does well: one more
+// request would slow it down, and the last slots bring no more answers than the
+// others alone, only later ones.
 func (u *Upstream) full() bool {
 	if !u.Load.Known {
 		return len(u.InFlight) >= max(1, u.Info.Slots)
 	}
-	comfortable := max(1, u.Load.Slots)
-	return u.Load.Running+u.Load.Waiting+u.Since >= comfortable
+	return u.busy() >= max(1, int(nearlyFull*float64(u.Load.Slots)))
 }
 
-// nearlyFull reports whether one more request would slow an upstream down.
-func (u *Upstream) nearlyFull() bool {
-	return u.Load.Known && float64(u.Load.Running+u.Load.Waiting+u.Since+1) > nearlyFull*float64(u.Load.Slots)
+// busy is how many requests an upstream has, as far as this entry knows.
+func (u *Upstream) busy() int { return u.Load.Running + u.Load.Waiting + u.Since }
+
+// halfIdle reports whether an upstream has room for requests that are late
+// already without taking it from others.
+func (u *Upstream) halfIdle() bool {
+	return u.Load.Known && float64(u.busy()+1) <= lateShare*float64(u.Load.Slots)
 }
 
 // open reports whether an upstream may get requests at all.
--- a/placement/place.go
+++ b/placement/place.go
@@ -147,7 +147,7 @@
 			continue
 		}
 		u, cost := s.best(now, p)
-		if u == nil || cost > r.acceptable(p) || s.late(now, p, cost) || p.late && !s.spare(now, u, p) {
+		if u == nil || cost > r.acceptable(p) || s.late(now, p, cost) || p.late && !u.halfIdle() {
 			continue
 		}
 		s.start(now, p, u)
@@ -162,21 +162,14 @@
 	return cost*usual > spare && spare > usual && now.Before(p.giveUpAt)
 }
 
-// spare reports whether a place is of no use to requests that can be on time:
-// because there are others, or because they would be late there too.
-func (s *State) spare(now time.Time, u *Upstream, p *pending) bool {
-	if !u.nearlyFull() {
-		return true
-	}
-	return s.cost(now, u)*float64(s.usualTime(p.request)) > float64(p.request.objective())
-}
-
 // giveUp ends the wait of a request: it takes what place there is, be it a
 // late one, and is refused when there is none.
 func (s *State) giveUp(now time.Time, p *pending) {
 	u, cost := s.best(now, p)
-	hopeless := now.Add(time.Duration(cost * float64(s.usualTime(p.request)) * hopeShare)).After(p.request.Deadline)
-	if u == nil || hopeless || len(p.attempts) > 0 || p.late && !s.spare(now, u, p) {
+	expected := time.Duration(cost * float64(s.usualTime(p.request)))
+	hopeless := now.Add(time.Duration(hopeShare * float64(expected))).After(p.request.Deadline)
+	late := p.late || now.Add(expected).After(p.request.dueAt())
+	if u == nil || hopeless || len(p.attempts) > 0 || late && !u.halfIdle() {
 		s.refuse(now, p, NotRun{Reason: ReasonOverload})
 		return
 	}
--- a/placement/repeat.go
+++ b/placement/repeat.go
@@ -32,10 +32,10 @@
 	// shortestRetryAfter and longestRetryAfter bound when callers are asked
 	// to come back, in a spread that keeps them from coming together.
 	shortestRetryAfter = 60 * time.Millisecond
-	longestRetryAfter  = 400 * time.Millisecond
+	longestRetryAfter  = 2 * time.Second
 	// leftShare is the share of the time left after which callers still come
 	// back: they don't honor more than a third.
-	leftShare = 0.25
+	leftShare = 0.32
 	// noAttempts serves routes that don't bound their attempts.
 	noAttempts = 2
 	// mostAttempts bounds the attempts that reached no upstream as well.
@@ -264,13 +264,26 @@
 	})
 }
 
-// retryAfter is when a caller that is refused should come back: soon enough
-// that it still can, and spread so that callers don't come together.
+// retryAfter is when a caller that is refused should come back: while its
+// answer can still be on time, or else when the load may have passed. It is
+// spread so that callers don't come together.
 func (s *State) retryAfter(now time.Time, r Request) time.Duration {
-	left := time.Duration(leftShare * float64(r.Deadline.Sub(now)))
-	longest := min(longestRetryAfter, left)
+	longest := min(longestRetryAfter, time.Duration(leftShare*float64(r.Deadline.Sub(now))))
+	if onTime := r.dueAt().Sub(now) - s.usualTime(r); onTime > shortestRetryAfter {
+		longest = min(longest, onTime)
+	} else {
+		return longest/2 + s.upTo(longest/2)
+	}
 	if longest <= shortestRetryAfter {
 		return max(0, longest)
 	}
-	return shortestRetryAfter + time.Duration(s.random.Int64N(int64(longest-shortestRetryAfter)))
+	return shortestRetryAfter + s.upTo(longest-shortestRetryAfter)
+}
+
+// upTo draws a time below a limit.
+func (s *State) upTo(limit time.Duration) time.Duration {
+	if limit <= 0 {
+		return 0
+	}
+	return time.Duration(s.random.Int64N(int64(limit)))
 }
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -30,6 +30,10 @@
 
 const replayStep = time.Millisecond
 
+// turnTime is how long an entry takes from a load to the request that it sends
+// on it, a new connection included.
+const turnTime = 2 * time.Millisecond
+
 // class is a kind of request.
 type class struct {
 	name      string
@@ -279,7 +283,11 @@
 		earned += k.worth * (float64(t.inTime) + 0.1*float64(t.late))
 		owed += k.worth * float64(t.asked)
 	}
-	fmt.Fprintf(&b, "worth=%.3f probes=%d attempts=%d\n", earned/math.Max(1, owed), r.probes, r.attempts)
+	worth := earned / math.Max(1, owed)
+	fmt.Fprintf(&b, "worth=%.3f probes=%d attempts=%d\n", worth, r.probes, r.attempts)
+	if target, ok := c.Args["target"]; ok {
+		fmt.Fprintf(&b, "target met: %v\n", worth >= number(target))
+	}
 	return strings.TrimSpace(b.String())
 }
 
@@ -390,7 +398,7 @@
 		r.jobs = map[placement.AttemptID]*job{}
 	}
 	r.jobs[attemptKey(entry, e.Attempt)] = j
-	r.post(r.way(entry, m), func() {
+	r.post(turnTime+r.way(entry, m), func() {
 		switch {
 		case m.down || j.gone:
 		case len(m.running) < m.slots:
@@ -436,12 +444,22 @@
 	m.running = kept
 }
 
+// crowding is how many times longer work takes on a machine with so many
+// slots busy: 300, 436 and 527 ms were the medians with four, five and six.
+func crowding(busy, slots int) float64 {
+	switch free := slots - busy; {
+	case free <= 0:
+		return 1.75
+	case free == 1:
+		return 1.45
+	}
+	return 1
+}
+
 // begin starts a job.
 func (m *machine) begin(j *job) {
 	m.running = append(m.running, j)
-	share := float64(len(m.running)) / float64(m.slots)
-	factor := m.pace * m.slow * (1 + 0.7*math.Max(0, share-0.8)/0.2)
-	j.left = time.Duration(float64(j.left) * factor)
+	j.left = time.Duration(float64(j.left) * m.pace * m.slow * crowding(len(m.running), m.slots))
 }
 
 func keepJobs(list []*job) []*job {
