Callers refused beside room are asked back within 150 ms

The callers' own tries are free of the budget, but were asked back over all the time in which they could be on time, and came too late for it. Ruled out: a larger share of the budget by entry (nine tenths are used). Change: when upstreams refused, or only the budget stands in the way, the time to come back is 60 to 150 ms.

--- a/placement/repeat.go
+++ b/placement/repeat.go
@@ -33,6 +33,9 @@
 	// to come back, in a spread that keeps them from coming together.
 	shortestRetryAfter = 60 * time.Millisecond
 	longestRetryAfter  = 2 * time.Second
+	// soonRetryAfter is the longest for callers whose request upstreams refused
+	// though they have room: the next try is as good as a later one.
+	soonRetryAfter = 150 * time.Millisecond
 	// leftShare is the share of the time left after which callers still come
 	// back: they don't honor more than a third.
 	leftShare = 0.32
@@ -252,7 +255,7 @@
 // finish gives the caller the outcome and cancels what is still under way.
 func (s *State) finish(now time.Time, p *pending, answer AttemptID) {
 	if o, ok := p.outcome.(NotRun); ok {
-		o.RetryAfter = s.retryAfter(now, p.request)
+		o.RetryAfter = s.retryAfter(now, p.request, o.Reason)
 		p.outcome = o
 	}
 	s.stopPlacing(p)
@@ -267,8 +270,11 @@
 // retryAfter is when a caller that is refused should come back: while its
 // answer can still be on time, or else when the load may have passed. It is
 // spread so that callers don't come together.
-func (s *State) retryAfter(now time.Time, r Request) time.Duration {
+func (s *State) retryAfter(now time.Time, r Request, reason Reason) time.Duration {
 	longest := min(longestRetryAfter, time.Duration(leftShare*float64(r.Deadline.Sub(now))))
+	if reason == ReasonShed || reason == ReasonBudget {
+		longest = min(longest, soonRetryAfter)
+	}
 	if onTime := r.dueAt().Sub(now) - s.usualTime(r); onTime > shortestRetryAfter {
 		longest = min(longest, onTime)
 	} else {
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -60,6 +60,8 @@
 	changes time.Time
 	random  *rand.Rand
 	down    bool
+	// refuses is the share of requests that the machine refuses whatever its load.
+	refuses float64
 	running []*job
 	waiting []*job
 }
@@ -148,6 +150,11 @@
 		return ""
 	case "down", "up", "slow":
 		return r.change(c)
+	case "refuse":
+		for _, m := range r.order {
+			m.refuses = number(c.Args["share"])
+		}
+		return ""
 	case "rate":
 		for _, k := range r.classes {
 			k.rate *= number(c.Args["times"])
@@ -401,6 +408,8 @@
 	r.post(turnTime+r.way(entry, m), func() {
 		switch {
 		case m.down || j.gone:
+		case m.random.Float64() < m.refuses:
+			r.end(m, j, placement.NotRun{Reason: placement.ReasonShed, Sent: true})
 		case len(m.running) < m.slots:
 			m.begin(j)
 		case len(m.waiting) < m.queue:
