--- a/placement/placement.go
+++ b/placement/placement.go
@@ -58,8 +58,9 @@
 // Upstream is what the entry knows of an upstream.
 type Upstream struct {
 	Info fleet.Upstream
-	// near is true for the upstreams that this entry asks first.
-	near      bool
+	// ring is how far the upstream is in the order of this entry, among those of
+	// its failure domain or among the others: each ring holds ringSize.
+	ring      int
 	ColdUntil time.Time
 	// Load is the newest report, taken at LoadAt; Since counts the attempts
 	// that this entry started after it.
@@ -264,30 +265,32 @@
 	}
 	for _, list := range s.byService {
 		slices.SortFunc(list, func(a, b *Upstream) int { return cmp.Compare(a.Info.ID, b.Info.ID) })
-		s.chooseNear(list)
+		s.chooseRings(list)
 	}
 }
 
-// nearCount is how many upstreams of a service, in the own failure domain, an
-// entry asks first. Asked that often, their connections stay in use; with
+// ringSize is how many upstreams of a service an entry asks before others of
+// the same failure domain. Asked that often, their connections stay in use; with
 // hundreds of upstreams each probe would need a new connection otherwise.
-const nearCount = 12
+const ringSize = 12
 
-// chooseNear picks the upstreams that this entry asks first, by a hash that
-// gives each entry others.
-func (s *State) chooseNear(list []*Upstream) {
-	var own []*Upstream
+// chooseRings orders the upstreams by a hash that gives each entry another order.
+func (s *State) chooseRings(list []*Upstream) {
+	var own, others []*Upstream
 	for _, u := range list {
-		u.near = false
 		if u.Info.Domain == s.Config.Domain {
 			own = append(own, u)
+		} else {
+			others = append(others, u)
 		}
 	}
-	slices.SortFunc(own, func(a, b *Upstream) int {
-		return cmp.Or(cmp.Compare(s.distance(a), s.distance(b)), cmp.Compare(a.Info.ID, b.Info.ID))
-	})
-	for _, u := range own[:min(nearCount, len(own))] {
-		u.near = true
+	for _, part := range [][]*Upstream{own, others} {
+		slices.SortFunc(part, func(a, b *Upstream) int {
+			return cmp.Or(cmp.Compare(s.distance(a), s.distance(b)), cmp.Compare(a.Info.ID, b.Info.ID))
+		})
+		for i, u := range part {
+			u.ring = i / ringSize
+		}
 	}
 }
 
--- a/placement/scout.go
+++ b/placement/scout.go
@@ -131,20 +131,21 @@
 	return len(r.pending)
 }
 
-// askOrder puts upstreams into the order in which they are asked: near ones in
-// the first round, others of the own failure domain in the next, those of other
-// failure domains in the last, so that each sweep looks beyond the own one
-// however many upstreams there are. Doubtful ones are last.
+// askOrder puts upstreams into the order in which they are asked: the first
+// ring of the own failure domain in the first round, the next one in the second,
+// the first ring of the others in the last, so that each sweep looks beyond the
+// own one however many upstreams there are. Doubtful ones are last.
 func (s *State) askOrder(now time.Time, u *Upstream, round int) int {
 	order := 0
 	if now.Before(u.ColdUntil) || !u.Probing.IsZero() {
 		order += 8
 	}
 	own := u.Info.Domain == s.Config.Domain
+	last := round+1 >= sweepRounds
 	switch {
-	case round+1 >= sweepRounds && own, round == 0 && !own:
+	case own == last:
 		order += 2
-	case round == 0 && !u.near, round == 1 && (u.near || !own):
+	case !last && u.ring != round, last && u.ring > 0:
 		order++
 	}
 	if u.trouble(now) > doubtfulTrouble || u.slowness(now) > doubtfulSlowness {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -32,8 +32,9 @@
 	// defaultIdle is how long an unused connection is kept when the upstream
 	// does not tell its own limit.
 	defaultIdle = 6 * time.Second
-	// idleShare is the share of the upstream's limit that is used.
-	idleShare = 0.6
+	// idleShare is the share of the upstream's limit that is used. The rest is
+	// for the way: a second and a half of the usual ten.
+	idleShare = 0.85
 	// readBuffer is the size of a connection's buffer in bytes.
 	readBuffer = 2048
 )
