Settings that change are taken, with and without a signal

Cause: an instance read its settings again on SIGHUP only, and took the new seeds at its next start; the platform changes the file without a word, too. Ruled out: watching the file by the kernel, which the platform refuses. Change: the file's time is looked at every 5 s; the entry and the control instance search the leader among the new seeds and the instances of the last view. Test: gateway/testdata/seeds.txt: an entry whose seeds are gone becomes ready once it has others (nothing took them before).

--- a/control/control.go
+++ b/control/control.go
@@ -134,6 +134,16 @@
 	return c.leader.Call(ctx, r)
 }
 
+// Reseed takes the seeds of changed settings, for finding the leader.
+func (c *Control) Reseed(d settings.Deployment) error {
+	seeds, err := Seeds(d)
+	if err != nil {
+		return fmt.Errorf("take new seeds: %w", err)
+	}
+	c.leader.Learn(seeds)
+	return nil
+}
+
 // HandOver lets another instance lead before this one stops.
 func (c *Control) HandOver(ctx context.Context) {
 	for {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,6 +67,7 @@
 	touched  atomic.Int64
 	origin   time.Time
 	stopping atomic.Bool
+	reseed   chan<- []peer.Address
 }
 
 // Start starts an entry.
@@ -87,7 +88,10 @@
 	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
 	go g.task.run()
 	pool := peer.NewPool(ctx, peer.Options{Metrics: o.Metrics, Dial: o.Dial})
-	w := &watchTask{gateway: g, ctx: ctx, leader: control.NewLeader(pool, seeds, d.PeerPort), seeds: seeds}
+	w := &watchTask{
+		gateway: g, ctx: ctx, leader: control.NewLeader(pool, seeds, d.PeerPort), seeds: seeds, reseed: make(chan []peer.Address, 1),
+	}
+	g.reseed = w.reseed
 	go w.run()
 	g.callers, err = ingress.Listen(ingress.Options{
 		Address: d.Caller, Names: o.Names, Metrics: o.Metrics, Table: g.table.Load,
@@ -96,6 +100,21 @@
 	return g, err
 }
 
+// Reseed takes the seeds of changed settings. They are looked at when the
+// leader is looked for the next time.
+func (g *Gateway) Reseed(d settings.Deployment) (err error) {
+	seeds, err := control.Seeds(d)
+	if err != nil {
+		return fmt.Errorf("take new seeds: %w", err)
+	}
+	select {
+	case g.reseed <- seeds:
+	default:
+		return errors.New("take new seeds: others are being taken")
+	}
+	return nil
+}
+
 // Ready reports whether the balancer should send new connections here.
 func (g *Gateway) Ready() bool {
 	return !g.stopping.Load() && g.table.Load() != nil && g.touchAge() < touchTimeout
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -100,6 +100,9 @@
 		return b.start(c)
 	case "stop":
 		return b.stop(c)
+	case "reseed":
+		gomega.Expect(b.entry.Reseed(settings.Deployment{PeerPort: b.port, Seeds: c.List("seeds")})).To(gomega.Succeed())
+		return ""
 	case "configure":
 		return b.order(record.PutConfiguration{Configuration: configuration(uint64(c.Int("version", 1))), Original: []byte("x")})
 	case "upstream":
@@ -144,6 +147,9 @@
 		DataFolder: filepath.Join(b.folder, "data"), FirstStart: true, Caller: b.caller,
 		Bounds: settings.Bounds{Grace: 3 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 60, ColdFactor: 1.5, ColdSlack: 5},
 	}
+	if seeds := c.List("seeds"); len(seeds) > 0 {
+		d.Seeds = seeds
+	}
 	var err error
 	if c.Args["role"] == "control" {
 		b.control, err = control.Start(ctx, d, control.Options{Log: quiet, Metrics: metrics.NewSet()})
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -22,6 +22,10 @@
 	ctx     context.Context
 	leader  *peer.Leader
 	seeds   []peer.Address
+	// control are the instances that the newest whole view named, and reseed
+	// brings the seeds of changed settings.
+	control []string
+	reseed  chan []peer.Address
 	// view is what the task knows, as the next watch tells it.
 	view    peer.WatchRequest
 	inTouch bool
@@ -33,6 +37,11 @@
 func (w *watchTask) run() {
 	w.view.Entry = w.gateway.settings.Instance
 	for w.ctx.Err() == nil {
+		select {
+		case w.seeds = <-w.reseed:
+			w.learn()
+		default:
+		}
 		v, err := w.watch()
 		if err != nil {
 			w.lost(err)
@@ -98,7 +107,8 @@
 // follow notes which view the entry has from now on.
 func (w *watchTask) follow(r peer.WatchResponse, v peer.View) {
 	if r.Epoch != w.view.Epoch {
-		w.learn(v.Control)
+		w.control = v.Control
+		w.learn()
 	}
 	if v.Configuration != nil {
 		w.view.Version = max(w.view.Version, v.Configuration.Version)
@@ -109,9 +119,9 @@
 
 // learn remembers the control instances, so that they are found when the
 // seeds of the settings are gone.
-func (w *watchTask) learn(instances []string) {
+func (w *watchTask) learn() {
 	list := append([]peer.Address(nil), w.seeds...)
-	for _, ip := range instances {
+	for _, ip := range w.control {
 		list = append(list, peer.Address{Instance: ip, Address: control.PeerAddress(ip, w.gateway.settings.PeerPort)})
 	}
 	w.leader.Learn(list)
--- a/terminal/serve.go
+++ b/terminal/serve.go
@@ -34,8 +34,8 @@
 
 Runs one instance with the settings file that the platform names. What the
 instance serves follows from the addresses in the settings: callers, or
-operators and upstreams. SIGTERM stops it gracefully; SIGHUP reads the settings
-file again and reports what changed.
+operators and upstreams. SIGTERM stops it gracefully. On SIGHUP, and when the
+settings file has changed, it takes the seeds of the file.
 
 Example:
   oriolepost serve
@@ -160,6 +160,9 @@
 	if s.control != nil {
 		failed = s.control.Done
 	}
+	changes := time.NewTicker(settingsPause)
+	defer changes.Stop()
+	read := platform.SettingsChanged()
 	for {
 		select {
 		case <-ctx.Done():
@@ -167,20 +170,38 @@
 		case err := <-failed:
 			return fmt.Errorf("control instance failed: %w", err)
 		case <-reload:
-			s.reload()
+			read = platform.SettingsChanged()
+			s.reload("signal")
+		case <-changes.C:
+			if at := platform.SettingsChanged(); !at.Equal(read) {
+				read = at
+				s.reload("file")
+			}
 		}
 	}
 }
 
-// reload reads the settings file again. Addresses and identity hold for the
-// life of a process, so the line only says whether the file can be used.
-func (s *serveWork) reload() {
+// settingsPause is the pause between two looks at whether the settings file has
+// changed without a signal. Nothing waits for it: seeds matter only when all
+// control instances that an instance knows are gone.
+const settingsPause = 5 * time.Second
+
+// reload reads the settings file again and takes its seeds. Addresses and
+// identity hold for the life of a process.
+func (s *serveWork) reload(cause string) {
 	d, err := platform.LoadSettings()
+	if err == nil && s.gateway != nil {
+		err = s.gateway.Reseed(d)
+	}
+	if err == nil && s.control != nil {
+		err = s.control.Reseed(d)
+	}
 	if err != nil {
-		s.log.WithError(err).Warn("settings not reloaded")
+		s.log.WithError(err).WithField("cause", cause).Warn("settings not reloaded")
 		return
 	}
-	s.log.WithFields(log.Fields{"change": "settings", "seeds": d.Seeds, "same_seeds": fmt.Sprint(d.Seeds) == fmt.Sprint(s.settings.Seeds)}).Info("settings reloaded")
+	s.log.WithFields(log.Fields{"change": "settings", "cause": cause, "seeds": d.Seeds, "from": s.settings.Seeds}).Info("settings reloaded")
+	s.settings.Seeds = d.Seeds
 }
 
 // stop ends the instance gracefully.
