Late requests get idle upstreams that don't tell their load, too; names of the views

Cause: read as a newcomer: a late request needs a half-idle upstream, and one that does not tell its load never counted as such, so that services without loads refused every late request. 'told' and 'tell' said too little. Change: without a load, an upstream to which this entry has sent nothing is idle enough. encodedView, viewFor, wholeViewFor; errors annotated in one place. Ruled out: taking such upstreams for full, as before.

--- a/control/task.go
+++ b/control/task.go
@@ -71,7 +71,7 @@
 	heldUntil time.Time
 	// wholeViews are the newest encoded views of everything, with and without
 	// the configuration: the key says whether it is known already.
-	wholeViews map[bool]told
+	wholeViews map[bool]encodedView
 	// tellAt is when news may be told to the entries again.
 	tellAt time.Time
 	// recordAt is when upstreams are looked for that the log lacks, and enrolling
@@ -111,7 +111,7 @@
 		mailbox:    make(chan mail, mailboxSize),
 		random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		proposals:  quorum.NewProposals[proposal](),
-		wholeViews: map[bool]told{}, watchers: map[string]*watcher{}, standbys: map[string]replica.Identity{},
+		wholeViews: map[bool]encodedView{}, watchers: map[string]*watcher{}, standbys: map[string]replica.Identity{},
 	}
 	t.plan = replica.Plan{Target: d.Voters(), After: replaceAfter, Domains: map[string]string{}}
 	if err := t.restore(f.Saved.Snapshot); err != nil {
--- a/control/watch.go
+++ b/control/watch.go
@@ -80,6 +80,7 @@
 	}
 }
 
+// keepWatch keeps a watch at the leader, in place of an earlier one of the entry.
 func (t *task) keepWatch(now time.Time, m watchMail) {
 	w := t.watchers[m.request.Entry]
 	if w == nil {
@@ -137,7 +138,7 @@
 		return
 	}
 	names := t.liveEntries(now)
-	encoded := map[peer.WatchRequest]told{}
+	encoded := map[peer.WatchRequest]encodedView{}
 	news := false
 	for i, name := range names {
 		w := t.watchers[name]
@@ -145,7 +146,7 @@
 			continue
 		}
 		news = news || w.waiting.request.Epoch == t.replica.Term && t.changed(now, w.waiting.request)
-		v := t.tell(now, w.waiting.request, encoded)
+		v := t.viewFor(now, w.waiting.request, encoded)
 		w.waiting.answer <- answer{response: peer.WatchResponse{
 			Epoch: t.replica.Term, Revision: v.revision, Index: i, Count: len(names), View: v.view,
 		}}
@@ -182,8 +183,8 @@
 	return r.Epoch != t.replica.Term || r.Revision != t.revision() || r.Settled != t.settled(now)
 }
 
-// told is what an entry is told: an encoded view, up to a revision.
-type told struct {
+// encodedView is what an entry is told: the changes up to a revision.
+type encodedView struct {
 	view     []byte
 	revision uint64
 	at       time.Time
@@ -195,42 +196,42 @@
 // hundreds of upstreams, and after a change of the leader all entries come.
 const wholeViewLifetime = 150 * time.Millisecond
 
-// tell gives what an entry lacks, encoded once for all entries that lack the
+// viewFor gives what an entry lacks, encoded once for all entries that lack the
 // same.
-func (t *task) tell(now time.Time, r peer.WatchRequest, encoded map[peer.WatchRequest]told) told {
+func (t *task) viewFor(now time.Time, r peer.WatchRequest, encoded map[peer.WatchRequest]encodedView) encodedView {
 	if !t.changed(now, r) {
-		return told{revision: t.revision()}
+		return encodedView{revision: t.revision()}
 	}
 	if t.lacksAll(now, r) {
-		return t.tellAll(now, r.Version)
+		return t.wholeViewFor(now, r.Version)
 	}
 	lack := r
 	lack.Entry, lack.Index, lack.Count = "", 0, 0
 	if known, ok := encoded[lack]; ok {
 		return known
 	}
-	encoded[lack] = t.encode(now, t.view(now, lack))
+	encoded[lack] = t.encodeView(now, t.view(now, lack))
 	return encoded[lack]
 }
 
-// tellAll gives everything, but for a configuration that is known.
-func (t *task) tellAll(now time.Time, version uint64) told {
+// wholeViewFor gives everything, but for a configuration that is known.
+func (t *task) wholeViewFor(now time.Time, version uint64) encodedView {
 	c := t.state.Catalog.Configuration
 	known := c == nil || c.Version <= version
 	if w := t.wholeViews[known]; w.view != nil && now.Sub(w.at) <= wholeViewLifetime {
 		return w
 	}
 	t.metrics.GetOrCreateCounter("oriolepost_whole_views_total").Inc()
-	t.wholeViews[known] = t.encode(now, t.view(now, peer.WatchRequest{Version: version}))
+	t.wholeViews[known] = t.encodeView(now, t.view(now, peer.WatchRequest{Version: version}))
 	return t.wholeViews[known]
 }
 
-func (t *task) encode(now time.Time, v peer.View) told {
+func (t *task) encodeView(now time.Time, v peer.View) encodedView {
 	data, err := peer.EncodeView(v)
 	if err != nil {
 		t.log.WithError(err).WithField("revision", t.revision()).Error("view not sent")
 	}
-	return told{view: data, revision: t.revision(), at: now}
+	return encodedView{view: data, revision: t.revision(), at: now}
 }
 
 // lacksAll reports whether an entry follows another leader, or lacks removals
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -103,16 +103,21 @@
 // Reseed takes the seeds of changed settings. They are looked at when the
 // leader is looked for the next time.
 func (g *Gateway) Reseed(d settings.Deployment) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("take new seeds: %w", err)
+		}
+	}()
 	seeds, err := control.Seeds(d)
 	if err != nil {
-		return fmt.Errorf("take new seeds: %w", err)
+		return err
 	}
 	select {
 	case g.reseed <- seeds:
+		return nil
 	default:
-		return errors.New("take new seeds: others are being taken")
+		return errors.New("others are being taken")
 	}
-	return nil
 }
 
 // Ready reports whether the balancer should send new connections here.
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -102,7 +102,10 @@
 // halfIdle reports whether an upstream has room for requests that are late
 // already without taking it from others.
 func (u *Upstream) halfIdle() bool {
-	return u.Load.Known && float64(u.busy()+1) <= lateShare*float64(u.Load.Slots)
+	if !u.Load.Known {
+		return len(u.InFlight) == 0
+	}
+	return float64(u.busy()+1) <= lateShare*float64(u.Load.Slots)
 }
 
 // open reports whether an upstream may get requests at all.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -44,14 +44,15 @@
 			Priority: c.Int("priority", 0), Parts: []route.Part{{Service: "booking", Weight: 1}},
 		}
 		return s.step(placement.Arrived{Request: placement.Request{
-			ID: placement.RequestID(c.Int("id", 1)), Route: r, Service: "booking", Arrived: s.now, First: s.now,
+			ID: placement.RequestID(c.Int("id", 1)), Route: r, Service: "booking", Arrived: s.now,
+			First:    s.now.Add(-time.Duration(c.Int("since", 0)) * time.Millisecond),
 			Deadline: s.now.Add(time.Duration(c.Int("deadline", 2000)) * time.Millisecond),
 		}})
 	case "probed":
 		return s.step(placement.Probed{
 			Upstream: placement.Key{ID: c.Args["upstream"], BornMS: 1}, Failed: c.Bool("failed"), Healthy: !c.Bool("ill"),
 			Cold: time.Duration(c.Int("cold", 0)) * time.Millisecond,
-			Load: placement.Load{Running: c.Int("running", 0), Slots: 6, Pace: c.Int("pace", 100), Known: true},
+			Load: placement.Load{Running: c.Int("running", 0), Slots: 6, Pace: c.Int("pace", 100), Known: !c.Bool("silent")},
 		})
 	case "answer_all":
 		return s.answerAll(c)
