Logs tell who is asked for the leader, and how old a 404's table may be

Cause: the incident's hypotheses could not be told apart from the logs. An entry logged the loss of contact once, and an entry that had restarted never; a refusal with 404 had no age; a control instance outside the voter group said nothing.

Change: an entry without contact logs every 5 s which instances it asks for the leader, with the last error, also when it never had contact. A refused request's line has control_contact_age_ms. A control instance logs its place in the voter group when that changes: member, member without a leader, standby, outside.

--- a/control/members.go
+++ b/control/members.go
@@ -46,6 +46,7 @@
 		return err
 	}
 	t.metrics.GetOrCreateCounter("oriolepost_replica_commit_index").Set(t.replica.CommitIndex)
+	t.logMembership()
 	t.joinOrBootstrap(now)
 	return t.replaceVoters(now)
 }
@@ -172,6 +173,26 @@
 	return slices.Contains(t.replica.Members.Voters, t.id()) || slices.Contains(t.replica.Members.Learners, t.id())
 }
 
+// logMembership logs a change of this instance's place in the voter group.
+func (t *task) logMembership() {
+	place := "outside"
+	switch {
+	case t.leads() || t.isMember() && t.replica.Leader != "":
+		place = "member"
+	case t.isMember():
+		place = "member without a leader"
+	case t.joined:
+		place = "standby"
+	}
+	if place == t.place {
+		return
+	}
+	t.log.WithFields(log.Fields{
+		"change": "membership", "from": t.place, "to": place, "members": t.replica.Members, "term": t.replica.Term, "asked": t.leaderClient.Address(),
+	}).Info("place in the voter group changed")
+	t.place = place
+}
+
 func (t *task) notBootstrapped() bool { return len(t.replica.Members.Voters) == 0 }
 
 // initialVoter reports whether this instance is one of the seeds at the very
--- a/control/task.go
+++ b/control/task.go
@@ -111,7 +111,9 @@
 	// joinAt is the earliest time of the next join request.
 	joinAt time.Time
 	// joined is true while the leader accepts this instance's join requests.
-	joined         bool
+	joined bool
+	// place is this instance's place in the voter group, as last logged.
+	place          string
 	housekeepingAt time.Time
 	// bootstrapping is true while all initial voters are asked for their
 	// identities.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -188,6 +188,7 @@
 	g.options.Metrics.GetOrCreateCounter(fmt.Sprintf(`oriolepost_requests_total{outcome="refused",status="%d"}`, status)).Inc()
 	g.options.Log.WithFields(log.Fields{
 		"request_id": r.ID, "host": r.Host, "path": r.Path, "status": status, "reason": reason, "version": g.configurationVersion(),
+		"control_contact_age_ms": g.controlContactAge().Milliseconds(),
 	}).Info("request refused")
 }
 
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -41,6 +41,9 @@
 	// connected is false until the first answer, and after contact with the
 	// control instances was lost.
 	connected bool
+	// searchLogAt is the earliest time of the next log line about the search for the
+	// leader.
+	searchLogAt time.Time
 }
 
 // watchRetryBackoff is the pause after a failed watch.
@@ -95,16 +98,34 @@
 	return peer.WatchDuration(w.request.Count)
 }
 
+// searchLogInterval limits the log lines about a search for the leader that goes on.
+const searchLogInterval = 5 * time.Second
+
 // watchFailed counts a failed watch. It logs the loss of contact with the
-// control instances once it has lasted for controlContactTimeout.
+// control instances once it has lasted for controlContactTimeout, and then from time
+// to time which instances are asked for the leader.
 func (w *watchTask) watchFailed(err error) {
 	w.gateway.options.Metrics.GetOrCreateCounter("oriolepost_watch_errors_total").Inc()
-	if w.connected && w.gateway.controlContactAge() >= controlContactTimeout {
+	age := w.gateway.controlContactAge()
+	if age < controlContactTimeout {
+		return
+	}
+	now := time.Now()
+	if w.connected {
 		w.connected = false
+		w.searchLogAt = now
 		w.gateway.options.Log.WithError(err).WithFields(log.Fields{
 			"change": "control", "from": "connected", "to": "disconnected", "epoch": w.request.Epoch, "revision": w.request.Revision,
 		}).Warn("lost contact with the control instances")
 	}
+	if now.Before(w.searchLogAt) {
+		return
+	}
+	w.searchLogAt = now.Add(searchLogInterval)
+	w.gateway.options.Log.WithError(err).WithFields(log.Fields{
+		"change": "control", "asked": w.leader.Address(), "instances": w.leader.Instances(), "control_contact_age_ms": age.Milliseconds(),
+		"version": w.gateway.configurationVersion(), "epoch": w.request.Epoch,
+	}).Warn("searching for the leader")
 }
 
 // handle passes the answer to a watch on to the entry task.
--- a/peer/leader.go
+++ b/peer/leader.go
@@ -80,6 +80,17 @@
 	return s.presumedLeader
 }
 
+// Instances returns the addresses among which the leader is searched for.
+func (l *LeaderClient) Instances() []string {
+	s := <-l.search
+	l.search <- s
+	var addresses []string
+	for _, a := range s.instances {
+		addresses = append(addresses, a.Address)
+	}
+	return addresses
+}
+
 // selectNext replaces the presumed leader after a request to it has failed,
 // unless another call already did so. leader is the instance that the refusal
 // named, or empty.
