--- a/control/control_test.go
+++ b/control/control_test.go
@@ -57,7 +57,7 @@
 }
 
 // addresses maps the instance names in test files to loopback addresses.
-var addresses = map[string]string{"a": "127.0.7.1", "b": "127.0.7.2", "c": "127.0.7.3", "d": "127.0.7.4"}
+var addresses = map[string]string{"a": "127.0.7.1", "b": "127.0.7.2", "c": "127.0.7.3", "d": "127.0.7.4", "e": "127.0.7.5", "f": "127.0.7.6"}
 
 var _ = script.Describe("control", "testdata/*.txt", func() script.Handler {
 	folder, err := os.MkdirTemp("", "oriolepost-control-")
@@ -124,6 +124,8 @@
 		return b.watch(testCase, name)
 	case "copy":
 		return b.copyOfView(name)
+	case "find_leader":
+		return b.findLeader()
 	case "watch_without_leader":
 		return b.refusedWatch(name)
 	case "connect_entries":
@@ -132,15 +134,20 @@
 	return "unknown command"
 }
 
-func (b *fixture) start(name string, first bool) {
-	var seeds []string
+// seeds returns the seeds of the settings. Their port is not the peer port.
+func seeds() []string {
+	var list []string
 	for _, n := range []string{"a", "b", "c"} {
-		seeds = append(seeds, net.JoinHostPort(addresses[n], "1"))
+		list = append(list, net.JoinHostPort(addresses[n], "1"))
 	}
+	return list
+}
+
+func (b *fixture) start(name string, first bool) {
 	ctx, cancel := context.WithCancel(context.Background())
 	set := metrics.NewSet()
 	started, err := control.Start(ctx, settings.Deployment{
-		Instance: name, IP: addresses[name], Domain: name, PeerPort: b.port, Seeds: seeds,
+		Instance: name, IP: addresses[name], Domain: name, PeerPort: b.port, Seeds: seeds(),
 		DataFolder: filepath.Join(b.folder, name), FirstStart: first, LostInstances: 1,
 	}, control.Options{
 		Log: &log.Logger{Handler: discard.Default, Level: log.ErrorLevel}, Metrics: set,
@@ -292,6 +299,21 @@
 	return fmt.Sprintf("full=%v version=%d upstreams=%d", view.Full, view.Configuration.Version, len(view.Upstreams))
 }
 
+// findLeader searches for the leader as an entry does that has just started and knows
+// only the seeds.
+func (b *fixture) findLeader() string {
+	list, err := control.Seeds(settings.Deployment{PeerPort: b.port, Seeds: seeds()})
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	client := control.NewLeaderClient(peer.NewPool(ctx, peer.Options{}), list, b.port)
+	response, err := client.Call(ctx, peer.WatchRequest{Entry: "e9"})
+	if _, ok := response.(peer.WatchResponse); err != nil || !ok {
+		return "not found"
+	}
+	return "found"
+}
+
 // refusedWatch sends one watch to an instance without a leader, and reports
 // whether it was refused, and whether immediately. An entry would retry
 // immediately after an immediate refusal.
