search, control: whoever knows one member of the voter group finds its leader

Cause: the leader was searched for among the seeds and the control instances of the first view of a term. Two seeds were removed from the voters while they were cut off, the third came back with an empty disk. Each refused with "not the leader" and named nobody, although two had a list of members on disk, and none of the three could rejoin, since they searched among themselves.

Change: package search, in the core, decides whom to ask next. Each address is asked once a turn; instances that others name are asked too; a named leader that does not answer doesn't restart the turn. A refusal without a leader names the known members. The leader tells the seeds of its group every 600 ms, and answers a join request with it, so an instance outside the group names the leader. An entry takes the list of control instances from every view. Only the seeds of the first settings may bootstrap a group, as before.

Measured: seeds_left.txt and seeds_empty.txt "not found" before, now green; search/testdata has the duplicate address, the leader that is gone and the bound on named instances. go test ./control ./gateway ./peer ./node green.

--- a/control/announce.go
+++ b/control/announce.go
@@ -145,8 +145,8 @@
 // request; what it sends to a former leader is lost until the next join request, which
 // is sooner than the announcements expire.
 func (t *task) leaderAddress() string {
-	if leader := replica.InstanceOf(t.replica.Leader); leader != "" {
-		return PeerAddress(leader, t.settings.PeerPort)
+	if t.replica.Leader != "" {
+		return PeerAddress(t.leaderInstance(), t.settings.PeerPort)
 	}
 	if t.joined && !t.isMember() {
 		return t.leaderClient.Address()
--- a/control/control.go
+++ b/control/control.go
@@ -37,6 +37,7 @@
 
 	"github.com/oriolepost/oriolepost/disk"
 	"github.com/oriolepost/oriolepost/peer"
+	"github.com/oriolepost/oriolepost/search"
 	"github.com/oriolepost/oriolepost/settings"
 	"github.com/oriolepost/oriolepost/timer"
 )
@@ -66,21 +67,21 @@
 
 // Seeds returns the peer addresses of the instances that the settings list as
 // seeds. The port is the deployment's peer port.
-func Seeds(deployment settings.Deployment) ([]peer.Address, error) {
-	var addresses []peer.Address
+func Seeds(deployment settings.Deployment) ([]search.Instance, error) {
+	var addresses []search.Instance
 	for _, seed := range deployment.Seeds {
 		host, _, err := net.SplitHostPort(seed)
 		if err != nil {
 			return nil, fmt.Errorf("seed is %q, allowed: IP:port: %w", seed, err)
 		}
-		addresses = append(addresses, peer.Address{Instance: host, Address: PeerAddress(host, deployment.PeerPort)})
+		addresses = append(addresses, search.Instance{Name: host, Address: PeerAddress(host, deployment.PeerPort)})
 	}
 	return addresses, nil
 }
 
 // NewLeaderClient returns a client that searches for the leader, first among the
 // seeds and then at the instances that their answers name.
-func NewLeaderClient(pool *peer.Pool, seeds []peer.Address, port int) *peer.LeaderClient {
+func NewLeaderClient(pool *peer.Pool, seeds []search.Instance, port int) *peer.LeaderClient {
 	l := peer.NewLeaderClient(pool, seeds)
 	l.SetLocator(func(instance string) string { return PeerAddress(instance, port) })
 	return l
@@ -153,8 +154,7 @@
 	if err != nil {
 		return fmt.Errorf("replace seeds: %w", err)
 	}
-	c.leaderClient.SetInstances(seeds)
-	return nil
+	return c.task.post(seedsMessage{seeds})
 }
 
 // TransferLeadership transfers leadership to another instance before this one
--- a/control/members.go
+++ b/control/members.go
@@ -13,6 +13,7 @@
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/record"
 	"github.com/oriolepost/oriolepost/replica"
+	"github.com/oriolepost/oriolepost/search"
 )
 
 const (
@@ -47,6 +48,7 @@
 	}
 	t.metrics.GetOrCreateCounter("oriolepost_replica_commit_index").Set(t.replica.CommitIndex)
 	t.logMembership()
+	t.notifySeeds(now)
 	t.joinOrBootstrap(now)
 	return t.replaceVoters(now)
 }
@@ -136,7 +138,7 @@
 	m.identity.LastContact = now
 	t.standbys[m.identity.ReplicaID] = m.identity
 	t.plan.Domains[m.identity.Instance] = m.identity.Domain
-	m.answer <- answer{response: peer.Nothing{}}
+	m.answer <- answer{response: peer.JoinResponse{Group: t.currentGroup()}}
 }
 
 // joinOrBootstrap sends the leader a join request, unless this instance is a
@@ -148,16 +150,18 @@
 		return
 	}
 	t.joinAt = now.Add(joinInterval)
+	t.leaderClient.Refer(t.knownInstances())
 	join := peer.JoinRequest{Instance: t.settings.IP, ReplicaID: t.id(), Domain: t.settings.Domain}
 	go func() {
 		ctx, cancel := context.WithTimeout(t.ctx, joinInterval)
 		defer cancel()
-		_, err := t.leaderClient.Call(ctx, join)
+		response, err := t.leaderClient.Call(ctx, join)
 		if err != nil {
 			t.metrics.GetOrCreateCounter("oriolepost_join_errors_total").Inc()
 		}
+		accepted, _ := response.(peer.JoinResponse)
 		select {
-		case t.mailbox <- joinEndedMessage{accepted: err == nil}:
+		case t.mailbox <- joinEndedMessage{accepted: err == nil, group: accepted.Group}:
 		case <-t.ctx.Done():
 		}
 	}()
@@ -168,11 +172,6 @@
 	}
 }
 
-// isMember reports whether this instance gets the log, as a voter or as a learner.
-func (t *task) isMember() bool {
-	return slices.Contains(t.replica.Members.Voters, t.id()) || slices.Contains(t.replica.Members.Learners, t.id())
-}
-
 // logMembership logs a change of this instance's place in the voter group.
 func (t *task) logMembership() {
 	place := "outside"
@@ -200,7 +199,7 @@
 // empty.
 func (t *task) initialVoter() bool {
 	return t.settings.FirstStart && t.folder.Empty &&
-		slices.ContainsFunc(t.seeds, func(a peer.Address) bool { return a.Instance == t.settings.IP })
+		slices.ContainsFunc(t.initialSeeds, func(a search.Instance) bool { return a.Name == t.settings.IP })
 }
 
 // discoverPeers asks all seeds for their replica identities, and sends the task
@@ -208,12 +207,12 @@
 func (t *task) discoverPeers() {
 	ctx, cancel := context.WithTimeout(t.ctx, identifyTimeout)
 	defer cancel()
-	answers := make(chan *replica.Identity, len(t.seeds))
-	for _, s := range t.seeds {
+	answers := make(chan *replica.Identity, len(t.initialSeeds))
+	for _, s := range t.initialSeeds {
 		go func() { answers <- t.requestIdentity(ctx, s) }()
 	}
 	var voters []replica.Identity
-	for range t.seeds {
+	for range t.initialSeeds {
 		if i := <-answers; i != nil {
 			voters = append(voters, *i)
 		}
@@ -226,7 +225,7 @@
 
 // requestIdentity asks one instance for its replica identity. It returns nil
 // when the instance does not answer.
-func (t *task) requestIdentity(ctx context.Context, s peer.Address) *replica.Identity {
+func (t *task) requestIdentity(ctx context.Context, s search.Instance) *replica.Identity {
 	response, err := t.pool.Call(ctx, s.Address, peer.IdentifyRequest{})
 	r, ok := response.(peer.IdentifyResponse)
 	if err != nil || !ok {
@@ -236,7 +235,7 @@
 }
 
 func (t *task) identify() peer.IdentifyResponse {
-	r := peer.IdentifyResponse{Instance: t.settings.IP, ReplicaID: t.id()}
+	r := peer.IdentifyResponse{Instance: t.settings.IP, ReplicaID: t.id(), Known: t.knownInstances()}
 	if !t.notBootstrapped() {
 		m := t.replica.Members
 		r.Members = &m
@@ -250,7 +249,7 @@
 	if !t.notBootstrapped() {
 		return nil
 	}
-	members, ok := replica.Bootstrap(t.id(), voters, len(t.seeds))
+	members, ok := replica.Bootstrap(t.id(), voters, len(t.initialSeeds))
 	if !ok {
 		return nil
 	}
--- a/control/message.go
+++ b/control/message.go
@@ -6,6 +6,7 @@
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/record"
 	"github.com/oriolepost/oriolepost/replica"
+	"github.com/oriolepost/oriolepost/search"
 )
 
 // message is a message to the control task.
@@ -43,7 +44,15 @@
 }
 
 // joinEndedMessage reports the end of this instance's join request.
-type joinEndedMessage struct{ accepted bool }
+type joinEndedMessage struct {
+	accepted bool
+	// group is the voter group of the leader that accepted it.
+	group peer.Group
+}
+
+type groupMessage struct{ group peer.Group }
+
+type seedsMessage struct{ seeds []search.Instance }
 
 type identifyMessage struct{ answer chan<- answer }
 
@@ -60,6 +69,8 @@
 func (copyMessage) message()      {}
 func (joinMessage) message()      {}
 func (joinEndedMessage) message() {}
+func (groupMessage) message()     {}
+func (seedsMessage) message()     {}
 func (identifyMessage) message()  {}
 func (bootstrapMessage) message() {}
 func (transferMessage) message()  {}
@@ -92,9 +103,9 @@
 		return peer.Nothing{}, err
 	}
 	switch message.(type) {
-	case replicaMessage, renewMessage:
+	case replicaMessage, renewMessage, groupMessage:
 		return peer.Nothing{}, nil
-	case proposeMessage, readMessage, announceMessage, watchMessage, copyMessage, joinMessage, joinEndedMessage, identifyMessage, bootstrapMessage, transferMessage:
+	case proposeMessage, readMessage, announceMessage, watchMessage, copyMessage, joinMessage, joinEndedMessage, seedsMessage, identifyMessage, bootstrapMessage, transferMessage:
 	}
 	select {
 	case a := <-reply:
@@ -127,6 +138,8 @@
 		return watchMessage{request, reply}, nil
 	case peer.CopyRequest:
 		return copyMessage{reply}, nil
+	case peer.GroupNotice:
+		return groupMessage{request.Group}, nil
 	case peer.IdentifyRequest:
 		return identifyMessage{reply}, nil
 	case peer.JoinRequest:
--- a/control/task.go
+++ b/control/task.go
@@ -20,6 +20,7 @@
 	"github.com/oriolepost/oriolepost/proposal"
 	"github.com/oriolepost/oriolepost/record"
 	"github.com/oriolepost/oriolepost/replica"
+	"github.com/oriolepost/oriolepost/search"
 	"github.com/oriolepost/oriolepost/settings"
 	"github.com/oriolepost/oriolepost/state"
 	"github.com/oriolepost/oriolepost/timer"
@@ -64,7 +65,10 @@
 	mailbox      chan message
 	pool         *peer.Pool
 	leaderClient *peer.LeaderClient
-	seeds        []peer.Address
+	// seeds are the instances that the settings name now, and initialSeeds those that
+	// they named at the start.
+	seeds        []search.Instance
+	initialSeeds []search.Instance
 	metrics      *metrics.Set
 	log          log.Interface
 	ctx          context.Context
@@ -112,6 +116,10 @@
 	joinAt time.Time
 	// joined is true while the leader accepts this instance's join requests.
 	joined bool
+	// group is what the leader last said of the voter group.
+	group peer.Group
+	// noticeAt is the time of the leader's next notice to the seeds.
+	noticeAt time.Time
 	// place is this instance's place in the voter group, as last logged.
 	place          string
 	housekeepingAt time.Time
@@ -129,9 +137,9 @@
 	enrolls bool
 }
 
-func newTask(ctx context.Context, deployment settings.Deployment, options Options, folder *disk.Folder, pool *peer.Pool, leader *peer.LeaderClient, seeds []peer.Address) (*task, error) {
+func newTask(ctx context.Context, deployment settings.Deployment, options Options, folder *disk.Folder, pool *peer.Pool, leader *peer.LeaderClient, seeds []search.Instance) (*task, error) {
 	t := &task{
-		settings: deployment, folder: folder, pool: pool, leaderClient: leader, seeds: seeds, ctx: ctx,
+		settings: deployment, folder: folder, pool: pool, leaderClient: leader, seeds: seeds, initialSeeds: seeds, ctx: ctx,
 		metrics: options.Metrics, log: options.Log, fleet: fleet.New(),
 		mailbox:   make(chan message, mailboxSize),
 		random:    rand.New(rand.NewPCG(rand.Uint64(), ipHash(deployment.IP))),
@@ -289,6 +297,11 @@
 		t.join(now, message)
 	case joinEndedMessage:
 		t.joined = message.accepted
+		t.learnGroup(message.group)
+	case groupMessage:
+		t.learnGroup(message.group)
+	case seedsMessage:
+		t.replaceSeeds(message.seeds)
 	case identifyMessage:
 		message.answer <- answer{response: t.identify()}
 	case bootstrapMessage:
@@ -371,12 +384,6 @@
 	}
 }
 
-func (t *task) notLeaderError() error {
-	return &peer.RefusedError{
-		Code: peer.CodeNotLeader, Reason: "not the leader", Leader: replica.InstanceOf(t.replica.Leader),
-	}
-}
-
 func (t *task) leads() bool { return t.replica.Role == replica.RoleLeader }
 
 func (t *task) roleChanged(change replica.RoleChanged) {
--- a/control/watch.go
+++ b/control/watch.go
@@ -42,14 +42,14 @@
 
 // watch keeps a watch until there is a change for it. While there is no leader
 // the watch is held, so that an entry that looks for the leader learns of it
-// immediately and does not retry again and again. An instance without a voter
+// immediately and does not retry again and again. An instance outside the voter
 // group, as after the loss of its disk, can't know when there is a leader, so
 // it refuses the watch.
 func (t *task) watch(now time.Time, message watchMessage) {
 	switch {
 	case t.leads() && !t.replica.LeadingSince().IsZero():
 		t.registerWatch(now, message)
-	case t.leads() || t.replica.Leader == "" && !t.notBootstrapped():
+	case t.leads() || t.replica.Leader == "" && t.isMember():
 		if len(t.heldWatches) == 0 {
 			t.heldUntil = now.Add(heldWatchTimeout)
 		}
--- a/gateway/copy.go
+++ b/gateway/copy.go
@@ -9,7 +9,6 @@
 
 	"github.com/oriolepost/oriolepost/control"
 	"github.com/oriolepost/oriolepost/peer"
-	"github.com/oriolepost/oriolepost/replica"
 )
 
 // copyTimeout limits the search for a copy of the view. Without one, the leader sends
@@ -34,14 +33,15 @@
 func (w *watchTask) takeCopy() {
 	ctx, cancel := context.WithTimeout(w.ctx, copyTimeout)
 	defer cancel()
-	seed := w.seeds[rand.IntN(len(w.seeds))].Address
-	response, err := w.pool.Call(ctx, seed, peer.IdentifyRequest{})
+	known := w.leader.Instances()
+	response, err := w.pool.Call(ctx, known[rand.IntN(len(known))], peer.IdentifyRequest{})
 	identity, ok := response.(peer.IdentifyResponse)
-	if err != nil || !ok || identity.Members == nil || len(identity.Members.Voters) == 0 {
+	if err != nil || !ok {
 		return
 	}
-	voters := identity.Members.Voters
-	instance := replica.InstanceOf(voters[rand.IntN(len(voters))])
+	w.leader.Refer(identity.Known)
+	sources := append([]string{identity.Instance}, identity.Known...)
+	instance := sources[rand.IntN(len(sources))]
 	response, err = w.pool.Call(ctx, control.PeerAddress(instance, w.gateway.settings.PeerPort), peer.CopyRequest{})
 	copied, ok := response.(peer.CopyResponse)
 	if err != nil || !ok {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,7 @@
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/placement"
 	"github.com/oriolepost/oriolepost/route"
+	"github.com/oriolepost/oriolepost/search"
 	"github.com/oriolepost/oriolepost/settings"
 )
 
@@ -82,7 +83,7 @@
 	lastControlContact atomic.Int64
 	started            time.Time
 	stopping           atomic.Bool
-	seedUpdates        chan<- []peer.Address
+	seedUpdates        chan<- []search.Instance
 }
 
 // Start starts an entry. Its tasks run until the context ends; Stop closes the
@@ -106,7 +107,7 @@
 	go gateway.task.run()
 	pool := peer.NewPool(ctx, peer.Options{Metrics: options.Metrics, Dial: options.Dial})
 	watch := &watchTask{
-		gateway: gateway, ctx: ctx, leader: control.NewLeaderClient(pool, seeds, deployment.PeerPort), seeds: seeds, seedUpdates: make(chan []peer.Address, 1),
+		gateway: gateway, ctx: ctx, leader: control.NewLeaderClient(pool, seeds, deployment.PeerPort), seeds: seeds, seedUpdates: make(chan []search.Instance, 1),
 		mirror: fleet.NewMirror(), pool: pool, copyDelay: minCopyRetryDelay,
 	}
 	gateway.seedUpdates = watch.seedUpdates
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -11,6 +12,7 @@
 	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/placement"
+	"github.com/oriolepost/oriolepost/search"
 	"github.com/oriolepost/oriolepost/timer"
 )
 
@@ -19,12 +21,12 @@
 	gateway *Gateway
 	ctx     context.Context
 	leader  *peer.LeaderClient
-	seeds   []peer.Address
+	seeds   []search.Instance
 	// controlInstances are the IP addresses of the control instances, from the
-	// first view of the current epoch.
+	// newest view.
 	controlInstances []string
 	// seedUpdates receives the seeds of changed settings.
-	seedUpdates chan []peer.Address
+	seedUpdates chan []search.Instance
 	// request is the next watch. It reports to the leader which view the entry
 	// has.
 	request peer.WatchRequest
@@ -180,7 +182,7 @@
 
 // adoptView records in the next watch which view the entry has.
 func (w *watchTask) adoptView(response peer.WatchResponse, view peer.View) {
-	if response.Epoch != w.request.Epoch {
+	if len(view.Control) > 0 && !slices.Equal(view.Control, w.controlInstances) {
 		w.controlInstances = view.Control
 		w.updateLeaderSearch()
 	}
@@ -196,9 +198,9 @@
 // seeds, and the control instances from the view. With the latter, the leader
 // is found even if none of the seeds exists any more.
 func (w *watchTask) updateLeaderSearch() {
-	list := append([]peer.Address(nil), w.seeds...)
+	list := append([]search.Instance(nil), w.seeds...)
 	for _, ip := range w.controlInstances {
-		list = append(list, peer.Address{Instance: ip, Address: control.PeerAddress(ip, w.gateway.settings.PeerPort)})
+		list = append(list, search.Instance{Name: ip, Address: control.PeerAddress(ip, w.gateway.settings.PeerPort)})
 	}
 	w.leader.SetInstances(list)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -42,6 +42,7 @@
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/platformhttp"
 	"github.com/oriolepost/oriolepost/record"
+	"github.com/oriolepost/oriolepost/search"
 	"github.com/oriolepost/oriolepost/settings"
 	"github.com/oriolepost/oriolepost/telemetry"
 	"github.com/oriolepost/oriolepost/timer"
@@ -131,10 +132,10 @@
 	return n, nil
 }
 
-func controlAddresses(s settings.Settings) []peer.Address {
-	var addresses []peer.Address
+func controlAddresses(s settings.Settings) []search.Instance {
+	var addresses []search.Instance
 	for _, c := range s.Control {
-		addresses = append(addresses, peer.Address{Instance: c.Instance, Address: c.Address})
+		addresses = append(addresses, search.Instance{Name: c.Instance, Address: c.Address})
 	}
 	return addresses
 }
--- a/peer/leader.go
+++ b/peer/leader.go
@@ -4,9 +4,9 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"time"
 
+	"github.com/oriolepost/oriolepost/search"
 	"github.com/oriolepost/oriolepost/timer"
 )
 
@@ -22,38 +22,20 @@
 	maxRetryDelay = 160 * time.Millisecond
 )
 
-// Address is the address (IP:port) at which a control instance accepts messages
-// of other instances.
-type Address struct {
-	Instance string
-	Address  string
-}
-
 // LeaderClient finds the leader among the control instances and sends requests
 // to it. Its methods may be called concurrently.
 type LeaderClient struct {
 	pool *Pool
 	// search has capacity one and holds the state of the search. Each method
 	// receives the state and sends it back, so one at a time has it.
-	search chan search
-}
-
-// search is the state of the search for the leader.
-type search struct {
-	instances []Address
-	// presumedLeader is the address to which requests are sent: the last known
-	// leader, or the next instance to try.
-	presumedLeader string
-	// locate returns the address of an instance that is not listed. It is nil
-	// when an address can't be derived from the instance's name.
-	locate func(instance string) string
+	search chan *search.State
 }
 
 // NewLeaderClient returns a LeaderClient that begins its search at the first
 // instance. The list must not be empty.
-func NewLeaderClient(pool *Pool, instances []Address) *LeaderClient {
-	l := &LeaderClient{pool: pool, search: make(chan search, 1)}
-	l.search <- search{instances: instances, presumedLeader: instances[0].Address}
+func NewLeaderClient(pool *Pool, instances []search.Instance) *LeaderClient {
+	l := &LeaderClient{pool: pool, search: make(chan *search.State, 1)}
+	l.search <- search.New(instances)
 	return l
 }
 
@@ -61,15 +43,22 @@
 // listed: the leader may have joined after the list was written.
 func (l *LeaderClient) SetLocator(locate func(instance string) string) {
 	s := <-l.search
-	s.locate = locate
+	s.Locate = locate
 	l.search <- s
 }
 
 // SetInstances replaces the list of instances among which the leader is
-// searched for.
-func (l *LeaderClient) SetInstances(instances []Address) {
+// searched for. The instances that others have named stay known.
+func (l *LeaderClient) SetInstances(instances []search.Instance) {
+	s := <-l.search
+	s.Configured = instances
+	l.search <- s
+}
+
+// Refer adds instances to the search that another instance has named.
+func (l *LeaderClient) Refer(instances []string) {
 	s := <-l.search
-	s.instances = instances
+	s.Refer(instances)
 	l.search <- s
 }
 
@@ -77,49 +66,28 @@
 func (l *LeaderClient) Address() string {
 	s := <-l.search
 	l.search <- s
-	return s.presumedLeader
+	return s.Presumed
 }
 
 // Instances returns the addresses among which the leader is searched for.
 func (l *LeaderClient) Instances() []string {
 	s := <-l.search
+	candidates := s.Candidates()
 	l.search <- s
 	var addresses []string
-	for _, a := range s.instances {
-		addresses = append(addresses, a.Address)
+	for _, c := range candidates {
+		addresses = append(addresses, c.Address)
 	}
 	return addresses
 }
 
-// selectNext replaces the presumed leader after a request to it has failed,
-// unless another call already did so. leader is the instance that the refusal
-// named, or empty.
-func (l *LeaderClient) selectNext(failed, leader string) {
+// next selects another instance after a request to the one at an address has failed.
+func (l *LeaderClient) next(failed string, outcome search.Outcome) {
 	s := <-l.search
-	if s.presumedLeader == failed {
-		s.presumedLeader = s.nextAddress(failed, leader)
-	}
+	s.Next(failed, outcome)
 	l.search <- s
 }
 
-// nextAddress returns the address of the named leader if that is known and has
-// not failed itself. Otherwise it returns the instance listed after the failed
-// one, or the first if the failed one is not listed.
-func (s search) nextAddress(failed, leader string) string {
-	for _, a := range s.instances {
-		if a.Instance == leader && a.Address != failed {
-			return a.Address
-		}
-	}
-	if leader != "" && s.locate != nil {
-		if a := s.locate(leader); a != failed {
-			return a
-		}
-	}
-	i := slices.IndexFunc(s.instances, func(a Address) bool { return a.Address == failed })
-	return s.instances[(i+1)%len(s.instances)].Address
-}
-
 // Call sends a request to the leader. It retries until the leader responds, the
 // context ends, or the request is refused for a reason that a retry does not
 // change. The request must therefore be safe to repeat.
@@ -169,12 +137,12 @@
 	case errors.As(err, &overload):
 		return true
 	case !errors.As(err, &refused):
-		l.selectNext(address, "")
+		l.next(address, search.Unreachable{})
 		return true
 	}
 	switch refused.Code {
 	case CodeNotLeader, CodeLost:
-		l.selectNext(address, refused.Leader)
+		l.next(address, search.Refused{Leader: refused.Leader, Members: refused.Members})
 		return true
 	case CodeBusy:
 		return true
--- a/peer/message.go
+++ b/peer/message.go
@@ -142,7 +142,23 @@
 // that the leader has to send it only the differences.
 type CopyRequest struct{}
 
+// Group is what an instance knows of the voter group.
+type Group struct {
+	// Term is the term of the leader.
+	Term uint64 `json:"term"`
+	// Leader is the instance of the leader.
+	Leader string `json:"leader"`
+	// Members are the replica IDs of the voters and learners.
+	Members []string `json:"members"`
+}
+
+// GroupNotice tells an instance of the voter group. The leader sends it to the seeds
+// again and again: one that has lost its disk, or was replaced while it was cut off, does
+// not know the group, and those that know only the seeds ask it. It has no response.
+type GroupNotice struct{ Group Group }
+
 func (AnnounceRequest) request()  {}
+func (GroupNotice) request()      {}
 func (CopyRequest) request()      {}
 func (RenewRequest) request()     {}
 func (ReadRequest) request()      {}
@@ -185,8 +201,13 @@
 	ReplicaID string `json:"replica_id"`
 	// Members is set when the instance belongs to a bootstrapped voter group.
 	Members *replica.Members `json:"members,omitempty"`
+	// Known lists the instances that may belong to the voter group.
+	Known []string `json:"known,omitempty"`
 }
 
+// JoinResponse answers a JoinRequest.
+type JoinResponse struct{ Group Group }
+
 // ConfirmResponse answers a ConfirmRequest.
 type ConfirmResponse struct {
 	InForce bool `json:"in_force"`
@@ -265,6 +286,7 @@
 func (ReadResponse) response()     {}
 func (WatchResponse) response()    {}
 func (CopyResponse) response()     {}
+func (JoinResponse) response()     {}
 func (Nothing) response()          {}
 func (ReportResponse) response()   {}
 func (ProposeResponse) response()  {}
@@ -281,6 +303,9 @@
 	Reason string
 	// Leader is the instance of the leader, or empty when it is not known.
 	Leader string
+	// Members are the instances that may know the leader. It is set when Leader is
+	// not.
+	Members []string
 }
 
 // The codes of a RefusedError.
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -28,6 +28,7 @@
 	methodRead      = "read"
 	methodWatch     = "watch"
 	methodCopy      = "copy"
+	methodGroup     = "group"
 )
 
 // replicaParams is the JSON form of a ReplicaMessage.
@@ -49,9 +50,10 @@
 }
 
 // errorData is the data member of a JSON-RPC error. Leader is the instance of
-// the leader, if it is known.
+// the leader, if it is known. Otherwise Members are the instances that may know it.
 type errorData struct {
-	Leader string `json:"leader,omitempty"`
+	Leader  string   `json:"leader,omitempty"`
+	Members []string `json:"members,omitempty"`
 }
 
 // encodeRequest returns the JSON-RPC method and parameters of a request. notify
@@ -90,6 +92,8 @@
 		return methodWatch, request, false, nil
 	case CopyRequest:
 		return methodCopy, request, false, nil
+	case GroupNotice:
+		return methodGroup, request.Group, true, nil
 	}
 	return "", nil, false, fmt.Errorf("request %T has no method", request)
 }
@@ -128,6 +132,8 @@
 		return decode(params, func(r WatchRequest) Request { return r })
 	case methodCopy:
 		return CopyRequest{}, nil
+	case methodGroup:
+		return decode(params, func(g Group) Request { return GroupNotice{g} })
 	}
 	return nil, &RefusedError{Code: CodeMalformed, Reason: fmt.Sprintf("method %q is not known", method)}
 }
@@ -191,6 +197,8 @@
 	case ProposeResponse:
 		e, err := jsonform.EncodeResult(response.Result)
 		return proposeResult{Result: e}, err
+	case JoinResponse:
+		return response.Group, nil
 	case Nothing, ReportResponse, BorrowResponse, IdentifyResponse, ConfirmResponse, StatusResponse, ReadResponse, WatchResponse, CopyResponse:
 		return response, nil
 	}
@@ -218,7 +226,9 @@
 		return decode(result, func(r WatchResponse) Response { return r })
 	case CopyRequest:
 		return decode(result, func(r CopyResponse) Response { return r })
-	case AnnounceRequest, RenewRequest, ReplicaMessage, ReturnRequest, ReportNowRequest, JoinRequest:
+	case JoinRequest:
+		return decode(result, func(g Group) Response { return JoinResponse{g} })
+	case AnnounceRequest, RenewRequest, ReplicaMessage, ReturnRequest, ReportNowRequest, GroupNotice:
 		return Nothing{}, nil
 	}
 	return Nothing{}, nil
@@ -237,14 +247,14 @@
 }
 
 // encodeError converts the error of a handler into a JSON-RPC error. A RefusedError
-// keeps its code, reason and leader. Any other error becomes an internal error.
+// keeps its code, reason, leader and members. Any other error becomes an internal error.
 func encodeError(err error) *jsonrpc2.Error {
 	var refused *RefusedError
 	if !errors.As(err, &refused) {
 		return &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
 	}
 	out := &jsonrpc2.Error{Code: refused.Code, Message: refused.Reason}
-	out.SetError(errorData{Leader: refused.Leader})
+	out.SetError(errorData{Leader: refused.Leader, Members: refused.Members})
 	return out
 }
 
@@ -261,5 +271,5 @@
 			return fmt.Errorf("decode error data: %w", err)
 		}
 	}
-	return &RefusedError{Code: rpcErr.Code, Reason: rpcErr.Message, Leader: data.Leader}
+	return &RefusedError{Code: rpcErr.Code, Reason: rpcErr.Message, Leader: data.Leader, Members: data.Members}
 }
