control: a copy of the view holds what was committed before the present leader

Cause: an instance gave a copy as soon as it knew a leader. A leader that is cut off gave copies for two election timeouts.

Change: a follower gives a copy once an entry of the leader's term is committed (replica.KnowsCommitted), a leader while a quorum answers it. An instance outside the voter group refuses and names the members that it knows.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -108,7 +109,7 @@
 	case "configure":
 		return b.call(testCase, name, peer.ProposeRequest{Command: record.PutConfiguration{
 			Configuration: route.Configuration{Version: uint64(testCase.Int("version", 0))},
-			Original:      []byte(testCase.Args["text"]),
+			Original:      append([]byte(testCase.Args["text"]), incompressible(testCase.Int("bytes", 0))...),
 		}})
 	case "domain":
 		return b.call(testCase, name, peer.ProposeRequest{Command: record.SetDomain{Domain: testCase.Args["domain"], Out: testCase.Bool("out")}})
@@ -123,7 +124,7 @@
 	case "watch":
 		return b.watch(testCase, name)
 	case "copy":
-		return b.copyOfView(name)
+		return b.copiesOfView(testCase.List("at"))
 	case "find_leader":
 		return b.findLeader()
 	case "watch_without_leader":
@@ -283,6 +284,24 @@
 // copyWait is less than the time for which a request for a copy waits for a leader.
 const copyWait = 250 * time.Millisecond
 
+// copiesOfView asks several instances for their copies of the view at the same time. The
+// order of the texts is that of the names.
+func (b *fixture) copiesOfView(names []string) string {
+	texts := make([]chan string, len(names))
+	for i, name := range names {
+		texts[i] = make(chan string, 1)
+		go func() {
+			defer ginkgo.GinkgoRecover()
+			texts[i] <- b.copyOfView(name)
+		}()
+	}
+	var lines []string
+	for _, text := range texts {
+		lines = append(lines, <-text)
+	}
+	return strings.Join(lines, "\n")
+}
+
 // copyOfView asks one instance for its copy of the view. Of a refusal it reports whether
 // it came immediately.
 func (b *fixture) copyOfView(name string) string {
@@ -299,6 +318,13 @@
 	return fmt.Sprintf("full=%v version=%d upstreams=%d", view.Full, view.Configuration.Version, len(view.Upstreams))
 }
 
+// incompressible returns bytes that stay as many when they are compressed.
+func incompressible(count int) []byte {
+	data := make([]byte, count)
+	_, _ = rand.NewChaCha8([32]byte{}).Read(data)
+	return data
+}
+
 // findLeader searches for the leader as an entry does that has just started and knows
 // only the seeds.
 func (b *fixture) findLeader() string {
--- a/control/view.go
+++ b/control/view.go
@@ -77,17 +77,30 @@
 }
 
 // giveCopy takes a request for a copy of the view, whether this instance leads or not.
-// The request waits until this instance has heard from a leader, so that the copy
-// is not older than its last contact, and has applied a configuration. After a power
-// loss, hundreds of entries ask before there is a leader.
+// The request waits until the copy is current. After a power loss, hundreds of entries
+// ask before there is a leader. An instance outside the voter group refuses it.
 func (t *task) giveCopy(now time.Time, message copyMessage) {
-	if t.notBootstrapped() {
-		message.answer <- answer{err: &peer.RefusedError{Code: peer.CodeBusy, Reason: "no voter"}}
+	if !t.isMember() {
+		message.answer <- answer{err: t.notLeaderError()}
 		return
 	}
 	t.heldCopies = append(t.heldCopies, heldCopy{message: message, until: now.Add(maxCopyWait)})
 }
 
+// isCopyCurrent reports whether a copy of the view has a configuration, and everything
+// that was committed up to this instance's last contact with the leader, which is at most
+// an election timeout ago. A leader needs a quorum that has answered it, since there may
+// be a newer one otherwise.
+func (t *task) isCopyCurrent(now time.Time) bool {
+	if t.state.Catalog.Configuration == nil {
+		return false
+	}
+	if t.leads() {
+		return !t.replica.LeaseEnd(now).IsZero()
+	}
+	return t.replica.KnowsCommitted()
+}
+
 // releaseHeldCopies answers the waiting requests for a copy once that is possible, and
 // refuses those that have waited long enough.
 func (t *task) releaseHeldCopies(now time.Time) {
@@ -95,13 +108,13 @@
 	t.heldCopies = nil
 	for _, h := range held {
 		switch {
-		case t.replica.Leader != "" && t.state.Catalog.Configuration != nil:
+		case t.isCopyCurrent(now):
 			view := t.fullViewFor(now, 0)
 			h.message.answer <- answer{response: peer.CopyResponse{View: view.data}, err: view.err}
 		case now.Before(h.until):
 			t.heldCopies = append(t.heldCopies, h)
 		default:
-			h.message.answer <- answer{err: &peer.RefusedError{Code: peer.CodeBusy, Reason: "no leader or no configuration yet"}}
+			h.message.answer <- answer{err: &peer.RefusedError{Code: peer.CodeBusy, Reason: "the copy may be outdated, or has no configuration yet"}}
 		}
 	}
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -252,6 +252,15 @@
 	return end
 }
 
+// KnowsCommitted reports whether this replica has applied every entry that was committed
+// before the present leader was elected. A restarted replica does not know which of the
+// entries after its snapshot are committed until the leader has committed one of its own
+// term.
+func (r *Replica) KnowsCommitted() bool {
+	term, _ := r.log.term(r.CommitIndex)
+	return r.Leader != "" && term == r.Term
+}
+
 // LeadingSince returns the time at which this replica last became leader. It is
 // the zero time if it never was.
 func (r *Replica) LeadingSince() time.Time { return r.leaderSince }
