ingress, route: only a routing table that is known to be the newest ends a request with 404

A caller gives up after 404.

Cause: the absence of a route was concluded from whatever table the entry had, whatever its age.

Change: route.Lookup has four results. A table is confirmed until the leader's next answer is overdue (peer.WatchDuration), counted with the time for which the machine was suspended (timer.Stamp), and only once the table has what the answer brought. Routes that an entry without contact knows are served as before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,6 +43,7 @@
 	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/search"
 	"github.com/oriolepost/oriolepost/settings"
+	"github.com/oriolepost/oriolepost/timer"
 )
 
 const (
@@ -78,12 +79,19 @@
 	callers  *ingress.Server
 	// table is nil until the first configuration.
 	table atomic.Pointer[route.Table]
-	// lastControlContact is when the leader last answered, in nanoseconds after
-	// started.
-	lastControlContact atomic.Int64
-	started            time.Time
-	stopping           atomic.Bool
-	seedUpdates        chan<- []search.Instance
+	// lastContact is the last answer of the leader; before the first one, the start of
+	// the entry.
+	lastContact atomic.Pointer[controlContact]
+	stopping    atomic.Bool
+	seedUpdates chan<- []search.Instance
+}
+
+// controlContact is an answer of the leader to a watch.
+type controlContact struct {
+	at timer.Stamp
+	// confirms is how long the entry's configuration counts as the newest after the
+	// answer: until the next answer is overdue. It is zero before the first answer.
+	confirms time.Duration
 }
 
 // Start starts an entry. Its tasks run until the context ends; Stop closes the
@@ -99,7 +107,8 @@
 	if err != nil {
 		return nil, err
 	}
-	gateway = &Gateway{settings: deployment, options: options, started: time.Now()}
+	gateway = &Gateway{settings: deployment, options: options}
+	gateway.lastContact.Store(&controlContact{at: timer.Now()})
 	gateway.task = newTask(ctx, gateway, placement.New(placement.Config{
 		Name: deployment.Instance, Domain: deployment.Domain, RetryRatio: deployment.Bounds.RetryRatio, RetryWindow: deployment.Bounds.RetryWindow,
 		RetrySlack: deployment.Bounds.RetrySlack, ColdFactor: deployment.Bounds.ColdFactor, ColdSlack: deployment.Bounds.ColdSlack,
@@ -113,7 +122,7 @@
 	gateway.seedUpdates = watch.seedUpdates
 	go watch.run()
 	gateway.callers, err = ingress.Listen(ingress.Options{
-		Address: deployment.Caller, Names: options.Names, Metrics: options.Metrics, Table: gateway.table.Load,
+		Address: deployment.Caller, Names: options.Names, Metrics: options.Metrics, Table: gateway.table.Load, TableConfirmed: gateway.tableConfirmed,
 		Callbacks: ingress.Callbacks{Arrived: gateway.task.requestArrived, Disconnected: gateway.task.callersDisconnected, Refused: gateway.logRefused},
 	})
 	return gateway, err
@@ -148,9 +157,17 @@
 	return !g.stopping.Load() && g.table.Load() != nil && g.controlContactAge() < controlContactTimeout
 }
 
-// controlContactAge returns the time since the leader's last answer.
+// controlContactAge returns the time since the leader's last answer. It includes the time
+// for which the machine was suspended.
 func (g *Gateway) controlContactAge() time.Duration {
-	return time.Since(g.started) - time.Duration(g.lastControlContact.Load())
+	return timer.Now().Since(g.lastContact.Load().at)
+}
+
+// tableConfirmed reports whether the leader has answered so recently that it would have
+// reported a newer configuration.
+func (g *Gateway) tableConfirmed() bool {
+	contact := g.lastContact.Load()
+	return timer.Now().Since(contact.at) < contact.confirms
 }
 
 // Stop shuts the entry down gracefully. The entry reports that it is not ready,
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -44,6 +44,8 @@
 type viewMessage struct {
 	// position is the entry's index and the number of entries; zero with a copy.
 	position placement.PositionReported
+	// contact is nil with a copy.
+	contact *controlContact
 	// view holds the changes, or the full view; nil when nothing changed.
 	view *peer.View
 	// epoch is the term of the leader, and revision the revision of the view within
@@ -271,6 +273,10 @@
 	if m.view != nil {
 		t.applyView(m)
 	}
+	// Only now does the table have what the answer confirms.
+	if m.contact != nil {
+		t.gateway.lastContact.Store(m.contact)
+	}
 	if m.position.Count > 0 {
 		t.step(m.position)
 	}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -148,7 +148,7 @@
 		message.view, message.epoch, message.revision = &view, response.Epoch, response.Revision
 		w.adoptView(response, view)
 	}
-	gateway.lastControlContact.Store(int64(time.Since(gateway.started)))
+	message.contact = &controlContact{at: timer.Now(), confirms: peer.WatchDuration(response.Count)}
 	if !w.connected {
 		w.connected = true
 		gateway.options.Log.WithFields(log.Fields{
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -319,26 +319,28 @@
 	return err
 }
 
-// dispatch sends a request to the entry task, or refuses it if there is no
-// configuration or no route for it. A request that must not run twice first
+// dispatch sends a request to the entry task, or refuses it if no route for it is
+// known. A request that must not run twice first
 // waits until the requests before it are answered.
 func (c *conn) dispatch(request *Request) *Exchange {
 	exchange := newExchange(request, nil)
 	exchange.closeAfter = request.close || request.http10
 	// The table is looked up only now, so that a request that took long to read
 	// is routed by the newest one.
-	table := c.server.options.Table()
-	if table == nil {
+	switch l := c.server.options.Table().Lookup(request.Host, request.Path, c.server.options.TableConfirmed()).(type) {
+	case route.Unconfigured:
 		c.refuse(exchange, http.StatusServiceUnavailable, "no configuration yet")
 		return exchange
-	}
-	matched, ok := table.Match(request.Host, request.Path)
-	if !ok {
+	case route.Unconfirmed:
+		c.refuse(exchange, http.StatusServiceUnavailable, "no route for this host and path in a configuration that may be outdated")
+		return exchange
+	case route.Absent:
 		c.refuse(exchange, http.StatusNotFound, "no route for this host and path")
 		return exchange
+	case route.Found:
+		exchange.Route = l.Route
 	}
-	exchange.Route = matched
-	if !matched.Idempotent {
+	if !exchange.Route.Idempotent {
 		for _, o := range c.unanswered() {
 			select {
 			case <-o.written:
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sort"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -42,6 +43,8 @@
 	exchanges map[string]*ingress.Exchange
 	arrived   chan *ingress.Exchange
 	conns     map[string]net.Conn
+	// outdated is true while the table may not be the newest.
+	outdated atomic.Bool
 }
 
 var _ = script.Describe("ingress", "testdata/*.txt", func() script.Handler {
@@ -64,7 +67,7 @@
 	gomega.Expect(free.Close()).To(gomega.Succeed())
 	b.server, err = ingress.Listen(ingress.Options{
 		Address: b.address, Names: header.Names{RequestID: "Request-Id", Deadline: "Deadline"},
-		Table: func() *route.Table { return table }, Metrics: metrics.NewSet(),
+		Table: func() *route.Table { return table }, TableConfirmed: func() bool { return !b.outdated.Load() }, Metrics: metrics.NewSet(),
 		Callbacks: ingress.Callbacks{Arrived: b.onArrived, Disconnected: b.onDisconnected, Refused: b.onRefused},
 	})
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
@@ -110,6 +113,9 @@
 	case "dial":
 		b.dial(name)
 		return ""
+	case "lose_contact":
+		b.outdated.Store(true)
+		return ""
 	case "forward":
 		return b.forward(c.Args["id"])
 	case "answer":
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -21,8 +21,10 @@
 	Names     header.Names
 	Callbacks Callbacks
 	// Table returns the newest routing table; nil before the first configuration.
-	Table   func() *route.Table
-	Metrics *metrics.Set
+	Table func() *route.Table
+	// TableConfirmed reports whether that table is known to be the newest.
+	TableConfirmed func() bool
+	Metrics        *metrics.Set
 }
 
 // Server accepts the callers' connections.
