entry: a call to a service that is not known is refused with 503 while there is no lease

An entry without a lease answered 404 "no_service", also right after its start, when it knows no documents at all.

Change: the reason is no_lease (503) unless the lease is valid.

--- a/caller/message.go
+++ b/caller/message.go
@@ -30,9 +30,16 @@
 // Lookup asks for the document of the service that a host name belongs to.
 type Lookup struct {
 	Host string
-	// Found receives the document, or nil when no service has the host. It must
-	// have a capacity of at least one.
-	Found chan<- *service.Document
+	// Found receives the result. It must have a capacity of at least one.
+	Found chan<- LookupResult
+}
+
+// LookupResult answers a Lookup.
+type LookupResult struct {
+	// Document is nil when no known service has the host.
+	Document *service.Document
+	// Missing is why the call is refused then.
+	Missing call.Reason
 }
 
 // AttemptRequest asks for attempts for a call. The decisions are sent to the
--- a/caller/serve.go
+++ b/caller/serve.go
@@ -123,16 +123,16 @@
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
-	found := make(chan *service.Document, 1)
+	found := make(chan LookupResult, 1)
 	if !x.send(ctx, Lookup{Host: strings.ToLower(host), Found: found}) {
 		return nil, call.NotRun{Reason: call.ReasonCanceled}
 	}
 	select {
-	case d := <-found:
-		if d == nil {
-			return nil, call.NotRun{Reason: call.ReasonNoService}
+	case result := <-found:
+		if result.Document == nil {
+			return nil, call.NotRun{Reason: result.Missing}
 		}
-		return d, nil
+		return result.Document, nil
 	case <-ctx.Done():
 		return nil, call.NotRun{Reason: call.ReasonCanceled}
 	}
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -18,7 +18,7 @@
 	reason := call.Reason("")
 	switch {
 	case svc == nil:
-		reason = call.ReasonNoService
+		reason = e.MissingServiceReason(now)
 	case request.Depth > call.MaxDepth:
 		reason = call.ReasonTooDeep
 	case !e.leased(now):
@@ -35,6 +35,15 @@
 	e.enqueue(now, pending)
 }
 
+// MissingServiceReason returns why a call to an unknown service is refused. Without a
+// lease, the entry may have missed the document of the service.
+func (e *Entry) MissingServiceReason(now time.Time) call.Reason {
+	if e.leased(now) {
+		return call.ReasonNoService
+	}
+	return call.ReasonNoLease
+}
+
 // enqueue appends a call to its service's queue. A retry goes behind the calls
 // that wait already.
 func (e *Entry) enqueue(now time.Time, pending *pendingCall) {
--- a/node/entrytask.go
+++ b/node/entrytask.go
@@ -14,7 +14,6 @@
 	"github.com/oriolepost/oriolepost/membership"
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/server"
-	"github.com/oriolepost/oriolepost/service"
 	"github.com/oriolepost/oriolepost/timer"
 )
 
@@ -138,13 +137,13 @@
 	}
 }
 
-func (t *entryTask) lookup(host string) *service.Document {
+func (t *entryTask) lookup(host string) caller.LookupResult {
 	name, ok := t.serviceByHost[host]
 	if !ok {
-		return nil
+		return caller.LookupResult{Missing: t.core.MissingServiceReason(time.Now())}
 	}
 	d, _ := t.core.Document(name)
-	return &d
+	return caller.LookupResult{Document: &d}
 }
 
 func (t *entryTask) handleMessage(m entryMessage) {
