placement: a failed answer is not replaced by "not run"

Callers: an idempotent request that an upstream had run, and answered with a 5xx, was answered 503 "not run: overload" or "not run: retry_budget" when it could not be sent to a second upstream. The server's answer was dropped.

Cause: resolve recorded that the request may have run only after the search for another upstream. A search that fails at once ends the request with its own outcome.

Evidence: testdata/steps/failed_answer.txt and failed_answer_budget.txt failed before: "finish request=1 not_run overload" instead of answered, and "not_run retry_budget" instead of "unknown shed".

Change: the outcome becomes Unknown before the search, and the failed answer is delivered when no other upstream is eligible.

--- a/placement/attempt.go
+++ b/placement/attempt.go
@@ -144,11 +144,13 @@
 func (s *State) resolve(now time.Time, pending *pendingRequest, e AttemptEnded) {
 	switch o := e.Outcome.(type) {
 	case Answered:
-		if o.Failed && pending.request.Route.Idempotent && (len(pending.attempts) > 0 || s.retryElsewhere(now, pending)) {
+		if o.Failed && pending.request.Route.Idempotent {
 			// Another attempt may still bring a better response. If it brings none, the
 			// request ends as Unknown instead of with this failure.
 			pending.outcome = mergeOutcomes(pending.outcome, Unknown{Reason: ReasonShed})
-			return
+			if len(pending.attempts) > 0 || s.countEligible(now, pending.request.Service) > 0 && s.retryElsewhere(now, pending) {
+				return
+			}
 		}
 		pending.outcome = o
 		s.finish(now, pending, e.Attempt)
