ingress: a caller's disconnect is noticed while the entry drains

Callers: a caller that disconnected during the drain of an entry stayed unnoticed; its request went on at the upstream until the deadline or the end of the process.

Cause: the reader of a connection ended as soon as it was not to read another request. During a drain that is after every request.

Evidence: testdata/drain_last.txt failed before, in both cases, the request that came before the drain and the one that came during it: nothing instead of "disconnected r7" and "disconnected r2".

Change: the reader closes the channel of the requests, so that the writer knows which response is the last, and then waits for the end of the connection.

Measured: go test ./ingress ok, with -race ok.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -116,26 +116,38 @@
 	k.writeResponses()
 }
 
-// readRequests reads requests until the connection ends or the entry drains.
+// readRequests reads requests until the last one, and then waits for the end of the
+// connection. Once the channel of the requests is closed, the writer knows which
+// response is the last.
 func (c *conn) readRequests() {
-	defer close(c.exchanges)
+	open := c.readUntilLast()
+	close(c.exchanges)
+	if open {
+		c.awaitClose()
+	}
+}
+
+// readUntilLast reads requests until the connection ends, the caller asks for a close,
+// or the entry drains. It reports whether the caller may still disconnect before its
+// last response is written.
+func (c *conn) readUntilLast() bool {
 	for {
 		e, err := c.readRequest()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			// The entry drains, or the connection was idle for too long.
+			return true
+		}
 		if err != nil {
 			c.handleReadError(err)
-			return
-		}
-		if e == nil {
-			return
+			return false
 		}
 		streamed := e.Request.Rest != nil
 		c.enqueue(e)
 		if streamed && !c.awaitStreamedBody(e) {
-			return
+			return false
 		}
 		if e.closeAfter && !streamed {
-			c.awaitClose()
-			return
+			return true
 		}
 	}
 }
@@ -189,10 +201,6 @@
 		c.enqueue(e)
 		return
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		// The entry drains, or the connection was idle for too long.
-		return
-	}
 	if abandoned := c.unanswered(); len(abandoned) > 0 {
 		c.server.options.Callbacks.Disconnected(abandoned)
 	}
@@ -324,7 +332,7 @@
 // waits until the requests before it are answered.
 func (c *conn) dispatch(request *Request) *Exchange {
 	exchange := newExchange(request, nil)
-	exchange.closeAfter = request.close || request.http10
+	exchange.closeAfter = c.isLast(request)
 	// The table is looked up only now, so that a request that took long to read
 	// is routed by the newest one.
 	table := c.server.options.Table()
@@ -346,11 +354,19 @@
 			}
 		}
 	}
+	// The drain may have begun during the wait.
+	exchange.closeAfter = c.isLast(request)
 	header.RemoveHopByHop(request.Header)
 	c.server.options.Callbacks.Arrived(exchange)
 	return exchange
 }
 
+// isLast reports whether no request after this one is read: the caller asked for a
+// close, or the entry drains and no further request has begun to arrive.
+func (c *conn) isLast(request *Request) bool {
+	return request.close || request.http10 || c.server.draining.Load() && c.reader.Buffered() == 0
+}
+
 // refuse answers a request that cannot be dispatched.
 func (c *conn) refuse(e *Exchange, status int, reason string) {
 	c.server.options.Callbacks.Refused(e.Request, status, reason)
