placement: an entry that stops refuses what it can't answer before its end

Callers: in a planned stop, requests that came late in the grace period were passed on to upstreams and cut at its end without an answer, also those that must not run twice.

Cause: placement did not know of the stop. First attempts, retries, hedges and waits in the queue were measured by the request's deadline only, which may be 15 s away when the process ends in 3 s.

Evidence: with mayStart always true, steps/stopping.txt fails (request 2, 2 s before the end: "probe a" instead of "not_run stopping"), and so do stopping_queue.txt (nothing at the tick instead of a refusal) and stopping_retry.txt (a second attempt is searched 0.9 s before the end).

Change: the event StopBegan with the time until which connections are accepted and that of the end. StopPlan.LatestStart is the pure decision: a request is passed on while a response that takes 4 deviations beyond the route's mean response time still comes before the end, 8 if it must not run twice, 1 while connections are accepted. A request whose deadline comes before the end is passed on in any case. Nothing under way is broken off, and a failed answer goes out when no retry would end in time.

--- a/placement/attempt.go
+++ b/placement/attempt.go
@@ -40,7 +40,8 @@
 	maxRetryAfter = 2 * time.Second
 	// maxRefusedRetryAfter is the maximum for requests that upstreams refused, or
 	// whose retry budget is used up, although the upstreams have idle slots: an
-	// early retry is as likely to succeed as a later one.
+	// early retry is as likely to succeed as a later one. It also applies to requests
+	// that this entry refuses because it stops.
 	maxRefusedRetryAfter = 150 * time.Millisecond
 	// maxRetryAfterRatio is the maximum of Retry-After as a ratio of the time to
 	// the deadline. Callers do not retry if it is more than a third.
@@ -84,6 +85,7 @@
 		o = NotRun{Reason: ReasonOverload}
 	}
 	for _, id := range slices.Sorted(maps.Keys(pending.attempts)) {
+		s.recordResponseTime(pending.request, now.Sub(pending.attempts[id].startedAt))
 		if u := s.upstream(pending.attempts[id].upstream); u != nil {
 			s.recordSlowdown(now, u, timeoutSlowdown)
 		}
@@ -148,7 +150,8 @@
 			// Another attempt may still bring a better response. If it brings none, the
 			// request ends as Unknown instead of with this failure.
 			pending.outcome = mergeOutcomes(pending.outcome, Unknown{Reason: ReasonShed})
-			if len(pending.attempts) > 0 || s.countEligible(now, pending.request.Service) > 0 && s.retryElsewhere(now, pending) {
+			mayPlace := s.mayStart(now, pending) && s.countEligible(now, pending.request.Service) > 0
+			if len(pending.attempts) > 0 || mayPlace && s.retryElsewhere(now, pending) {
 				return
 			}
 		}
@@ -206,6 +209,7 @@
 		u.FailurePenalty = u.failurePenalty(now) * responsePenaltyFactor
 		u.FailurePenaltyAt = now
 		took := now.Sub(a.startedAt)
+		s.recordResponseTime(pending.request, took)
 		s.recordSlowdown(now, u, float64(took)/float64(max(a.expected, time.Millisecond)))
 		serviceTime := s.expectedTime(pending.request)
 		ratio := float64(serviceTime) / float64(max(a.expected, time.Millisecond))
@@ -290,6 +294,7 @@
 	s.emit(Finish{
 		Request: pending.request.ID, Outcome: pending.outcome, Attempt: answer, AttemptsStarted: pending.attemptsStarted,
 		EligibleUpstreams: s.countEligible(now, pending.request.Service), QueueLength: len(s.queue(pending.request.Service).waiting),
+		ResponseTime: s.responseTime(pending.request),
 	})
 }
 
@@ -299,7 +304,7 @@
 // drawn at random so that callers do not retry at the same time.
 func (s *State) retryAfter(now time.Time, r Request, reason Reason) time.Duration {
 	maxDelay := min(maxRetryAfter, time.Duration(maxRetryAfterRatio*float64(r.Deadline.Sub(now))))
-	if reason == ReasonShed || reason == ReasonBudget {
+	if reason == ReasonShed || reason == ReasonBudget || reason == ReasonStopping {
 		maxDelay = min(maxDelay, maxRefusedRetryAfter)
 	}
 	if maxOnTimeDelay := r.objectiveDeadline().Sub(now) - s.expectedTime(r); maxOnTimeDelay > minRetryAfter {
--- a/placement/event.go
+++ b/placement/event.go
@@ -91,6 +91,9 @@
 // index among all entries and their number.
 type PositionReported struct{ Index, Count int }
 
+// StopBegan reports that this entry stops.
+type StopBegan struct{ Plan StopPlan }
+
 // TimerExpired reports that the time returned by [State.NextWake] has come.
 type TimerExpired struct{}
 
@@ -100,6 +103,7 @@
 func (AttemptEnded) event()       {}
 func (ViewReceived) event()       {}
 func (PositionReported) event()   {}
+func (StopBegan) event()          {}
 func (TimerExpired) event()       {}
 
 // Outcome is the result of an attempt or of a request.
@@ -163,6 +167,8 @@
 	ReasonNoConfiguration Reason = "no_configuration"
 	// ReasonNoWeight means that all services of the route have weight zero.
 	ReasonNoWeight Reason = "no_weight"
+	// ReasonStopping means that this entry stops before a response is expected.
+	ReasonStopping Reason = "stopping"
 )
 
 // Effect is an action that the caller of [State.Step] has to perform.
@@ -220,6 +226,8 @@
 	// QueueLength the number of its queued requests, both at the end of the
 	// request.
 	EligibleUpstreams, QueueLength int
+	// ResponseTime holds the response times of the request's route.
+	ResponseTime ResponseTime
 }
 
 // UpstreamRemoved reports that an incarnation of an upstream is gone. Its
--- a/placement/place.go
+++ b/placement/place.go
@@ -60,8 +60,12 @@
 }
 
 // place queues the next attempt of a request until an upstream is found for it.
-// The request is refused if no upstream is eligible.
+// The request is refused if no upstream is eligible, or if this entry stops too soon.
 func (s *State) place(now time.Time, pending *pendingRequest) {
+	if !s.mayStart(now, pending) {
+		s.refuse(now, pending, NotRun{Reason: ReasonStopping})
+		return
+	}
 	if s.countEligible(now, pending.request.Service) == 0 {
 		s.refuse(now, pending, s.noUpstreamAvailable(pending))
 		return
@@ -69,7 +73,7 @@
 	q := s.queue(pending.request.Service)
 	pending.queued = true
 	pending.pastObjective = now.Add(s.expectedTime(pending.request)).After(pending.request.objectiveDeadline())
-	pending.queueDeadline = s.queueDeadline(now, pending)
+	pending.queueDeadline = s.limitByStop(pending, s.queueDeadline(now, pending))
 	q.insert(pending)
 	s.dispatch(now, q)
 	s.probeForQueue(now, q)
@@ -189,8 +193,12 @@
 // and the upstream has too few idle slots for such requests. A hedge is not
 // sent, and the first attempt goes on.
 func (s *State) handleQueueTimeout(now time.Time, pending *pendingRequest) {
+	if !s.mayStart(now, pending) {
+		s.refuse(now, pending, NotRun{Reason: ReasonStopping})
+		return
+	}
 	if s.noLoadReport(now, pending) {
-		pending.queueDeadline = now.Add(minQueueTime)
+		pending.queueDeadline = s.limitByStop(pending, now.Add(minQueueTime))
 		return
 	}
 	u, cost := s.cheapest(now, pending)
@@ -273,8 +281,13 @@
 
 // startAttempt sends a request to an upstream. If an earlier attempt may have
 // reached an upstream, this one takes a token from the retry budget, and the
-// request is refused if there is none.
+// request is refused if there is none. It is also refused if this entry stops too
+// soon.
 func (s *State) startAttempt(now time.Time, pending *pendingRequest, u *Upstream) {
+	if !s.mayStart(now, pending) {
+		s.refuse(now, pending, NotRun{Reason: ReasonStopping})
+		return
+	}
 	if pending.attemptsSent > 0 && !s.spendRetry(now, pending) {
 		s.refuse(now, pending, NotRun{Reason: ReasonBudget})
 		return
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -151,6 +151,8 @@
 	// number. ControlContactAt is the time at which the leader last reported them.
 	EntryIndex, EntryCount int
 	ControlContactAt       time.Time
+	// Stop is the plan of this entry's stop; zero before it.
+	Stop StopPlan
 
 	byService  map[string][]*Upstream
 	outDomains []string
@@ -166,6 +168,8 @@
 	retryBudgets    map[string]*retry.Window
 	// expectedTimes holds the expected service time by route.
 	expectedTimes map[string]time.Duration
+	// responseTimes holds the response times by route, after the first response.
+	responseTimes map[string]ResponseTime
 	nextAttempt   AttemptID
 	random        *rand.Rand
 	effects       []Effect
@@ -179,7 +183,7 @@
 		Upstreams: map[string]*Upstream{}, Services: map[string]route.Service{},
 		byService: map[string][]*Upstream{}, queues: map[string]*waitQueue{}, lowestPriority: map[string]int{}, highestPriority: map[string]int{}, requests: map[RequestID]*pendingRequest{},
 		requestOf: map[AttemptID]RequestID{}, retryBudgets: map[string]*retry.Window{},
-		expectedTimes: map[string]time.Duration{},
+		expectedTimes: map[string]time.Duration{}, responseTimes: map[string]ResponseTime{},
 	}
 }
 
@@ -200,6 +204,8 @@
 		s.handleView(now, e)
 	case PositionReported:
 		s.handleEntryIndex(now, e)
+	case StopBegan:
+		s.handleStop(e)
 	case TimerExpired:
 		s.handleTick(now)
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -60,6 +60,11 @@
 		return s.answerProbes(c)
 	case "attempt_end":
 		return s.step(placement.AttemptEnded{Attempt: placement.AttemptID(c.Int("attempt", 1)), Outcome: attemptOutcome(c)})
+	case "stop":
+		return s.step(placement.StopBegan{Plan: placement.StopPlan{
+			AcceptsUntil: s.now.Add(time.Duration(c.Int("accepts", 0)) * time.Millisecond),
+			EndsAt:       s.now.Add(time.Duration(c.Int("ends", 0)) * time.Millisecond),
+		}})
 	case "caller_disconnected":
 		return s.step(placement.CallerDisconnected{Request: placement.RequestID(c.Int("id", 1))})
 	case "tick":
