gateway: tell the placement when a stop ends

Callers: in a planned stop, requests that came late in the grace period got no answer: on a connection opened shortly before, on a kept one with a slow body, and behind others.

Cause: Stop kept the end of the grace period to itself. A request was passed on even when the process was to end before any response could come.

Change: Stop posts the plan to the entry task before it drains the callers. The line "request finished" of a stopping entry has the time to its end and the response times that the decision was based on. The tests of the gateway can keep callers' connections and end an entry as its process does.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -154,16 +154,22 @@
 
 // Stop shuts the entry down gracefully. The entry reports that it is not ready,
 // answers the requests that it has read and those that still arrive, and closes
-// the connections. Stop returns when the listener is closed and all callers'
+// the connections. Requests whose response is not expected before the end are
+// refused. Stop returns when the listener is closed and all callers'
 // connections have ended, at the latest killMargin before the end of the grace
 // period. If the context ends first, it returns the error of the context.
 func (g *Gateway) Stop(ctx context.Context) error {
+	startedAt := time.Now()
+	plan := placement.StopPlan{
+		AcceptsUntil: startedAt.Add(min(listenerCloseDelay, max(0, g.settings.Bounds.Grace/2))),
+		EndsAt:       startedAt.Add(max(0, g.settings.Bounds.Grace-killMargin)),
+	}
 	g.stopping.Store(true)
+	g.task.post(stopMessage{plan})
 	g.callers.Drain()
-	startedAt := time.Now()
-	graceTimer := time.NewTimer(max(0, g.settings.Bounds.Grace-killMargin))
+	graceTimer := time.NewTimer(time.Until(plan.EndsAt))
 	defer graceTimer.Stop()
-	listenerTimer := time.NewTimer(min(listenerCloseDelay, max(0, g.settings.Bounds.Grace/2)))
+	listenerTimer := time.NewTimer(time.Until(plan.AcceptsUntil))
 	defer listenerTimer.Stop()
 	var err error
 	for {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -39,6 +40,9 @@
 // stateTimeout limits the wait for an expected state.
 const stateTimeout = 5 * time.Second
 
+// deliveryTimeout limits the wait for bytes that were sent before an entry ended.
+const deliveryTimeout = 500 * time.Millisecond
+
 var names = header.Names{
 	RequestID: "Request-Id", Deadline: "Deadline", Target: "Target", Signature: "Signature",
 	NotRun: "Not-Run", Load: "Load", Cold: "Cold", Upstream: "Upstream",
@@ -60,6 +64,15 @@
 	sequence uint64
 	// answers receives the results of commands that run in the background.
 	answers map[string]chan string
+	// callers holds the callers' open connections by name.
+	callers map[string]*callerConn
+}
+
+// callerConn is a caller's connection on which several requests may be sent.
+type callerConn struct {
+	net.Conn
+	// responses has a text for each response. It is closed when the connection ends.
+	responses chan string
 }
 
 // fakeUpstream is an upstream whose behavior the test file sets.
@@ -67,8 +80,9 @@
 	id      string
 	address string
 	// mode is good, shed (refuse each request), reset (close the connection
-	// without a response) or slow (respond after 700 ms).
-	mode atomic.Value
+	// without a response) or slow (respond after delayMS).
+	mode    atomic.Value
+	delayMS atomic.Int64
 	// requests counts the received requests, without probes.
 	requests atomic.Int64
 	running  atomic.Int64
@@ -82,6 +96,7 @@
 	b := &fixture{
 		folder: folder, port: freePort("127.0.8.1"), caller: fmt.Sprintf("127.0.8.2:%d", freePort("127.0.8.2")),
 		upstreams: map[string]*fakeUpstream{}, answers: map[string]chan string{},
+		callers: map[string]*callerConn{},
 	}
 	ginkgo.DeferCleanup(func() {
 		for _, cancel := range b.cancels {
@@ -112,7 +127,7 @@
 		gomega.Expect(b.entry.UpdateSeeds(settings.Deployment{PeerPort: b.port, Seeds: testCase.List("seeds")})).To(gomega.Succeed())
 		return ""
 	case "configure":
-		return b.propose(record.PutConfiguration{Configuration: configuration(uint64(testCase.Int("version", 1))), Original: []byte("x")})
+		return b.propose(record.PutConfiguration{Configuration: configuration(uint64(testCase.Int("version", 1)), time.Duration(testCase.Int("timeout", 2000))*time.Millisecond), Original: []byte("x")})
 	case "upstream":
 		return b.upstream(testCase)
 	case "announce":
@@ -122,6 +137,25 @@
 		return ""
 	case "request":
 		return b.request(testCase)
+	case "dial":
+		b.dial(testCase.Args["conn"])
+		return ""
+	case "send":
+		text := strings.ReplaceAll(strings.ReplaceAll(testCase.Input, "<empty>", ""), "\n", "\r\n")
+		if !testCase.Bool("ended") {
+			text = strings.TrimSuffix(text, "\r\n")
+		}
+		_, err := io.WriteString(b.callers[testCase.Args["conn"]], text)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		return ""
+	case "read":
+		response, more := <-b.callers[testCase.Args["conn"]].responses
+		if !more {
+			return "no answer"
+		}
+		return response
+	case "exit":
+		return b.exit()
 	case "answer":
 		return <-b.answers[testCase.Args["id"]]
 	case "running":
@@ -135,14 +169,14 @@
 	return "unknown command"
 }
 
-func configuration(version uint64) route.Configuration {
+func configuration(version uint64, timeout time.Duration) route.Configuration {
 	parts := []route.WeightedService{{Service: "booking", Weight: 1}}
 	return route.Configuration{
 		Version:  version,
 		Services: []route.Service{{Name: "booking", HealthPath: "/health"}},
 		Routes: []route.Route{
-			{Name: "view", Host: "booking", Prefix: "/view/", Idempotent: true, MaxAttempts: 2, Objective: time.Second, Timeout: 2 * time.Second, Services: parts},
-			{Name: "book", Host: "booking", Prefix: "/book/", MaxAttempts: 2, Objective: time.Second, Timeout: 2 * time.Second, Services: parts},
+			{Name: "view", Host: "booking", Prefix: "/view/", Idempotent: true, MaxAttempts: 2, Objective: time.Second, Timeout: timeout, Services: parts},
+			{Name: "book", Host: "booking", Prefix: "/book/", MaxAttempts: 2, Objective: time.Second, Timeout: timeout, Services: parts},
 		},
 	}
 }
@@ -183,6 +217,50 @@
 	return ""
 }
 
+// exit waits until the entry has stopped, and then ends its tasks, as the end of the
+// process does. Callers still receive what was sent before.
+func (b *fixture) exit() string {
+	result := <-b.answers["stop"]
+	b.cancels[1]()
+	for _, c := range b.callers {
+		_ = c.SetReadDeadline(time.Now().Add(deliveryTimeout))
+	}
+	return result
+}
+
+// dial opens a caller's connection and reads its responses in the background.
+func (b *fixture) dial(name string) {
+	conn, err := net.Dial("tcp", b.caller)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(conn.Close)
+	c := &callerConn{Conn: conn, responses: make(chan string, 16)}
+	b.callers[name] = c
+	go func() {
+		defer close(c.responses)
+		reader := bufio.NewReader(conn)
+		for {
+			text, err := readResponse(reader)
+			if err != nil {
+				return
+			}
+			c.responses <- text
+		}
+	}()
+}
+
+func readResponse(reader *bufio.Reader) (string, error) {
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := responseText(response)
+	if response.Close {
+		text += " (close)"
+	}
+	return text, err
+}
+
 func (b *fixture) propose(command record.Command) string {
 	return b.call(peer.ProposeRequest{Command: command})
 }
@@ -209,6 +287,7 @@
 		ginkgo.DeferCleanup(server.Close)
 	}
 	u.mode.Store(testCase.Args["mode"])
+	u.delayMS.Store(int64(testCase.Int("ms", 700)))
 	return ""
 }
 
@@ -236,7 +315,7 @@
 		return
 	case "slow":
 		select {
-		case <-time.After(700 * time.Millisecond):
+		case <-time.After(time.Duration(u.delayMS.Load()) * time.Millisecond):
 		case <-r.Context().Done():
 			return
 		}
@@ -302,13 +381,21 @@
 		return "no answer"
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
+	text, err := responseText(response)
 	if err != nil {
 		return "incomplete body"
 	}
+	return text
+}
+
+func responseText(response *http.Response) (string, error) {
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return "", err
+	}
 	text := fmt.Sprintf("%d %s", response.StatusCode, strings.TrimSpace(string(body)))
 	if response.Header.Get("Retry-After") != "" {
 		text += " (Retry-After)"
 	}
-	return text
+	return text, nil
 }
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -40,7 +40,7 @@
 	gateway.options.Metrics.GetOrCreateCounter(fmt.Sprintf(`oriolepost_requests_total{outcome=%q,status="%d"}`, outcomeName(finish.Outcome), status)).Inc()
 	gateway.options.Metrics.GetOrCreateHistogram("oriolepost_request_seconds").Update(took.Seconds())
 	_, served := finish.Outcome.(placement.Answered)
-	gateway.options.Log.WithFields(log.Fields{
+	fields := log.Fields{
 		telemetry.LowPriorityField: served && status < http.StatusInternalServerError,
 		"request_id":               active.exchange.Request.ID, "route": active.request.Route.Name, "service": active.request.Service,
 		"version": gateway.configurationVersion(), "status": status, "outcome": outcomeName(finish.Outcome), "reason": reason,
@@ -48,7 +48,13 @@
 		"upstream": active.upstream, "upstream_domain": active.domain, "load_age_ms": active.basis.LoadAge.Milliseconds(), "cost": active.basis.Cost,
 		"known_upstreams": active.basis.Candidates, "eligible_upstreams": finish.EligibleUpstreams, "queue_length": finish.QueueLength, "load": active.basis.Load, "queue_time_ms": active.basis.Waited.Milliseconds(),
 		"tries": strings.Join(active.attemptSummaries, "; "), "control_contact_age_ms": gateway.controlContactAge().Milliseconds(),
-	}).Info("request finished")
+	}
+	if stop := t.placement.Stop; !stop.EndsAt.IsZero() {
+		fields["stop_remaining_ms"] = time.Until(stop.EndsAt).Milliseconds()
+		fields["response_time_ms"] = finish.ResponseTime.Mean.Milliseconds()
+		fields["response_deviation_ms"] = finish.ResponseTime.Deviation.Milliseconds()
+	}
+	gateway.options.Log.WithFields(fields).Info("request finished")
 }
 
 func (t *task) logDisconnected(active *activeRequest) {
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -72,6 +72,10 @@
 	conn *upstream.Conn
 }
 
+// stopMessage reports that the entry stops.
+type stopMessage struct{ plan placement.StopPlan }
+
+func (stopMessage) message()         {}
 func (arrivedMessage) message()      {}
 func (disconnectedMessage) message() {}
 func (viewMessage) message()         {}
@@ -185,6 +189,8 @@
 				t.respond(id, upstream.Response{})
 			}
 		}
+	case stopMessage:
+		t.step(placement.StopBegan{Plan: m.plan})
 	case viewMessage:
 		t.handleView(m)
 	case probeResultMessage:
