ingress: a request that crosses the close of a drain stays unread

Cause: the reader waited for the end of every connection, also of one without an unanswered request, and discards what it reads meanwhile.

Evidence: by reading; the window is that between two tasks, and no test hits it.

Change: the reader goes on only while a request on the connection is unanswered.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -68,7 +68,8 @@
 	// sent and the connection is closed.
 	Response chan upstream.Response
 	// closeAfter is true when the connection must be closed after the response:
-	// the caller asked for it, or the bytes that follow can't be interpreted.
+	// the caller asked for it, the entry drains and nothing has begun to arrive behind
+	// the request, or the bytes that follow can't be interpreted.
 	closeAfter bool
 	// unreadBytes is true when bytes may still arrive that belong to no request to
 	// be served. They are read and discarded before the connection is closed.
@@ -134,8 +135,10 @@
 	for {
 		e, err := c.readRequest()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			// The entry drains, or the connection was idle for too long.
-			return true
+			// The entry drains, or the connection was idle for too long. Without an
+			// unanswered request the connection is closed at once. A request that
+			// crosses the close stays unread, so that its caller may send it again.
+			return len(c.unanswered()) > 0
 		}
 		if err != nil {
 			c.handleReadError(err)
