--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -331,8 +331,8 @@
 }
 
 // dispatch sends a request to the entry task, or refuses it if no route for it is
-// known. A request that must not run twice first
-// waits until the requests before it are answered.
+// known. A request that must not run twice first waits until the requests before it are
+// answered.
 func (c *conn) dispatch(request *Request) *Exchange {
 	exchange := newExchange(request, nil)
 	exchange.closeAfter = c.isLast(request)
