upstream, server: a response cut after each byte is never a complete one

What callers saw elsewhere: a server stopped in the middle of its answer's head and closed; callers got a 200 with an empty or short body, framed as whole. Cause here: none found. The head has to end with a blank line, the body with its length or its last chunk, and a streamed body that ends early closes the caller's connection. Evidence: cut.txt sends every beginning of a response, each on a connection of its own, and then closes or resets it: the cut is in the status line, in names and values, in the digits of Content-Length, before the blank line, in interim responses, chunk sizes, chunks, the last chunk and the trailer. Refusals are cut too, as a cut refusal must not become 'not run'. The same for package server. No test of this failed before; both passed from the start. Change: the verb cut in both test runners; no change of the code.

--- a/server/server_test.go
+++ b/server/server_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -75,9 +76,68 @@
 }
 
 func (b *fixture) run(c script.Case) string {
-	if c.Command != "exchange" {
-		return "unknown command"
+	switch c.Command {
+	case "exchange":
+		return b.exchange(c)
+	case "cut":
+		return cut(c)
 	}
+	return "unknown command"
+}
+
+// cut sends the answer of a case once for each of its beginnings, each on a
+// connection of its own that then ends. It returns the outcome of the whole answer,
+// and each beginning that was taken for a complete one.
+func cut(c script.Case) string {
+	text := strings.ReplaceAll(strings.TrimSuffix(c.Input, "\n"), "\n", "\r\n")
+	text = strings.ReplaceAll(text, "<empty>", "")
+	lines := []string{"whole: " + exchangeCut(text, false)}
+	for n := range len(text) {
+		if outcome := exchangeCut(text[:n], c.Bool("reset")); outcome != "unknown" && outcome != "incomplete body" {
+			lines = append(lines, fmt.Sprintf("%q: %s", text[:n], outcome))
+		}
+	}
+	return strings.Join(append(lines, fmt.Sprintf("%d cuts", len(text))), "\n")
+}
+
+// exchangeCut makes one attempt at a server that answers with a text and then closes
+// or resets the connection.
+func exchangeCut(text string, reset bool) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = l.Close() }()
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.WriteString(conn, text)
+		}
+		if reset {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+		_ = conn.Close()
+	}()
+	connection := server.NewConnection(membership.Announcement{Address: l.Addr().String()}, func(membership.Announcement) {})
+	defer connection.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), attemptTimeout)
+	defer cancel()
+	r := connection.Exchange(ctx, server.Attempt{
+		Method: http.MethodPost, URI: "/book", Host: "booking", Header: http.Header{}, NotAfter: time.Now().Add(attemptTimeout),
+	})
+	if r.Response == nil {
+		return call.OutcomeName(r.Outcome)
+	}
+	body, err := io.ReadAll(r.Response.Body)
+	_ = r.Response.Body.Close()
+	if err != nil {
+		return "incomplete body"
+	}
+	return fmt.Sprintf("%s %d %q", call.OutcomeName(r.Outcome), r.Response.StatusCode, body)
+}
+
+func (b *fixture) exchange(c script.Case) string {
 	header := http.Header{}
 	if name := c.Args["header"]; name != "" {
 		header[name] = []string{c.Args["value"]}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -62,6 +62,8 @@
 		return b.dial()
 	case "exchange":
 		return b.exchange(c)
+	case "cut":
+		return b.cut(c)
 	case "probe":
 		return b.probe(c)
 	case "unsolicited":
@@ -141,6 +143,25 @@
 	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
+// request returns the request of a case. By default its ID is r1.
+func request(c script.Case) upstream.Request {
+	body := c.Args["body"]
+	header, id := http.Header{}, "r1"
+	if value, ok := c.Args["id"]; ok {
+		id = value
+	}
+	if c.Bool("without_id") {
+		id = ""
+	} else {
+		header.Set("Request-Id", id)
+	}
+	return upstream.Request{
+		Method: cmp.Or(c.Args["method"], "POST"), Target: "/book/1?x=%20", Host: "booking", Header: header, ID: id,
+		Body: []byte(body), Length: int64(len(body)), HasBody: body != "", Upstream: "i-1",
+		Deadline: time.Now().Add(time.Duration(c.Int("deadline", 1000)) * time.Millisecond),
+	}
+}
+
 func (b *fixture) exchange(c script.Case) string {
 	replied := make(chan string, 1)
 	go reply(b.peer, c, replied)
@@ -149,12 +170,7 @@
 	if c.Bool("cancel") {
 		time.AfterFunc(50*time.Millisecond, cancel)
 	}
-	body := c.Args["body"]
-	response, outcome := b.conn.Exchange(ctx, names, upstream.Request{
-		Method: cmp.Or(c.Args["method"], "POST"), Target: "/book/1?x=%20", Host: "booking", Header: http.Header{"Request-Id": {"r1"}}, ID: "r1",
-		Body: []byte(body), Length: int64(len(body)), HasBody: body != "", Upstream: "i-1",
-		Deadline: time.Now().Add(time.Duration(c.Int("deadline", 1000)) * time.Millisecond),
-	})
+	response, outcome := b.conn.Exchange(ctx, names, request(c))
 	rest := ""
 	if response.Rest != nil {
 		_, err := io.Copy(io.Discard, response.Rest)
@@ -176,6 +192,62 @@
 	return fmt.Sprintf("%s\nreusable=%v", text, b.conn.Reusable())
 }
 
+// cut sends the response of a case once for each of its beginnings, each on a
+// connection of its own that then ends. It returns the outcome of the whole
+// response, and each beginning that did not make the outcome unknown.
+func (b *fixture) cut(c script.Case) string {
+	text := strings.ReplaceAll(strings.TrimSuffix(c.Input, "\n"), "\n", "\r\n")
+	text = strings.ReplaceAll(text, "<empty>", "") + strings.Repeat("x", c.Int("padding", 0))
+	lines := []string{"whole: " + b.exchangeCut(c, text, false)}
+	cuts := 0
+	for n := 0; n < len(text); n += max(1, len(text)/maxDenseCuts) {
+		cuts++
+		if outcome := b.exchangeCut(c, text[:n], c.Bool("reset")); !strings.HasPrefix(outcome, "unknown ") {
+			lines = append(lines, fmt.Sprintf("%q: %s", text[:n], outcome))
+		}
+	}
+	return strings.Join(append(lines, fmt.Sprintf("%d cuts", cuts)), "\n")
+}
+
+// maxDenseCuts is the length from which on a response is not cut after each byte,
+// but at so many places.
+const maxDenseCuts = 512
+
+// exchangeCut makes one exchange in which the upstream sends a text and then
+// closes or resets the connection. The outcome is that of the whole response with
+// its streamed body.
+func (b *fixture) exchangeCut(c script.Case, text string, reset bool) string {
+	b.dial()
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		if _, err := http.ReadRequest(bufio.NewReader(b.peer)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(b.peer, text)
+		if reset {
+			_ = b.peer.(*net.TCPConn).SetLinger(0)
+		}
+		_ = b.peer.Close()
+	}()
+	response, outcome := b.conn.Exchange(context.Background(), names, request(c))
+	result := formatOutcome(outcome)
+	if _, answered := outcome.(placement.Answered); answered {
+		length := len(response.Body)
+		if response.Rest != nil {
+			n, err := io.Copy(io.Discard, response.Rest)
+			length += int(n)
+			if err != nil {
+				result = "unknown incomplete body"
+			}
+		}
+		result += fmt.Sprintf(" status=%d length=%d", response.Status, length)
+	}
+	_ = b.conn.Close()
+	<-sent
+	return result
+}
+
 func formatOutcome(o placement.Outcome) string {
 	switch o := o.(type) {
 	case placement.Answered:
