upstream: deliver only what an upstream has signed, and no unproved promise

What callers saw: an answer of status 300 or above without a signature and without the header that the request was not run reached them unchanged. A 503 or 429 says 'not run, try again', and a 302, 401 or 404 forbids a retry, though whoever answered may not be the upstream, and the upstream may have run the request. Cause: only a success was checked for the signature. A signed 408, 429 or 503 without that header was delivered as a promise too, and a signed 200 with it counted as not run. Evidence, on the former code: upstream/testdata/unsigned.txt got 'answered status=503', 429, 302, 401 and 404 where it wants 'unknown malformed', 'answered' for a signed 503, 'not_run shed' for a signed 200 with Not-Run; gateway/testdata/unsigned.txt got 503, 404 and 302 where it wants 502, 502 and the 200 of another upstream. Change: Claim.Outcome decides from status, signature and header what a response proves; claims.txt lists the outcome of all statuses. After an unproved claim the connection is not used again, and an idempotent request is sent to another upstream. A signed 408, 429 or 503 becomes 502 without the signature: the request may have run. No existing case assumed the former decision. FuzzResponse checks the new one.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -69,7 +70,8 @@
 	address string
 	// mode is good, shed (refuse each request), reset (close the connection
 	// without a response), slow (respond after 700 ms), full (report that
-	// all slots are in use) or repeat (refuse one request, and write the refusal
+	// all slots are in use), unsigned_404 (respond with that status and without a
+	// signature) or repeat (refuse one request, and write the refusal
 	// once more before each response to a further request on its connection).
 	mode atomic.Value
 	// requests counts the received requests, without probes.
@@ -236,7 +238,14 @@
 	u.running.Add(1)
 	defer u.running.Add(-1)
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-	switch u.mode.Load() {
+	mode, _ := u.mode.Load().(string)
+	if status, ok := strings.CutPrefix(mode, "unsigned_"); ok {
+		code, err := strconv.Atoi(status)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		w.WriteHeader(code)
+		return
+	}
+	switch mode {
 	case "shed":
 		w.Header().Set("Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -2,14 +2,15 @@
 // carries one request at a time.
 //
 // A response is accepted only if it is complete, well formed, echoes the ID of
-// the request and carries the signature of the upstream. A response with status
-// 300 or above may omit the signature, and, as the first on its connection, also
-// the ID: on a connection that was used before, a response without an ID may be a
-// late copy of an earlier one. For the same reason, a request that was
-// refused or failed is sent once more on another connection; see [Conn.Accepts].
-// After anything else the connection is not used again, because bytes that remain on
-// it can't be assigned to a request; nor is it after a long response that is
-// streamed. Each connection is owned by one task at a time.
+// the request and carries the signature of the upstream. A refusal and a failure that
+// promises nothing may omit the signature; see [Claim]. A response with status 300 or
+// above may omit the ID if it is the first on its connection: on a connection that was
+// used before, a response without an ID may be a late copy of an earlier one. For the
+// same reason, a request that was refused or failed is sent once more on another
+// connection; see [Conn.Accepts]. After anything else the connection is not used
+// again, because bytes that remain on it can't be assigned to a request; nor is it
+// after a long response that is streamed. Each connection is owned by one task at a
+// time.
 //
 // # Usage
 //
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -202,22 +202,25 @@
 	}
 	c.markIdle(received.Header.Get("Keep-Alive"))
 	response.Load = header.ParseLoad(received.Header.Get(names.Load))
-	switch {
-	case received.StatusCode == http.StatusMisdirectedRequest:
-		c.keepRepeatable(id)
-		return Response{}, placement.NotRun{Reason: placement.ReasonMisdirected}
-	case received.Header.Get(names.NotRun) != "":
-		c.keepRepeatable(id)
-		return Response{}, placement.NotRun{Reason: placement.ReasonShed, Sent: true}
-	case received.StatusCode < 300 && received.Header.Get(names.Signature) == "":
-		c.broken = true
-		return Response{}, placement.Unknown{Reason: placement.ReasonMalformed}
+	claim := Claim{
+		Status: received.StatusCode, Signed: received.Header.Get(names.Signature) != "",
+		NotRun: received.Header.Get(names.NotRun) != "",
 	}
-	if received.StatusCode >= 500 {
+	switch o := claim.Outcome().(type) {
+	case placement.Answered:
+		if o.Failed {
+			c.keepRepeatable(id)
+		}
+		header.RemoveHopByHop(response.Header)
+		return response, o
+	case placement.NotRun:
 		c.keepRepeatable(id)
+		return Response{}, o
+	case placement.Unknown:
+		c.broken = true
+		return Response{}, o
 	}
-	header.RemoveHopByHop(response.Header)
-	return response, placement.Answered{Failed: received.StatusCode >= 500}
+	return Response{}, placement.Unknown{Reason: placement.ReasonMalformed}
 }
 
 // keepRepeatable keeps the ID of a request that may be sent once more. See
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -62,6 +62,8 @@
 		return b.dial()
 	case "exchange":
 		return b.exchange(c)
+	case "claims":
+		return claims(c)
 	case "cut":
 		return b.cut(c)
 	case "probe":
@@ -196,6 +198,25 @@
 	return fmt.Sprintf("%s\nreusable=%v", text, b.conn.Reusable())
 }
 
+// claims returns what a response proves, for all statuses of a final response.
+func claims(c script.Case) string {
+	const firstStatus, lastStatus = 200, 999
+	var lines []string
+	first, last := firstStatus, ""
+	for status := firstStatus; status <= lastStatus+1; status++ {
+		outcome := ""
+		if status <= lastStatus {
+			outcome = formatOutcome(upstream.Claim{Status: status, Signed: c.Bool("signed"), NotRun: c.Bool("not_run")}.Outcome())
+		}
+		if status > firstStatus && outcome != last {
+			lines = append(lines, fmt.Sprintf("%d to %d: %s", first, status-1, last))
+			first = status
+		}
+		last = outcome
+	}
+	return strings.Join(lines, "\n")
+}
+
 // refuse refuses requests, each with an ID of its own, and reports whether the
 // connection can be used after that.
 func (b *fixture) refuse(c script.Case) string {
