--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -137,6 +137,9 @@
 		u := b.upstreams[testCase.Args["at"]]
 		gomega.Eventually(u.running.Load, stateTimeout).Should(gomega.Equal(int64(testCase.Int("count", 0))))
 		return ""
+	case "refused":
+		gomega.Eventually(b.upstreams[testCase.Args["at"]].refused.Load, stateTimeout).Should(gomega.BeTrue())
+		return ""
 	case "ran_behind_refusal":
 		return fmt.Sprint(b.upstreams[testCase.Args["at"]].ranBehindRefusal.Load())
 	case "wait":
@@ -153,7 +156,7 @@
 		Services: []route.Service{{Name: "booking", HealthPath: "/health"}},
 		Routes: []route.Route{
 			{Name: "view", Host: "booking", Prefix: "/view/", Idempotent: true, MaxAttempts: 2, Objective: time.Second, Timeout: 2 * time.Second, Services: parts},
-			{Name: "wait", Host: "booking", Prefix: "/wait/", MaxAttempts: 2, Objective: 3 * time.Second, Timeout: 3 * time.Second, Services: parts},
+			{Name: "wait", Host: "booking", Prefix: "/wait/", MaxAttempts: 2, Objective: 8 * time.Second, Timeout: 8 * time.Second, Services: parts},
 			{Name: "book", Host: "booking", Prefix: "/book/", MaxAttempts: 2, Objective: time.Second, Timeout: 2 * time.Second, Services: parts},
 		},
 	}
