upstream: a response of another version of HTTP is malformed

What callers could see: a 200 whose body has the frames of the chunks in it, framed as whole. Nobody reported it; it was found while responses were cut. Cause: net/http ignores Transfer-Encoding in an HTTP/1.0 response and reads the body until the connection closes.

--- a/upstream/limit.go
+++ b/upstream/limit.go
@@ -32,11 +32,18 @@
 	return n, err
 }
 
+// errNotHTTP11 reports a response in another version of HTTP. net/http ignores chunked
+// encoding in an HTTP/1.0 response, so the frames of the chunks would become the body.
+var errNotHTTP11 = errors.New("response is not HTTP/1.1")
+
 // readHead reads the status line and the header of the next response. The body is
 // limited by whoever reads it.
 func (c *Conn) readHead(method string) (*http.Response, error) {
 	c.source.remaining = maxHeadBytes
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	c.source.remaining = math.MaxInt64
+	if err == nil && response.Proto != "HTTP/1.1" {
+		return nil, errNotHTTP11
+	}
 	return response, err
 }
