--- a/control/control.go
+++ b/control/control.go
@@ -144,6 +144,7 @@
 	if err == nil || !errors.As(err, &refused) || refused.Code == peer.CodeMalformed {
 		return response, err
 	}
+	c.leaderClient.Follow(refused)
 	return c.leaderClient.Call(ctx, r)
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -5,10 +5,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -24,6 +26,7 @@
 	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/record"
+	"github.com/oriolepost/oriolepost/replica"
 	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/script"
 	"github.com/oriolepost/oriolepost/settings"
@@ -85,7 +88,7 @@
 	switch testCase.Command {
 	case "start":
 		for _, n := range testCase.List("names") {
-			b.start(n, testCase.Bool("first"))
+			b.start(n, testCase.Bool("first"), testCase.Int("lost", 1))
 		}
 		return ""
 	case "stop":
@@ -125,6 +128,8 @@
 		return b.watch(testCase, name)
 	case "copy":
 		return b.copiesOfView(testCase.List("at"))
+	case "voters":
+		return b.voters(name)
 	case "find_leader":
 		return b.findLeader()
 	case "watch_without_leader":
@@ -144,12 +149,12 @@
 	return list
 }
 
-func (b *fixture) start(name string, first bool) {
+func (b *fixture) start(name string, first bool, lost int) {
 	ctx, cancel := context.WithCancel(context.Background())
 	set := metrics.NewSet()
 	started, err := control.Start(ctx, settings.Deployment{
 		Instance: name, IP: addresses[name], Domain: name, PeerPort: b.port, Seeds: seeds(),
-		DataFolder: filepath.Join(b.folder, name), FirstStart: first, LostInstances: 1,
+		DataFolder: filepath.Join(b.folder, name), FirstStart: first, LostInstances: lost,
 	}, control.Options{
 		Log: &log.Logger{Handler: discard.Default, Level: log.ErrorLevel}, Metrics: set,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) { return b.dial(ctx, name, address) },
@@ -318,6 +323,24 @@
 	return fmt.Sprintf("full=%v version=%d upstreams=%d", view.Full, view.Configuration.Version, len(view.Upstreams))
 }
 
+// voters returns the names of the voters that an instance has in its log.
+func (b *fixture) voters(name string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	response, err := peer.NewPool(ctx, peer.Options{}).Call(ctx, control.PeerAddress(addresses[name], b.port), peer.IdentifyRequest{})
+	identity, ok := response.(peer.IdentifyResponse)
+	if err != nil || !ok || identity.Members == nil {
+		return "none"
+	}
+	var names []string
+	for _, n := range slices.Sorted(maps.Keys(addresses)) {
+		if slices.ContainsFunc(identity.Members.Voters, func(id string) bool { return replica.InstanceOf(id) == addresses[n] }) {
+			names = append(names, n)
+		}
+	}
+	return strings.Join(names, " ")
+}
+
 // incompressible returns bytes that stay as many when they are compressed.
 func incompressible(count int) []byte {
 	data := make([]byte, count)
--- a/control/group.go
+++ b/control/group.go
@@ -15,24 +15,31 @@
 // learnGroup takes what the leader says of the voter group, unless something newer is
 // known.
 func (t *task) learnGroup(g peer.Group) {
-	if g.Term >= t.group.Term && g.Leader != "" {
+	newer := g.Term > t.group.Term || g.Term == t.group.Term && g.Index >= t.group.Index
+	if newer && g.Leader != "" {
 		t.group = g
 	}
 }
 
-// currentGroup describes the voter group that this instance leads.
+// currentGroup describes the voter group that this instance leads. A membership that is
+// not committed may never come into force.
 func (t *task) currentGroup() peer.Group {
-	return peer.Group{Term: t.replica.Term, Leader: t.settings.IP, Members: replicasOf(t.replica.Members)}
+	members, index := t.replica.CommittedMembers()
+	return peer.Group{Term: t.replica.Term, Leader: t.settings.IP, Members: replicasOf(members), Index: index}
 }
 
 func replicasOf(m replica.Members) []string { return append(slices.Clone(m.Voters), m.Learners...) }
 
+// isListed reports whether the log of this instance lists it as a voter or a learner.
+func (t *task) isListed() bool { return slices.Contains(replicasOf(t.replica.Members), t.id()) }
+
 // isMember reports whether this instance gets the log, as a voter or as a learner. An
 // instance that was removed while it was cut off still has the old members in its log,
-// and learns of its removal from the leader's notices only.
+// and learns of its removal from the leader only. What the leader said before this
+// instance was added, which is then in its log, does not count.
 func (t *task) isMember() bool {
-	removed := t.group.Term >= t.replica.Term && t.group.Leader != "" && !slices.Contains(t.group.Members, t.id())
-	return slices.Contains(replicasOf(t.replica.Members), t.id()) && (t.replica.Leader != "" || !removed)
+	removed := t.group.Index > t.replica.MembersIndex() && !slices.Contains(t.group.Members, t.id())
+	return t.isListed() && (t.replica.Leader != "" || !removed)
 }
 
 // leaderInstance returns the instance of the leader, or an empty string if it is not
--- a/control/members.go
+++ b/control/members.go
@@ -58,7 +58,7 @@
 // upstreams. A standby forgets those that no longer announce themselves to it.
 func (t *task) withdrawExpired(now time.Time) error {
 	if !t.leads() {
-		if !t.isMember() {
+		if !t.isListed() {
 			t.fleet.Remove(t.fleet.Expired(now))
 		}
 		return nil
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -64,13 +64,14 @@
 			w.copyDelay = min(2*w.copyDelay, maxCopyRetryDelay)
 			w.takeCopy()
 		}
+		sent := timer.Now()
 		response, err := w.watch()
 		if err != nil {
 			w.watchFailed(err)
 			timer.Pause(w.ctx, watchRetryBackoff)
 			continue
 		}
-		w.handle(response)
+		w.handle(response, sent)
 	}
 }
 
@@ -130,8 +131,8 @@
 	}).Warn("searching for the leader")
 }
 
-// handle passes the answer to a watch on to the entry task.
-func (w *watchTask) handle(response peer.WatchResponse) {
+// handle passes the answer to a watch that was sent at a time on to the entry task.
+func (w *watchTask) handle(response peer.WatchResponse, sent timer.Stamp) {
 	if response.DigestWanted {
 		w.request.Digest = peer.EncodeDigest(w.mirror.Digest)
 		return
@@ -148,7 +149,8 @@
 		message.view, message.epoch, message.revision = &view, response.Epoch, response.Revision
 		w.adoptView(response, view)
 	}
-	message.contact = &controlContact{at: timer.Now(), confirms: peer.WatchDuration(response.Count)}
+	received := timer.Now()
+	message.contact = &controlContact{at: received, confirms: peer.Confirms(sent, received, response.Count)}
 	if !w.connected {
 		w.connected = true
 		gateway.options.Log.WithFields(log.Fields{
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -338,7 +338,10 @@
 	exchange.closeAfter = c.isLast(request)
 	// The table is looked up only now, so that a request that took long to read
 	// is routed by the newest one.
-	switch l := c.server.options.Table().Lookup(request.Host, request.Path, c.server.options.TableConfirmed()).(type) {
+	// Whether it is the newest is asked before: what is confirmed later may be a newer
+	// table.
+	confirmed := c.server.options.TableConfirmed()
+	switch l := c.server.options.Table().Lookup(request.Host, request.Path, confirmed).(type) {
 	case route.Unconfigured:
 		c.refuse(exchange, http.StatusServiceUnavailable, "no configuration yet")
 		return exchange
--- a/peer/leader.go
+++ b/peer/leader.go
@@ -81,6 +81,19 @@
 	return addresses
 }
 
+// Follow takes what this instance itself knows of the voter group.
+func (l *LeaderClient) Follow(refused *RefusedError) {
+	s := <-l.search
+	s.Follow(search.Refused{Leader: refused.Leader, Members: refused.Members})
+	l.search <- s
+}
+
+func (l *LeaderClient) answered() {
+	s := <-l.search
+	s.Answered()
+	l.search <- s
+}
+
 // next selects another instance after a request to the one at an address has failed.
 func (l *LeaderClient) next(failed string, outcome search.Outcome) {
 	s := <-l.search
@@ -93,15 +106,21 @@
 // change. The request must therefore be safe to repeat.
 func (l *LeaderClient) Call(ctx context.Context, request Request) (Response, error) {
 	delay := minRetryDelay
-	for {
+	for busy := 0; ; {
 		address := l.Address()
 		response, err := l.callOnce(ctx, address, request)
 		if err == nil {
+			l.answered()
 			return response, nil
 		}
 		if !l.handleError(address, err) {
 			return nil, err
 		}
+		// One that is busy for long may not be the leader.
+		if busy = busyInRow(busy, err); busy >= maxBusyInRow {
+			busy = 0
+			l.next(address, search.Unreachable{})
+		}
 		if leaderNamed(err) {
 			delay = minRetryDelay
 		}
@@ -112,6 +131,17 @@
 	}
 }
 
+// maxBusyInRow is how often in a row an instance may be busy before another one is asked.
+const maxBusyInRow = 3
+
+func busyInRow(busy int, err error) int {
+	var refused *RefusedError
+	if errors.As(err, &refused) && refused.Code == CodeBusy {
+		return busy + 1
+	}
+	return 0
+}
+
 // leaderNamed reports whether an instance refused a request and named the leader.
 func leaderNamed(err error) bool {
 	var refused *RefusedError
--- a/peer/message.go
+++ b/peer/message.go
@@ -148,8 +148,10 @@
 	Term uint64 `json:"term"`
 	// Leader is the instance of the leader.
 	Leader string `json:"leader"`
-	// Members are the replica IDs of the voters and learners.
+	// Members are the replica IDs of the voters and learners as of Index, the index of a
+	// committed entry of the log.
 	Members []string `json:"members"`
+	Index   uint64   `json:"index"`
 }
 
 // GroupNotice tells an instance of the voter group. The leader sends it to the seeds
--- a/peer/watchtimeout.go
+++ b/peer/watchtimeout.go
@@ -1,6 +1,10 @@
 package peer
 
-import "time"
+import (
+	"time"
+
+	"github.com/oriolepost/oriolepost/timer"
+)
 
 const (
 	// Two answers a second to each entry reveal a lost leader in time for the 2 s in
@@ -23,3 +27,14 @@
 // WatchDuration returns how long an entry among a number of entries waits for the
 // answer to a watch, with the search for the leader.
 func WatchDuration(entries int) time.Duration { return WatchTimeout(entries) + 2*watchAnswerMargin }
+
+// Confirms returns how long an entry's view counts as the newest after the answer to a
+// watch: until the next answer is overdue. An answer that took longer than a watch lasts
+// confirms nothing: the machine was suspended, and the answer has waited to be read.
+func Confirms(sent, received timer.Stamp, entries int) time.Duration {
+	lasts := WatchDuration(entries)
+	if received.Since(sent) > lasts {
+		return 0
+	}
+	return lasts
+}
--- a/replica/election.go
+++ b/replica/election.go
@@ -50,6 +50,11 @@
 func (r *Replica) campaign(now time.Time, preVote, transfer bool) {
 	r.resetElectionTimeout(now)
 	if !r.isVoter(r.Config.ID) {
+		// A learner does not start an election, and knows no leader either.
+		if r.Leader != "" {
+			r.Leader = ""
+			r.setRole(RoleFollower)
+		}
 		return
 	}
 	r.Leader = ""
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -252,6 +252,16 @@
 	return end
 }
 
+// CommittedMembers returns the newest committed membership, and the index as of which it
+// is known.
+func (r *Replica) CommittedMembers() (Members, uint64) { return r.log.membersAt(r.CommitIndex) }
+
+// MembersIndex returns the index as of which this replica knows Members.
+func (r *Replica) MembersIndex() uint64 {
+	_, index := r.log.membersAt(r.log.lastIndex())
+	return index
+}
+
 // KnowsCommitted reports whether this replica has applied every entry that was committed
 // before the present leader was elected. A restarted replica does not know which of the
 // entries after its snapshot are committed until the leader has committed one of its own
--- a/search/search.go
+++ b/search/search.go
@@ -60,8 +60,14 @@
 	// rotation is the last candidate that was asked in turn, and not because another
 	// instance named it as the leader.
 	rotation string
+	// hops counts the named leaders that were asked since.
+	hops int
 }
 
+// maxHops limits how often the named leader is asked before the turn goes on: instances
+// that name each other must not keep the others from being asked.
+const maxHops = 3
+
 // New returns a search that begins at the first configured instance. The list must not
 // be empty.
 func New(configured []Instance) *State {
@@ -108,13 +114,15 @@
 	switch o := outcome.(type) {
 	case Refused:
 		s.Refer(o.Members)
-		if leader := s.addressOf(o.Leader); leader != "" && leader != failed {
-			s.Refer([]string{o.Leader})
+		s.Refer([]string{o.Leader})
+		if leader := s.addressOf(o.Leader); leader != "" && leader != failed && s.hops < maxHops {
+			s.hops++
 			s.Presumed = leader
 			return
 		}
 	case Unreachable:
 	}
+	s.hops = 0
 	candidates := s.Candidates()
 	for range candidates {
 		index := slices.IndexFunc(candidates, func(c Instance) bool { return c.Address == s.rotation })
@@ -126,6 +134,19 @@
 	s.Presumed = s.rotation
 }
 
+// Answered records that the presumed leader has answered.
+func (s *State) Answered() { s.hops = 0 }
+
+// Follow takes what this instance itself knows of the voter group: it asks the leader
+// next if there is one.
+func (s *State) Follow(o Refused) {
+	s.Refer(o.Members)
+	s.Refer([]string{o.Leader})
+	if leader := s.addressOf(o.Leader); leader != "" {
+		s.Presumed = leader
+	}
+}
+
 // addressOf returns the address of an instance, or an empty string if it is not known.
 func (s *State) addressOf(name string) string {
 	if name == "" {
