ingress: the log names a request that can't be accepted

What callers saw: a 400, 408, 413 or 431, for which the log line "request refused" had an empty id, host and path, so that the request could not be found by its id. Cause: handleReadError passed an empty request to Refused, even where the head had been read and parsed. Evidence: the cases print what Refused gets. On the former code, all refusals of strict.txt and bodies.txt but the 404 were "refused 400 ... id= host= path=", for instance "refused 413 body too large id= host= path=". Change: readHead returns what it has read with an error; identify takes method, path, host and id from it and from what is buffered, at most 256 bytes each, for the log and for the method only (a refused HEAD request gets no body). A request that fails in its body is reported as it was parsed. The runner prints id, host and path of refusals, the caller's timeout, and a host other than the usual one; no case is checked less than before. Measured: go test ./ingress -count=1: ok. The same refusals are now for instance "refused 413 body too large id=r7 host=booking path=/book/7".

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -180,12 +180,12 @@
 // be accepted is answered with the status of the error. If the caller has
 // disconnected, its unanswered requests are reported.
 func (c *conn) handleReadError(err error) {
-	var statusErr *StatusError
-	if errors.As(err, &statusErr) {
-		e := newExchange(&Request{Method: http.MethodGet, Header: http.Header{}}, nil)
+	var refused *refusedError
+	if errors.As(err, &refused) {
+		e := newExchange(refused.request, nil)
 		e.closeAfter, e.unreadBytes = true, true
-		c.server.options.Callbacks.Refused(e.Request, statusErr.Status, statusErr.Reason)
-		e.Response <- plainResponse(statusErr.Status, statusErr.Reason)
+		c.server.options.Callbacks.Refused(e.Request, refused.cause.Status, refused.cause.Reason)
+		e.Response <- plainResponse(refused.cause.Status, refused.cause.Reason)
 		c.enqueue(e)
 		return
 	}
@@ -220,16 +220,18 @@
 	if err := c.source.setDeadline(time.Now().Add(limits.HeaderTimeout)); err != nil {
 		return nil, err
 	}
+	names := c.server.options.Names
 	head, err := readHead(c.reader, limits.HeaderBytes)
 	if err != nil {
-		return nil, timeoutStatus(err)
+		buffered, _ := c.reader.Peek(c.reader.Buffered())
+		return nil, refusal(identify(append(head, buffered...), names), err)
 	}
-	r, err := parseHead(head, c.server.options.Names, time.Now())
+	r, err := parseHead(head, names, time.Now())
 	if err != nil {
-		return nil, err
+		return nil, refusal(identify(head, names), err)
 	}
 	if err := c.readBody(r, limits); err != nil {
-		return nil, timeoutStatus(err)
+		return nil, refusal(r, err)
 	}
 	if err := c.source.setDeadline(time.Time{}); err != nil {
 		return nil, err
@@ -310,11 +312,26 @@
 	return r.readBody(c.reader, limits.BodyBytes)
 }
 
-// timeoutStatus replaces an exceeded read deadline by the error for a response
-// with status 408. It returns other errors unchanged.
-func timeoutStatus(err error) error {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return &StatusError{http.StatusRequestTimeout, "the request did not come in time"}
+// refusedError is the error for a request that can't be accepted. request holds
+// what is known of it.
+type refusedError struct {
+	request *Request
+	cause   *StatusError
+}
+
+// Error implements error.
+func (e *refusedError) Error() string { return e.cause.Reason }
+
+// refusal returns the error with which a request that could not be read is refused.
+// An exceeded read deadline is answered with status 408. Errors of the connection
+// are returned unchanged.
+func refusal(request *Request, err error) error {
+	var statusErr *StatusError
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &refusedError{request, &StatusError{http.StatusRequestTimeout, "the request did not come in time"}}
+	case errors.As(err, &statusErr):
+		return &refusedError{request, statusErr}
 	}
 	return err
 }
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -5,8 +5,11 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"sort"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,6 +40,7 @@
 // callers, and the entry that sends the responses.
 type fixture struct {
 	server    *ingress.Server
+	table     atomic.Pointer[route.Table]
 	address   string
 	events    chan string
 	exchanges map[string]*ingress.Exchange
@@ -49,22 +53,14 @@
 		events: make(chan string, 64), arrived: make(chan *ingress.Exchange, 64),
 		exchanges: map[string]*ingress.Exchange{}, conns: map[string]net.Conn{},
 	}
-	table := route.NewTable(route.Configuration{
-		Version: 1,
-		Routes: []route.Route{
-			{Name: "view", Host: "booking", Prefix: "/view/", Idempotent: true, Services: []route.WeightedService{{Service: "booking", Weight: 1}}},
-			{Name: "book", Host: "booking", Prefix: "/book/", Services: []route.WeightedService{{Service: "booking", Weight: 1}}},
-		},
-		Services: []route.Service{{Name: "booking"}},
-		Limits:   route.Limits{HeaderBytes: 1024, BodyBytes: 1 << 20, HeaderTimeout: 300 * time.Millisecond},
-	})
+	b.setLimits(route.Limits{HeaderBytes: 1024, BodyBytes: 1 << 20, HeaderTimeout: 300 * time.Millisecond})
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	b.address = free.Addr().String()
 	gomega.Expect(free.Close()).To(gomega.Succeed())
 	b.server, err = ingress.Listen(ingress.Options{
 		Address: b.address, Names: header.Names{RequestID: "Request-Id", Deadline: "Deadline"},
-		Table: func() *route.Table { return table }, Metrics: metrics.NewSet(),
+		Table: b.table.Load, Metrics: metrics.NewSet(),
 		Callbacks: ingress.Callbacks{Arrived: b.onArrived, Disconnected: b.onDisconnected, Refused: b.onRefused},
 	})
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
@@ -77,15 +73,36 @@
 	return b.run
 })
 
+// setLimits makes a configuration with these limits the current one.
+func (b *fixture) setLimits(limits route.Limits) {
+	b.table.Store(route.NewTable(route.Configuration{
+		Version: 1,
+		Routes: []route.Route{
+			{Name: "view", Host: "booking", Prefix: "/view/", Idempotent: true, Services: []route.WeightedService{{Service: "booking", Weight: 1}}},
+			{Name: "book", Host: "booking", Prefix: "/book/", Services: []route.WeightedService{{Service: "booking", Weight: 1}}},
+		},
+		Services: []route.Service{{Name: "booking"}},
+		Limits:   limits,
+	}))
+}
+
 func (b *fixture) onArrived(e *ingress.Exchange) {
 	r := e.Request
 	line := fmt.Sprintf("arrived %s %s %s route=%s", r.ID, r.Method, r.Target, e.Route.Name)
 	switch {
 	case r.Rest != nil:
 		line += fmt.Sprintf(" buffered=%d streamed", len(r.Body))
+	case len(r.Body) > longBody:
+		line += fmt.Sprintf(" body of %d bytes", len(r.Body))
 	case r.HasBody:
 		line += fmt.Sprintf(" body=%q", r.Body)
 	}
+	if e.Request.Host != "booking" {
+		line += " host=" + r.Host
+	}
+	if r.CallerTimeout > 0 {
+		line += fmt.Sprintf(" timeout=%s", r.CallerTimeout)
+	}
 	b.arrived <- e
 	b.events <- line
 }
@@ -98,8 +115,8 @@
 	b.events <- "disconnected " + strings.Join(ids, ",")
 }
 
-func (b *fixture) onRefused(_ *ingress.Request, status int, reason string) {
-	b.events <- fmt.Sprintf("refused %d %s", status, reason)
+func (b *fixture) onRefused(r *ingress.Request, status int, reason string) {
+	b.events <- fmt.Sprintf("refused %d %s id=%s host=%s path=%s", status, reason, r.ID, r.Host, r.Path)
 }
 
 func (b *fixture) run(c script.Case) string {
@@ -120,6 +137,16 @@
 		_ = b.conns[name].Close()
 		delete(b.conns, name)
 		return b.waitEvents(c.Bool("silent"))
+	case "limits":
+		b.setLimits(route.Limits{
+			HeaderBytes: c.Int("header_bytes", 1024), BodyBytes: int64(c.Int("body_bytes", 1<<20)),
+			HeaderTimeout: time.Duration(c.Int("header_ms", 300)) * time.Millisecond,
+			IdleTimeout:   time.Duration(c.Int("idle_ms", 0)) * time.Millisecond,
+		})
+		return ""
+	case "wait":
+		<-time.After(time.Duration(c.Int("ms", 0)) * time.Millisecond)
+		return b.waitEvents(true)
 	case "drain":
 		b.server.Drain()
 		return b.waitEvents(true)
@@ -145,15 +172,27 @@
 // a body that is buffered.
 const filler = 300_000
 
+// longBody is the length above which only the length of a body is shown.
+const longBody = 100
+
+// repeated matches <x*100>, which stands for 100 times the letter x.
+var repeated = regexp.MustCompile(`<(\w)\*(\d+)>`)
+
 // send writes the input with CR LF line ends, and an empty line after it unless
-// the case says "unended". In a line, \n stands for a bare line feed, <empty>
-// stands for an empty line, and <filler> for many bytes.
+// the case says "unended". In a line, \n and \t stand for a bare line feed and a
+// tab, <empty> stands for an empty line, <filler> for many bytes and <x*N> for N
+// times the letter x.
 func (b *fixture) send(name string, c script.Case) string {
 	b.dial(name)
 	text := strings.TrimSuffix(c.Input, "\n")
 	text = strings.ReplaceAll(text, "\n", "\r\n")
-	text = strings.ReplaceAll(strings.ReplaceAll(text, `\n`, "\n"), "<empty>", "")
-	text = strings.ReplaceAll(text, "<filler>", strings.Repeat("x", filler))
+	text = strings.NewReplacer(`\n`, "\n", `\t`, "\t", "<empty>", "", "<filler>", strings.Repeat("x", filler)).Replace(text)
+	text = repeated.ReplaceAllStringFunc(text, func(match string) string {
+		parts := repeated.FindStringSubmatch(match)
+		n, err := strconv.Atoi(parts[2])
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		return strings.Repeat(parts[1], n)
+	})
 	if !c.Bool("unended") {
 		text += "\r\n\r\n"
 	}
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -91,26 +91,26 @@
 
 // readHead reads the request line and the header of a request line by line. It
 // accepts only what can be understood in one way: every line ends with CR LF, no
-// header line is folded, and the length of the body is given only once.
-func readHead(reader *bufio.Reader, limit int) ([]byte, error) {
-	var head []byte
+// header line is folded, and the length of the body is given only once. With an
+// error it returns what it has read.
+func readHead(reader *bufio.Reader, limit int) (head []byte, err error) {
 	contentLengths, transferEncodings := 0, 0
 	for {
 		line, err := reader.ReadSlice('\n')
 		head = append(head, line...)
 		if len(head) > limit {
-			return nil, &StatusError{http.StatusRequestHeaderFieldsTooLarge, "header too large"}
+			return head, &StatusError{http.StatusRequestHeaderFieldsTooLarge, "header too large"}
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
 		if err != nil {
-			return nil, err
+			return head, err
 		}
 		lineStart := bytes.LastIndexByte(head[:len(head)-1], '\n') + 1
 		fullLine := head[lineStart:]
 		if !bytes.HasSuffix(fullLine, []byte("\r\n")) || bytes.IndexByte(fullLine[:len(fullLine)-2], '\r') >= 0 {
-			return nil, malformed("a header line does not end with CR LF")
+			return head, malformed("a header line does not end with CR LF")
 		}
 		if len(fullLine) == 2 {
 			if lineStart == 0 {
@@ -120,7 +120,7 @@
 			break
 		}
 		if lineStart > 0 && (fullLine[0] == ' ' || fullLine[0] == '\t') {
-			return nil, malformed("a header line is continued")
+			return head, malformed("a header line is continued")
 		}
 		name, _, _ := bytes.Cut(fullLine, []byte(":"))
 		switch strings.ToLower(string(name)) {
@@ -131,11 +131,42 @@
 		}
 	}
 	if contentLengths+transferEncodings > 1 {
-		return nil, malformed("the length of the body is given twice")
+		return head, malformed("the length of the body is given twice")
 	}
 	return head, nil
 }
 
+// maxIdentifyingBytes limits the ID, the host and the path that are logged of a
+// request that can't be accepted.
+const maxIdentifyingBytes = 256
+
+// identify returns what can be read of a request that can't be accepted: its method,
+// path, host and ID, so that it is found in the log. The request must not be served.
+func identify(head []byte, names header.Names) *Request {
+	firstLine, fields, _ := strings.Cut(string(head), "\n")
+	request := &Request{Header: http.Header{}}
+	request.Method, request.Target, _ = strings.Cut(strings.TrimSpace(firstLine), " ")
+	request.Target, _, _ = strings.Cut(request.Target, " ")
+	path, _, _ := strings.Cut(request.Target, "?")
+	request.Path = shortened(path)
+	for line := range strings.Lines(fields) {
+		name, value, found := strings.Cut(line, ":")
+		name, value = strings.TrimSpace(name), strings.TrimSpace(value)
+		switch {
+		case line == "\r\n":
+			return request
+		case !found || !strings.HasSuffix(line, "\n"):
+		case request.ID == "" && strings.EqualFold(name, names.RequestID):
+			request.ID = shortened(value)
+		case request.Host == "" && strings.EqualFold(name, "Host"):
+			request.Host = shortened(value)
+		}
+	}
+	return request
+}
+
+func shortened(text string) string { return text[:min(len(text), maxIdentifyingBytes)] }
+
 // parseHead parses the request line and the header of a request. The body is not
 // read yet.
 func parseHead(head []byte, names header.Names, now time.Time) (*Request, error) {
