ingress: two ways to smuggle a request are closed

What callers saw: nothing. Cause: http.ReadRequest accepts a name that is followed by a space ("Content-Length : 3") and does not take it as the length, and it ignores Transfer-Encoding in HTTP/1.0 (RFC 9112 5.1 and 6.1). A deadline NaN is not below zero and passed as no deadline.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -224,11 +224,11 @@
 	head, err := readHead(c.reader, limits.HeaderBytes)
 	if err != nil {
 		buffered, _ := c.reader.Peek(c.reader.Buffered())
-		return nil, refusal(identify(append(head, buffered...), names), err)
+		return nil, refusal(identify(append(head.bytes, buffered...), names), err)
 	}
 	r, err := parseHead(head, names, time.Now())
 	if err != nil {
-		return nil, refusal(identify(head, names), err)
+		return nil, refusal(identify(head.bytes, names), err)
 	}
 	if err := c.readBody(r, limits); err != nil {
 		return nil, refusal(r, err)
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -89,51 +89,89 @@
 
 func malformed(reason string) error { return &StatusError{http.StatusBadRequest, reason} }
 
+// errLineTooLong is the error for a line above the limit.
+var errLineTooLong = errors.New("line too long")
+
+// readLine reads a line of at most limit bytes with the CR LF at its end. A line that
+// ends with a bare LF or holds a CR is refused. With an error it returns what it has
+// read.
+func readLine(reader *bufio.Reader, limit int) (line []byte, err error) {
+	for {
+		part, err := reader.ReadSlice('\n')
+		line = append(line, part...)
+		switch {
+		case len(line) > limit:
+			return line, errLineTooLong
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case err != nil:
+			return line, err
+		case !bytes.HasSuffix(line, []byte("\r\n")) || bytes.IndexByte(line[:len(line)-2], '\r') >= 0:
+			return line, malformed("a header line does not end with CR LF")
+		}
+		return line, nil
+	}
+}
+
+// requestHead is the request line and the header of a request as sent, and how often
+// the header has the fields that determine the length of the body.
+type requestHead struct {
+	bytes             []byte
+	contentLengths    int
+	transferEncodings int
+}
+
 // readHead reads the request line and the header of a request line by line. It
 // accepts only what can be understood in one way: every line ends with CR LF, no
-// header line is folded, and the length of the body is given only once. With an
-// error it returns what it has read.
-func readHead(reader *bufio.Reader, limit int) (head []byte, err error) {
-	contentLengths, transferEncodings := 0, 0
+// header line is folded, no name is followed by a space, and the length of the body
+// is given only once. With an error it returns what it has read.
+func readHead(reader *bufio.Reader, limit int) (head requestHead, err error) {
 	for {
-		line, err := reader.ReadSlice('\n')
-		head = append(head, line...)
-		if len(head) > limit {
+		line, err := readLine(reader, limit-len(head.bytes))
+		first := len(head.bytes) == 0
+		head.bytes = append(head.bytes, line...)
+		switch {
+		case errors.Is(err, errLineTooLong):
 			return head, &StatusError{http.StatusRequestHeaderFieldsTooLarge, "header too large"}
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
-		if err != nil {
+		case err != nil:
 			return head, err
-		}
-		lineStart := bytes.LastIndexByte(head[:len(head)-1], '\n') + 1
-		fullLine := head[lineStart:]
-		if !bytes.HasSuffix(fullLine, []byte("\r\n")) || bytes.IndexByte(fullLine[:len(fullLine)-2], '\r') >= 0 {
-			return head, malformed("a header line does not end with CR LF")
-		}
-		if len(fullLine) == 2 {
-			if lineStart == 0 {
-				head = head[:0] // Empty lines before a request are skipped.
-				continue
+		case first && len(line) == 2:
+			head.bytes = nil // Empty lines before a request are skipped.
+		case first:
+		case len(line) == 2:
+			return head, head.checkLengths()
+		default:
+			if err := head.addField(line); err != nil {
+				return head, err
 			}
-			break
-		}
-		if lineStart > 0 && (fullLine[0] == ' ' || fullLine[0] == '\t') {
-			return head, malformed("a header line is continued")
-		}
-		name, _, _ := bytes.Cut(fullLine, []byte(":"))
-		switch strings.ToLower(string(name)) {
-		case "content-length":
-			contentLengths++
-		case "transfer-encoding":
-			transferEncodings++
 		}
 	}
-	if contentLengths+transferEncodings > 1 {
-		return head, malformed("the length of the body is given twice")
+}
+
+// addField checks the syntax of a header line, as far as [http.ReadRequest] does not
+// check it, and counts its field.
+func (h *requestHead) addField(line []byte) error {
+	if line[0] == ' ' || line[0] == '\t' {
+		return malformed("a header line is continued")
+	}
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	if bytes.ContainsAny(name, " \t") {
+		return malformed("a header name holds a space")
 	}
-	return head, nil
+	switch strings.ToLower(string(name)) {
+	case "content-length":
+		h.contentLengths++
+	case "transfer-encoding":
+		h.transferEncodings++
+	}
+	return nil
+}
+
+func (h *requestHead) checkLengths() error {
+	if h.contentLengths+h.transferEncodings > 1 {
+		return malformed("the length of the body is given twice")
+	}
+	return nil
 }
 
 // maxIdentifyingBytes limits the ID, the host and the path that are logged of a
@@ -169,14 +207,17 @@
 
 // parseHead parses the request line and the header of a request. The body is not
 // read yet.
-func parseHead(head []byte, names header.Names, now time.Time) (*Request, error) {
-	parsed, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
+func parseHead(head requestHead, names header.Names, now time.Time) (*Request, error) {
+	parsed, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head.bytes)))
 	if err != nil {
 		return nil, malformed(err.Error())
 	}
 	if parsed.Host == "" || parsed.Method == http.MethodConnect || parsed.ProtoMajor != 1 {
 		return nil, malformed("no host, or a method or protocol that is not served")
 	}
+	if parsed.ProtoMinor == 0 && head.transferEncodings > 0 {
+		return nil, malformed("a transfer coding in HTTP/1.0")
+	}
 	request := &Request{
 		Method: parsed.Method, Target: parsed.RequestURI, Path: parsed.URL.EscapedPath(), Host: parsed.Host,
 		Header: parsed.Header, ID: parsed.Header.Get(names.RequestID), Received: now,
@@ -193,7 +234,7 @@
 	request.HasBody = request.Length != 0 || parsed.Header.Get("Content-Length") != ""
 	if timeout := parsed.Header.Get(names.Deadline); timeout != "" {
 		ms, err := strconv.ParseFloat(timeout, 64)
-		if err != nil || ms < 0 {
+		if err != nil || !(ms >= 0) {
 			return nil, malformed("the deadline is not a number of milliseconds")
 		}
 		request.CallerTimeout = time.Duration(ms * float64(time.Millisecond))
