--- a/route/route.go
+++ b/route/route.go
@@ -183,9 +183,14 @@
 }
 
 // Match returns the route of the host with the longest prefix that matches the
-// path. The second result is false when there is none.
+// path. The second result is false when there is none. A dot at the end of the host
+// marks a full domain name and is ignored when there are no routes for it.
 func (t *Table) Match(host, path string) (*Route, bool) {
-	routes := t.routes[normalizeHost(host)]
+	host = normalizeHost(host)
+	routes := t.routes[host]
+	if routes == nil {
+		routes = t.routes[strings.TrimSuffix(host, ".")]
+	}
 	for end := len(path); end > 0 && len(routes) > 0; {
 		slash := strings.LastIndexByte(path[:end], '/')
 		if slash < 0 {
