ingress: targets in absolute form, odd deadlines and long headers are accepted

What callers saw: 400 "the target is not a path" for "GET http://host/path", which servers must accept (RFC 9112 3.2.2); 400 for a deadline that is out of the range of a float or just negative; 431 for a header within max_header_bytes whose request line was counted too; the time of a caller that sends no deadline for a deadline of 0, and 292 years for a huge one, which is negative on other processors. Cause: the target had to begin with a slash, ParseFloat's range error was taken as a syntax error, zero stood for "no deadline", and the limit covered the request line. Odd characters in the target, spaces around values, empty values, HTTP/1.0 and 1.2, bodies of GET and empty lines before a request passed before, too. The request line has its own limit, 8000 bytes or that of the header. Measured: go test ./ingress -count=1: ok.

--- a/ingress/request.go
+++ b/ingress/request.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httputil"
@@ -28,6 +29,12 @@
 	defaultBodyBytes     = 64 << 20
 	defaultHeaderTimeout = 3 * time.Second
 	defaultIdleTimeout   = 15 * time.Second
+	// minRequestLineBytes is the length that every server should accept for a request
+	// line (RFC 9112, section 3). The limit for the header does not count the request
+	// line.
+	minRequestLineBytes = 8000
+	// maxCallerTimeout replaces longer timeouts of callers.
+	maxCallerTimeout = 24 * time.Hour
 )
 
 // limitsWithDefaults returns the limits of a configuration, with defaults for
@@ -51,14 +58,16 @@
 // Request is a caller's request.
 type Request struct {
 	Method string
-	// Target is the path and the query as sent. Path is Target without the query.
+	// Target is the path and the query as sent, without the host of a target in
+	// absolute form. Path is Target without the query.
 	Target string
 	Path   string
 	Host   string
 	Header http.Header
 	// ID is the value of the request ID header; empty if the caller sends none.
 	ID string
-	// CallerTimeout is the caller's timeout; zero when the caller sends none.
+	// CallerTimeout is the caller's timeout; zero when the caller sends none. A timeout
+	// that has passed is the shortest duration, one nanosecond.
 	CallerTimeout time.Duration
 	// Received is when the header of the request was read.
 	Received time.Time
@@ -114,9 +123,10 @@
 }
 
 // requestHead is the request line and the header of a request as sent, and how often
-// the header has the fields that determine the length of the body.
+// the header has the fields that determine the host and the length of the body.
 type requestHead struct {
 	bytes             []byte
+	hosts             int
 	contentLengths    int
 	transferEncodings int
 }
@@ -124,12 +134,21 @@
 // readHead reads the request line and the header of a request line by line. It
 // accepts only what can be understood in one way: every line ends with CR LF, no
 // header line is folded, no name is followed by a space, and the length of the body
-// is given only once. With an error it returns what it has read.
+// is given only once. With an error it returns what it has read. The limit is that of
+// the header; a request line of that length is accepted besides.
 func readHead(reader *bufio.Reader, limit int) (head requestHead, err error) {
+	remaining := limit
 	for {
-		line, err := readLine(reader, limit-len(head.bytes))
 		first := len(head.bytes) == 0
+		lineLimit := remaining
+		if first {
+			lineLimit = max(limit, minRequestLineBytes)
+		}
+		line, err := readLine(reader, lineLimit)
 		head.bytes = append(head.bytes, line...)
+		if !first {
+			remaining -= len(line)
+		}
 		switch {
 		case errors.Is(err, errLineTooLong):
 			return head, &StatusError{http.StatusRequestHeaderFieldsTooLarge, "header too large"}
@@ -159,6 +178,8 @@
 		return malformed("a header name holds a space")
 	}
 	switch strings.ToLower(string(name)) {
+	case "host":
+		h.hosts++
 	case "content-length":
 		h.contentLengths++
 	case "transfer-encoding":
@@ -212,36 +233,70 @@
 	if err != nil {
 		return nil, malformed(err.Error())
 	}
-	if parsed.Host == "" || parsed.Method == http.MethodConnect || parsed.ProtoMajor != 1 {
+	http10 := parsed.ProtoMinor == 0
+	if parsed.Host == "" || head.hosts == 0 && !http10 || parsed.Method == http.MethodConnect || parsed.ProtoMajor != 1 {
 		return nil, malformed("no host, or a method or protocol that is not served")
 	}
-	if parsed.ProtoMinor == 0 && head.transferEncodings > 0 {
+	if http10 && head.transferEncodings > 0 {
 		return nil, malformed("a transfer coding in HTTP/1.0")
 	}
-	request := &Request{
-		Method: parsed.Method, Target: parsed.RequestURI, Path: parsed.URL.EscapedPath(), Host: parsed.Host,
-		Header: parsed.Header, ID: parsed.Header.Get(names.RequestID), Received: now,
-		Length: parsed.ContentLength, close: parsed.Close, http10: parsed.ProtoMinor == 0,
+	target, err := originForm(parsed)
+	if err != nil {
+		return nil, err
 	}
-	if path, _, _ := strings.Cut(request.Target, "?"); strings.HasPrefix(path, "/") {
-		request.Path = path
-	} else {
-		return nil, malformed("the target is not a path")
+	path, _, _ := strings.Cut(target, "?")
+	timeout, err := parseTimeout(parsed.Header.Get(names.Deadline))
+	if err != nil {
+		return nil, err
+	}
+	request := &Request{
+		Method: parsed.Method, Target: target, Path: path, Host: parsed.Host,
+		Header: parsed.Header, ID: parsed.Header.Get(names.RequestID), CallerTimeout: timeout, Received: now,
+		Length: parsed.ContentLength, close: parsed.Close, http10: http10,
 	}
 	if len(parsed.TransferEncoding) > 0 {
 		request.Length = -1
 	}
 	request.HasBody = request.Length != 0 || parsed.Header.Get("Content-Length") != ""
-	if timeout := parsed.Header.Get(names.Deadline); timeout != "" {
-		ms, err := strconv.ParseFloat(timeout, 64)
-		if err != nil || !(ms >= 0) {
-			return nil, malformed("the deadline is not a number of milliseconds")
-		}
-		request.CallerTimeout = time.Duration(ms * float64(time.Millisecond))
-	}
 	return request, nil
 }
 
+// originForm returns the path and the query of the target. Servers must accept a
+// target in absolute form, which callers send to proxies (RFC 9112, section 3.2.2).
+func originForm(parsed *http.Request) (string, error) {
+	target := parsed.RequestURI
+	if strings.HasPrefix(target, "/") {
+		return target, nil
+	}
+	if u := parsed.URL; u.Scheme != "http" && u.Scheme != "https" || u.Hostname() == "" || u.User != nil {
+		return "", malformed("the target is not a path")
+	}
+	_, target, _ = strings.Cut(target, "://")
+	start := strings.IndexAny(target, "/?")
+	switch {
+	case start < 0:
+		return "/", nil
+	case target[start] == '?':
+		return "/" + target[start:], nil
+	}
+	return target[start:], nil
+}
+
+// parseTimeout parses the caller's timeout in milliseconds; an empty value means that
+// there is none. It returns maxCallerTimeout for longer timeouts, and one nanosecond
+// for a timeout that has passed.
+func parseTimeout(value string) (time.Duration, error) {
+	if value == "" {
+		return 0, nil
+	}
+	ms, err := strconv.ParseFloat(value, 64)
+	if err != nil && !errors.Is(err, strconv.ErrRange) || math.IsNaN(ms) {
+		return 0, malformed("the deadline is not a number of milliseconds")
+	}
+	nanoseconds := min(ms*float64(time.Millisecond), float64(maxCallerTimeout))
+	return time.Duration(max(nanoseconds, 1)), nil
+}
+
 // expectsContinue reports whether the caller waits for status 100 (Continue)
 // before it sends the body.
 func (r *Request) expectsContinue() bool {
