placement: a request that arrives after its deadline is refused at once

Cause: an arrival was placed without a look at its deadline; with an idle upstream an attempt was started, and the next timer ended it with the outcome unknown. Change: handleArrival refuses such a request, without an attempt and without Retry-After.

--- a/placement/place.go
+++ b/placement/place.go
@@ -47,7 +47,8 @@
 	minRemainingTimeRatio = 0.7
 )
 
-// handleArrival registers a new request and starts the search for an upstream.
+// handleArrival registers a new request and starts the search for an upstream. A
+// request whose deadline has passed, as after a slow body, is refused.
 func (s *State) handleArrival(now time.Time, r Request) {
 	pending := &pendingRequest{request: r, attempts: map[AttemptID]*attempt{}, tried: map[Key]bool{}}
 	s.requests[r.ID] = pending
@@ -56,6 +57,10 @@
 	if highest, known := s.highestPriority[r.Service]; !known || r.Route.Priority < highest {
 		s.highestPriority[r.Service] = r.Route.Priority
 	}
+	if !now.Before(r.Deadline) {
+		s.refuse(now, pending, NotRun{Reason: ReasonTimeout})
+		return
+	}
 	s.place(now, pending)
 }
 
