ingress: chunked bodies are decoded here, and early ends are disconnects

What callers saw: 400 for chunked bodies with a space before an extension, a size with many leading zeros, an extension or a trailer line of over 2 kB or a trailer of over 31 lines, all of which RFC 9112 7.1 calls proper; 400 "the trailer is broken" instead of 408 for a slow trailer. A caller that left within a body counted as refused with 400, and its earlier requests on the connection were not canceled. Cause: the decoder of httputil, limited to the read buffer of 2 kB, refuses these, and any error in the trailer or at the end of the connection became "malformed". Change: chunkedBody decodes chunks itself with readLine. The header limit bounds the trailer (new case: 400 above it; it was accepted), 4 kB the line of a size; digits only, CR LF only and the bound for extensions stay. One reason text differs: an empty size is an invalid byte. A body that ends early is io.ErrUnexpectedEOF, a disconnect. One byte more than the buffered size shows whether a chunked body is to be streamed.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -309,7 +309,7 @@
 	if err := c.source.setDeadline(time.Now().Add(max(limits.HeaderTimeout, r.CallerTimeout))); err != nil {
 		return err
 	}
-	return r.readBody(c.reader, limits.BodyBytes)
+	return r.readBody(c.reader, limits)
 }
 
 // refusedError is the error for a request that can't be accepted. request holds
--- a/ingress/fuzz_test.go
+++ b/ingress/fuzz_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/oriolepost/oriolepost/header"
+	"github.com/oriolepost/oriolepost/route"
 )
 
 // FuzzRequest checks that no bytes of a caller make the parser panic, that a body is
@@ -18,13 +19,14 @@
 	f.Add([]byte("POST /book/1 HTTP/1.1\r\nHost: booking\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		const bodyLimit = 1 << 20
+		limits := route.Limits{HeaderBytes: defaultHeaderBytes, BodyBytes: bodyLimit}
 		reader := bufio.NewReaderSize(bytes.NewReader(data), readBufferBytes)
 		head, err := readHead(reader, defaultHeaderBytes)
 		if err != nil {
 			return
 		}
 		r, err := parseHead(head, header.Names{RequestID: "Request-Id", Deadline: "Deadline"}, time.Now())
-		if err != nil || r.readBody(reader, bodyLimit) != nil {
+		if err != nil || r.readBody(reader, limits) != nil {
 			return
 		}
 		rest := int64(0)
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -6,9 +6,7 @@
 	"errors"
 	"io"
 	"math"
-	"net"
 	"net/http"
-	"net/http/httputil"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -98,12 +96,15 @@
 
 func malformed(reason string) error { return &StatusError{http.StatusBadRequest, reason} }
 
-// errLineTooLong is the error for a line above the limit.
-var errLineTooLong = errors.New("line too long")
+var (
+	// errLineTooLong is the error for a line above the limit.
+	errLineTooLong = errors.New("line too long")
+	// errLineEnd is the error for a line that ends with a bare LF or holds a CR.
+	errLineEnd = errors.New("line does not end with CR LF")
+)
 
-// readLine reads a line of at most limit bytes with the CR LF at its end. A line that
-// ends with a bare LF or holds a CR is refused. With an error it returns what it has
-// read.
+// readLine reads a line of at most limit bytes with the CR LF at its end. With an
+// error it returns what it has read.
 func readLine(reader *bufio.Reader, limit int) (line []byte, err error) {
 	for {
 		part, err := reader.ReadSlice('\n')
@@ -116,7 +117,7 @@
 		case err != nil:
 			return line, err
 		case !bytes.HasSuffix(line, []byte("\r\n")) || bytes.IndexByte(line[:len(line)-2], '\r') >= 0:
-			return line, malformed("a header line does not end with CR LF")
+			return line, errLineEnd
 		}
 		return line, nil
 	}
@@ -152,6 +153,8 @@
 		switch {
 		case errors.Is(err, errLineTooLong):
 			return head, &StatusError{http.StatusRequestHeaderFieldsTooLarge, "header too large"}
+		case errors.Is(err, errLineEnd):
+			return head, malformed("a header line does not end with CR LF")
 		case err != nil:
 			return head, err
 		case first && len(line) == 2:
@@ -303,62 +306,47 @@
 	return r.HasBody && strings.EqualFold(r.Header.Get("Expect"), "100-continue")
 }
 
-// readBody reads the body into Body. Of a long body only the beginning is read,
-// and the remainder is left in Rest.
-func (r *Request) readBody(reader *bufio.Reader, limit int64) error {
+// checkLength refuses a body whose length is known to be above the limit.
+func (r *Request) checkLength(limit int64) error {
 	if r.Length > limit {
-		return &StatusError{http.StatusRequestEntityTooLarge, "body too large"}
+		return errBodyTooLarge
+	}
+	return nil
+}
+
+// errBodyTooLarge is the error for a body above the limit.
+var errBodyTooLarge = &StatusError{http.StatusRequestEntityTooLarge, "body too large"}
+
+// readBody reads the body into Body. Of a long body only the beginning is read, and
+// the remainder is left in Rest. A body that ends too early gives
+// [io.ErrUnexpectedEOF], as the caller has closed the connection.
+func (r *Request) readBody(reader *bufio.Reader, limits route.Limits) error {
+	if err := r.checkLength(limits.BodyBytes); err != nil {
+		return err
 	}
 	var body io.Reader
+	bufferedLimit := int64(maxBufferedBodyBytes)
 	switch {
 	case r.Length == 0:
 		return nil
 	case r.Length > 0:
-		body = io.LimitReader(reader, r.Length)
+		body = &fixedLengthBody{source: reader, remaining: r.Length}
 	default:
-		body = &chunkedBody{chunks: httputil.NewChunkedReader(reader), source: reader, remaining: limit}
+		body = &chunkedBody{source: reader, remaining: limits.BodyBytes, trailerLimit: limits.HeaderBytes}
+		// One more byte shows whether a body that fills the buffer goes on.
+		bufferedLimit++
 	}
-	buffered, err := io.ReadAll(io.LimitReader(body, maxBufferedBodyBytes))
+	buffered, err := io.ReadAll(io.LimitReader(body, bufferedLimit))
 	if err != nil {
-		return bodyError(err)
+		return err
 	}
 	r.Body = buffered
-	if r.Length > 0 && int64(len(buffered)) < r.Length {
-		if len(buffered) < maxBufferedBodyBytes {
-			return malformed("the body ended early")
-		}
-		r.Rest = &streamedBody{source: &fixedLengthBody{source: body, remaining: r.Length - int64(len(buffered))}}
-	}
-	if r.Length < 0 {
-		return r.setChunkedRest(body)
-	}
-	return nil
-}
-
-// setChunkedRest leaves the remainder of a chunked body that fills the buffer in
-// Rest. A shorter chunked body must have been read to its end.
-func (r *Request) setChunkedRest(body io.Reader) error {
-	if len(r.Body) == maxBufferedBodyBytes {
+	if r.Length > maxBufferedBodyBytes || r.Length < 0 && int64(len(buffered)) == bufferedLimit {
 		r.Rest = &streamedBody{source: body}
-		return nil
-	}
-	if !body.(*chunkedBody).ended {
-		return malformed("the body ended early")
 	}
 	return nil
 }
 
-// bodyError returns network errors, the end of the connection and errors with a
-// status unchanged. Any other error means that the body is malformed.
-func bodyError(err error) error {
-	var statusErr *StatusError
-	var networkErr net.Error
-	if errors.As(err, &statusErr) || errors.As(err, &networkErr) || errors.Is(err, io.EOF) {
-		return err
-	}
-	return malformed("the body is broken: " + err.Error())
-}
-
 // streamedBody is the part of a body that is forwarded while it arrives. The task
 // that forwards it reads it, and the writer of the connection asks whether it was
 // read to its end.
@@ -391,7 +379,10 @@
 
 // Read implements io.Reader.
 func (b *fixedLengthBody) Read(p []byte) (int, error) {
-	n, err := b.source.Read(p)
+	if b.remaining == 0 {
+		return 0, io.EOF
+	}
+	n, err := b.source.Read(p[:min(int64(len(p)), b.remaining)])
 	b.remaining -= int64(n)
 	if errors.Is(err, io.EOF) && b.remaining > 0 {
 		return n, io.ErrUnexpectedEOF
@@ -399,42 +390,123 @@
 	return n, err
 }
 
-// chunkedBody reads a chunked body and the trailer after it.
+// chunkedBody decodes a chunked body and discards its extensions and its trailer.
+// The decoder of package httputil refuses spaces before an extension, which must be
+// accepted (RFC 9112, section 7.1.1), and limits lines to the size of the buffer.
 type chunkedBody struct {
-	chunks io.Reader
 	source *bufio.Reader
 	// remaining is how many more bytes the limit for the body allows.
 	remaining int64
-	// ended is true when the trailer was read.
-	ended bool
+	// trailerLimit is the limit for the lines of the trailer together.
+	trailerLimit int
+	// chunkRemaining is how many bytes of the current chunk are unread.
+	chunkRemaining int64
+	// endUnread is true when the CR LF at the end of the current chunk is unread.
+	endUnread bool
+	// overhead is how many bytes of extensions are not balanced by content.
+	overhead int64
+	// err is the error that ended the body: [io.EOF] after the trailer.
+	err error
 }
 
-// maxTrailerLines is the maximum number of lines of a trailer, with the empty
-// line at its end. Trailers are discarded.
-const maxTrailerLines = 32
+const (
+	// maxChunkLineBytes limits the size of a chunk with its extensions.
+	maxChunkLineBytes = 4 << 10
+	// maxChunkOverhead limits the bytes of extensions, beyond those for which chunks
+	// have freeChunkOverhead and twice their size. A body in chunks of one byte is
+	// accepted.
+	maxChunkOverhead  = 16 << 10
+	freeChunkOverhead = 16
+)
 
 // Read implements io.Reader.
-func (b *chunkedBody) Read(p []byte) (int, error) {
-	if b.ended {
-		return 0, io.EOF
+func (b *chunkedBody) Read(p []byte) (n int, err error) {
+	if b.err == nil {
+		n, b.err = b.read(p)
 	}
-	n, err := b.chunks.Read(p)
-	b.remaining -= int64(n)
-	if b.remaining < 0 {
-		return n, &StatusError{http.StatusRequestEntityTooLarge, "body too large"}
+	return n, b.err
+}
+
+func (b *chunkedBody) read(p []byte) (n int, err error) {
+	if b.chunkRemaining == 0 {
+		if err := b.nextChunk(); err != nil {
+			return 0, unexpectedEOF(err)
+		}
+		if b.chunkRemaining == 0 {
+			if err := b.readTrailer(); err != nil {
+				return 0, unexpectedEOF(err)
+			}
+			return 0, io.EOF
+		}
 	}
-	if !errors.Is(err, io.EOF) {
-		return n, err
+	n, err = b.source.Read(p[:min(int64(len(p)), b.chunkRemaining)])
+	b.chunkRemaining -= int64(n)
+	return n, unexpectedEOF(err)
+}
+
+// unexpectedEOF replaces [io.EOF] in the middle of a body.
+func unexpectedEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
 	}
-	for range maxTrailerLines {
-		line, err := b.source.ReadSlice('\n')
-		if err != nil || !bytes.HasSuffix(line, []byte("\r\n")) {
-			return n, malformed("the trailer is broken")
+	return err
+}
+
+func malformedBody(reason string) error { return malformed("the body is broken: " + reason) }
+
+// nextChunk reads the end of the current chunk and the size of the next one.
+func (b *chunkedBody) nextChunk() error {
+	if b.endUnread {
+		var end [2]byte
+		if _, err := io.ReadFull(b.source, end[:]); err != nil {
+			return err
+		}
+		if string(end[:]) != "\r\n" {
+			return malformedBody("malformed chunked encoding")
 		}
-		if len(line) == 2 {
-			b.ended = true
-			return n, io.EOF
+	}
+	line, err := readLine(b.source, maxChunkLineBytes)
+	switch {
+	case errors.Is(err, errLineTooLong):
+		return malformedBody("header line too long")
+	case errors.Is(err, errLineEnd):
+		return malformedBody("chunked line ends with bare LF")
+	case err != nil:
+		return err
+	}
+	digits, _, _ := bytes.Cut(bytes.TrimSuffix(line, []byte("\r\n")), []byte(";"))
+	size, err := strconv.ParseUint(string(bytes.TrimRight(digits, " \t")), 16, 63)
+	switch {
+	case errors.Is(err, strconv.ErrRange):
+		return malformedBody("http chunk length too large")
+	case err != nil:
+		return malformedBody("invalid byte in chunk length")
+	case int64(size) > b.remaining:
+		return errBodyTooLarge
+	}
+	b.overhead = max(0, b.overhead+int64(len(line))-freeChunkOverhead-2*int64(size))
+	if b.overhead > maxChunkOverhead {
+		return malformedBody("chunked encoding contains too much non-data")
+	}
+	b.chunkRemaining, b.endUnread = int64(size), true
+	b.remaining -= int64(size)
+	return nil
+}
+
+// readTrailer reads the trailer to its end and discards it.
+func (b *chunkedBody) readTrailer() error {
+	for remaining := b.trailerLimit; ; {
+		line, err := readLine(b.source, remaining)
+		switch {
+		case errors.Is(err, errLineTooLong):
+			return malformed("the trailer is too long")
+		case errors.Is(err, errLineEnd):
+			return malformed("the trailer is broken")
+		case err != nil:
+			return err
+		case len(line) == 2:
+			return nil
 		}
+		remaining -= len(line)
 	}
-	return n, malformed("the trailer is too long")
 }
