ingress: a disconnect is noticed behind a refused request

What callers saw: nothing; upstreams worked on for a caller that had left, which the users' rules call GONE. Cause: after a request that can't be accepted the reader ended. A disconnect while an earlier request of the connection was unanswered went unnoticed. Evidence: the last case of leaving.txt: a request without a host is refused behind an unanswered one and the caller closes. On the former code nothing was reported within 2 s; expected is "disconnected r9,r10". Change: the reader goes on and discards what it reads. The writer's read deadline, set when the response is written, ends that, since the read may be interrupted. Measured: go test ./ingress -count=1: ok.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -144,9 +144,13 @@
 // written. Whatever the caller still sends is discarded, and not read as a
 // request.
 func (c *conn) awaitClose() {
-	if c.source.setDeadline(time.Time{}) != nil {
-		return
+	if c.source.setDeadline(time.Time{}) == nil {
+		c.discardUntilClose()
 	}
+}
+
+// discardUntilClose reads until the caller disconnects or the read is interrupted.
+func (c *conn) discardUntilClose() {
 	_, err := io.Copy(io.Discard, c.reader)
 	if err == nil {
 		err = io.EOF
@@ -178,7 +182,9 @@
 
 // handleReadError handles the error that ended the reading. A request that can't
 // be accepted is answered with the status of the error. If the caller has
-// disconnected, its unanswered requests are reported.
+// disconnected, its unanswered requests are reported. This also holds while a
+// request that can't be accepted waits for the responses before it; the writer
+// interrupts the reading when it has written its response.
 func (c *conn) handleReadError(err error) {
 	var refused *refusedError
 	if errors.As(err, &refused) {
@@ -187,6 +193,9 @@
 		c.server.options.Callbacks.Refused(e.Request, refused.cause.Status, refused.cause.Reason)
 		e.Response <- plainResponse(refused.cause.Status, refused.cause.Reason)
 		c.enqueue(e)
+		if err := c.source.setInterruptibleDeadline(time.Time{}); err == nil {
+			c.discardUntilClose()
+		}
 		return
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
