ingress: callers that are idle, wait for 100 or answered late keep their connection

What callers saw: 408 on an idle connection some seconds after an empty line; 408 for a request that waited for 100 (Continue) behind an unanswered one; a closed connection well before the idle timeout when the last response had taken long. Change: empty lines are skipped before the header timeout starts; 100 waits for the responses before it, and is left out if the body has begun to arrive, in HTTP/1.0, and for a body known to be too long; the idle time begins with the last response.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -73,8 +73,9 @@
 	// unreadBytes is true when bytes may still arrive that belong to no request to
 	// be served. They are read and discarded before the connection is closed.
 	unreadBytes bool
-	// written is closed when the writer has finished with the response.
-	written chan struct{}
+	// written is closed when the writer has finished with the response, at writtenAt.
+	written   chan struct{}
+	writtenAt time.Time
 }
 
 // Callbacks holds the functions that send messages to the entry's task.
@@ -254,7 +255,7 @@
 // which no request was read yet may still send one. After a read error
 // awaitRequest returns true, and the next read returns the error.
 func (c *conn) awaitRequest(idle time.Duration) bool {
-	if c.reader.Buffered() > 0 {
+	if c.skipEmptyLines(); c.reader.Buffered() > 0 {
 		return true
 	}
 	idleEnd := time.Now().Add(idle)
@@ -276,19 +277,60 @@
 		if c.server.draining.Load() && !drainSeen {
 			continue
 		}
-		_, err := c.reader.Peek(1)
-		switch {
-		case !errors.Is(err, os.ErrDeadlineExceeded):
+		if err := c.peekRequest(); !errors.Is(err, os.ErrDeadlineExceeded) {
 			return true
-		case time.Now().Before(idleEnd):
+		}
+		if time.Now().Before(idleEnd) {
 			continue
-		case len(c.unanswered()) == 0:
+		}
+		// The idle time begins with the last response.
+		idleEnd = c.idleSince().Add(idle)
+		if !time.Now().Before(idleEnd) {
 			return false
 		}
-		idleEnd = time.Now().Add(idle)
 	}
 }
 
+// peekRequest waits for a byte that is not part of an empty line. Empty lines do not
+// begin a request, and so do not start its header timeout.
+func (c *conn) peekRequest() error {
+	for {
+		if _, err := c.reader.Peek(1); err != nil {
+			return err
+		}
+		if c.skipEmptyLines(); c.reader.Buffered() > 0 {
+			return nil
+		}
+	}
+}
+
+// skipEmptyLines discards empty lines that were received before a request.
+func (c *conn) skipEmptyLines() {
+	for c.reader.Buffered() >= 2 {
+		if line, err := c.reader.Peek(2); err != nil || string(line) != "\r\n" {
+			return
+		}
+		if _, err := c.reader.Discard(2); err != nil {
+			return
+		}
+	}
+}
+
+// idleSince returns the time of the last response: now while a request is unanswered,
+// and zero when no request was read.
+func (c *conn) idleSince() time.Time {
+	if len(c.unanswered()) > 0 {
+		return time.Now()
+	}
+	var last time.Time
+	for _, e := range c.pending {
+		if e.writtenAt.After(last) {
+			last = e.writtenAt
+		}
+	}
+	return last
+}
+
 // unanswered returns the requests whose response is not written yet.
 func (c *conn) unanswered() []*Exchange {
 	var unwritten []*Exchange
@@ -302,15 +344,29 @@
 	return unwritten
 }
 
+// awaitResponses waits until all requests that were read are answered.
+func (c *conn) awaitResponses() {
+	for _, e := range c.unanswered() {
+		select {
+		case <-e.written:
+		case <-c.writerDone:
+		}
+	}
+}
+
 // readBody reads the buffered part of the body, within the header timeout or
-// the caller timeout, whichever is longer. If the caller asks for 100 Continue,
-// it is sent first, but only when all earlier requests are answered: responses
-// keep the order of the requests.
+// the caller timeout, whichever is longer. If the caller asks for 100 Continue and has
+// not sent any of the body, it is sent first, once all earlier requests are answered:
+// responses keep the order of the requests.
 func (c *conn) readBody(r *Request, limits route.Limits) error {
 	if !r.HasBody {
 		return nil
 	}
-	if r.expectsContinue() && len(c.unanswered()) == 0 {
+	if err := r.checkLength(limits.BodyBytes); err != nil {
+		return err
+	}
+	if r.expectsContinue() && c.reader.Buffered() == 0 {
+		c.awaitResponses()
 		if _, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return err
 		}
@@ -365,12 +421,7 @@
 	}
 	exchange.Route = matched
 	if !matched.Idempotent {
-		for _, o := range c.unanswered() {
-			select {
-			case <-o.written:
-			case <-c.writerDone:
-			}
-		}
+		c.awaitResponses()
 	}
 	header.RemoveHopByHop(request.Header)
 	c.server.options.Callbacks.Arrived(exchange)
--- a/ingress/fuzz_test.go
+++ b/ingress/fuzz_test.go
@@ -26,7 +26,7 @@
 			return
 		}
 		r, err := parseHead(head, header.Names{RequestID: "Request-Id", Deadline: "Deadline"}, time.Now())
-		if err != nil || r.readBody(reader, limits) != nil {
+		if err != nil || r.checkLength(bodyLimit) != nil || r.readBody(reader, limits) != nil {
 			return
 		}
 		rest := int64(0)
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -301,9 +301,9 @@
 }
 
 // expectsContinue reports whether the caller waits for status 100 (Continue)
-// before it sends the body.
+// before it sends the body. Status 100 is unknown in HTTP/1.0.
 func (r *Request) expectsContinue() bool {
-	return r.HasBody && strings.EqualFold(r.Header.Get("Expect"), "100-continue")
+	return r.HasBody && !r.http10 && strings.EqualFold(r.Header.Get("Expect"), "100-continue")
 }
 
 // checkLength refuses a body whose length is known to be above the limit.
@@ -321,9 +321,6 @@
 // the remainder is left in Rest. A body that ends too early gives
 // [io.ErrUnexpectedEOF], as the caller has closed the connection.
 func (r *Request) readBody(reader *bufio.Reader, limits route.Limits) error {
-	if err := r.checkLength(limits.BodyBytes); err != nil {
-		return err
-	}
 	var body io.Reader
 	bufferedLimit := int64(maxBufferedBodyBytes)
 	switch {
--- a/ingress/response.go
+++ b/ingress/response.go
@@ -66,6 +66,7 @@
 			next = nil
 		}
 		ok := c.writeResponse(e, response, last)
+		e.writtenAt = time.Now()
 		close(e.written)
 		if !ok || last {
 			lingers = ok && e.unreadBytes
