--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -11,7 +11,8 @@
 //
 // Requests are parsed strictly. A request that could be understood in two ways
 // is refused and the connection closed, so that no request is smuggled to an
-// upstream. Paths are forwarded unchanged and no redirects are sent.
+// upstream. Whatever else RFC 9110 and RFC 9112 allow is accepted, as the target in
+// absolute form. Paths are forwarded unchanged and no redirects are sent.
 //
 // # Usage
 //
--- a/ingress/fuzz_test.go
+++ b/ingress/fuzz_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,11 +13,16 @@
 )
 
 // FuzzRequest checks that no bytes of a caller make the parser panic, that a body is
-// bounded, and that a body with a length has that length.
+// bounded, that a body with a length has that length, and that what is passed on can't
+// be understood as another request.
 func FuzzRequest(f *testing.F) {
 	f.Add([]byte("GET /view/1 HTTP/1.1\r\nHost: booking\r\n\r\n"))
 	f.Add([]byte("POST /book/1 HTTP/1.1\r\nHost: booking\r\nContent-Length: 2\r\n\r\nhi"))
 	f.Add([]byte("POST /book/1 HTTP/1.1\r\nHost: booking\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"))
+	f.Add([]byte("\r\nGET http://booking:80/view/1?x HTTP/1.1\r\nHost: other\r\nDeadline: 1e999\r\n\r\n"))
+	f.Add([]byte("POST /book/1 HTTP/1.1\r\nHost: booking\r\nContent-Length : 2\r\n\r\nhi"))
+	f.Add([]byte("POST /book/1 HTTP/1.0\r\nHost: booking\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"))
+	f.Add([]byte("POST /book/1 HTTP/1.1\r\nHost: booking\r\nDeadline: NaN\r\nTransfer-Encoding: Chunked\r\n\r\n02 ;x=\"y\"\r\nhi\r\n00\r\nSum: 1\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		const bodyLimit = 1 << 20
 		limits := route.Limits{HeaderBytes: defaultHeaderBytes, BodyBytes: bodyLimit}
@@ -26,7 +32,11 @@
 			return
 		}
 		r, err := parseHead(head, header.Names{RequestID: "Request-Id", Deadline: "Deadline"}, time.Now())
-		if err != nil || r.checkLength(bodyLimit) != nil || r.readBody(reader, limits) != nil {
+		if err != nil {
+			return
+		}
+		checkAccepted(t, head, r)
+		if r.checkLength(bodyLimit) != nil || r.readBody(reader, limits) != nil {
 			return
 		}
 		rest := int64(0)
@@ -44,3 +54,25 @@
 		}
 	})
 }
+
+// checkAccepted checks a request whose head is accepted: one host, one length at most,
+// a path as the target, and no bytes that end a line where the request is written out.
+func checkAccepted(t *testing.T, head requestHead, r *Request) {
+	if head.hosts > 1 || head.contentLengths+head.transferEncodings > 1 {
+		t.Fatalf("%+v is accepted", head)
+	}
+	if !strings.HasPrefix(r.Target, "/") || !strings.HasPrefix(r.Target, r.Path) {
+		t.Fatalf("target %q, path %q", r.Target, r.Path)
+	}
+	if r.CallerTimeout < 0 || r.CallerTimeout > maxCallerTimeout {
+		t.Fatalf("timeout %s", r.CallerTimeout)
+	}
+	if strings.ContainsAny(r.Method+r.Target, " \r\n\t") || strings.ContainsAny(r.Host, "\r\n") {
+		t.Fatalf("%q %q %q", r.Method, r.Target, r.Host)
+	}
+	for name := range r.Header {
+		if strings.ContainsAny(name, " \t\r\n:") {
+			t.Fatalf("header name %q", name)
+		}
+	}
+}
--- a/route/route.go
+++ b/route/route.go
@@ -82,13 +82,16 @@
 // Limits are the limits for callers' requests and connections. For a limit that
 // is zero or less, entries use their default.
 type Limits struct {
+	// HeaderBytes limits the header without the request line, and the trailer of a
+	// chunked body.
 	HeaderBytes int   `json:"header_bytes,omitempty"`
 	BodyBytes   int64 `json:"body_bytes,omitempty"`
 	// HeaderTimeout limits the time between the first byte of a request and the
 	// end of its header. The buffered part of the body has as much time again, or
 	// the caller timeout if that is longer.
 	HeaderTimeout time.Duration `json:"header_timeout_ns,omitempty"`
-	// IdleTimeout limits the time between two requests on a connection.
+	// IdleTimeout limits the time between a response and the next request on a
+	// connection.
 	IdleTimeout time.Duration `json:"idle_timeout_ns,omitempty"`
 }
 
