ingress: a body may take as long as its route allows

What callers saw: 408 after header_timeout_ms for a slow body without a deadline header, although the route's timeout_ms had not passed. Cause: without a caller timeout only the header timeout bounded the body. Change: bodyTimeout is the caller's timeout, or else the route's, and at least the header timeout. Measured: go test ./ingress -count=1: ok.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -241,7 +241,7 @@
 	if err != nil {
 		return nil, refusal(identify(head.bytes, names), err)
 	}
-	if err := c.readBody(r, limits); err != nil {
+	if err := c.readBody(r, limits, bodyTimeout(r, table, limits)); err != nil {
 		return nil, refusal(r, err)
 	}
 	if err := c.source.setDeadline(time.Time{}); err != nil {
@@ -355,11 +355,22 @@
 	}
 }
 
-// readBody reads the buffered part of the body, within the header timeout or
-// the caller timeout, whichever is longer. If the caller asks for 100 Continue and has
-// not sent any of the body, it is sent first, once all earlier requests are answered:
-// responses keep the order of the requests.
-func (c *conn) readBody(r *Request, limits route.Limits) error {
+// bodyTimeout returns the time for the buffered part of the body: the caller timeout,
+// or that of the route if the caller sends none, but at least the header timeout.
+func bodyTimeout(r *Request, table *route.Table, limits route.Limits) time.Duration {
+	timeout := r.CallerTimeout
+	if timeout == 0 && table != nil {
+		if matched, ok := table.Match(r.Host, r.Path); ok {
+			timeout = matched.Timeout
+		}
+	}
+	return max(limits.HeaderTimeout, timeout)
+}
+
+// readBody reads the buffered part of the body within a time. If the caller asks for
+// 100 Continue and has not sent any of the body, it is sent first, once all earlier
+// requests are answered: responses keep the order of the requests.
+func (c *conn) readBody(r *Request, limits route.Limits, timeout time.Duration) error {
 	if !r.HasBody {
 		return nil
 	}
@@ -372,7 +383,7 @@
 			return err
 		}
 	}
-	if err := c.source.setDeadline(time.Now().Add(max(limits.HeaderTimeout, r.CallerTimeout))); err != nil {
+	if err := c.source.setDeadline(time.Now().Add(timeout)); err != nil {
 		return err
 	}
 	return r.readBody(c.reader, limits)
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -34,6 +34,9 @@
 	// the time without an event after which a case ends.
 	eventTimeout = 2 * time.Second
 	quietPeriod  = 60 * time.Millisecond
+	// longTimeout is the timeout of a route whose requests may take longer than the
+	// header timeout.
+	longTimeout = 1200 * time.Millisecond
 )
 
 // fixture is a server on the loopback interface. The test file plays the
@@ -80,6 +83,7 @@
 		Routes: []route.Route{
 			{Name: "view", Host: "booking", Prefix: "/view/", Idempotent: true, Services: []route.WeightedService{{Service: "booking", Weight: 1}}},
 			{Name: "book", Host: "booking", Prefix: "/book/", Services: []route.WeightedService{{Service: "booking", Weight: 1}}},
+			{Name: "long", Host: "booking", Prefix: "/long/", Timeout: longTimeout, Services: []route.WeightedService{{Service: "booking", Weight: 1}}},
 		},
 		Services: []route.Service{{Name: "booking"}},
 		Limits:   limits,
--- a/route/route.go
+++ b/route/route.go
@@ -88,7 +88,8 @@
 	BodyBytes   int64 `json:"body_bytes,omitempty"`
 	// HeaderTimeout limits the time between the first byte of a request and the
 	// end of its header. The buffered part of the body has as much time again, or
-	// the caller timeout if that is longer.
+	// the caller timeout if that is longer; the route's timeout counts for a caller
+	// that sends none.
 	HeaderTimeout time.Duration `json:"header_timeout_ns,omitempty"`
 	// IdleTimeout limits the time between a response and the next request on a
 	// connection.
