--- a/gateway/task.go
+++ b/gateway/task.go
@@ -44,6 +44,8 @@
 type viewMessage struct {
 	// position is the entry's index and the number of entries; zero with a copy.
 	position placement.PositionReported
+	// contact is nil with a copy.
+	contact *controlContact
 	// view holds the changes, or the full view; nil when nothing changed.
 	view *peer.View
 	// epoch is the term of the leader, and revision the revision of the view within
@@ -72,6 +74,10 @@
 	conn *upstream.Conn
 }
 
+// stopMessage reports that the entry stops.
+type stopMessage struct{ plan placement.StopPlan }
+
+func (stopMessage) message()         {}
 func (arrivedMessage) message()      {}
 func (disconnectedMessage) message() {}
 func (viewMessage) message()         {}
@@ -185,6 +191,8 @@
 				t.respond(id, upstream.Response{})
 			}
 		}
+	case stopMessage:
+		t.step(placement.StopBegan{Plan: m.plan})
 	case viewMessage:
 		t.handleView(m)
 	case probeResultMessage:
@@ -271,6 +279,10 @@
 	if m.view != nil {
 		t.applyView(m)
 	}
+	// Only now does the table have what the answer confirms.
+	if m.contact != nil {
+		t.gateway.lastContact.Store(m.contact)
+	}
 	if m.position.Count > 0 {
 		t.step(m.position)
 	}
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -69,7 +69,8 @@
 	// sent and the connection is closed.
 	Response chan upstream.Response
 	// closeAfter is true when the connection must be closed after the response:
-	// the caller asked for it, or the bytes that follow can't be interpreted.
+	// the caller asked for it, the entry drains and nothing has begun to arrive behind
+	// the request, or the bytes that follow can't be interpreted.
 	closeAfter bool
 	// unreadBytes is true when bytes may still arrive that belong to no request to
 	// be served. They are read and discarded before the connection is closed.
@@ -118,26 +119,40 @@
 	k.writeResponses()
 }
 
-// readRequests reads requests until the connection ends or the entry drains.
+// readRequests reads requests until the last one, and then waits for the end of the
+// connection. Once the channel of the requests is closed, the writer knows which
+// response is the last.
 func (c *conn) readRequests() {
-	defer close(c.exchanges)
+	open := c.readUntilLast()
+	close(c.exchanges)
+	if open {
+		c.awaitClose()
+	}
+}
+
+// readUntilLast reads requests until the connection ends, the caller asks for a close,
+// or the entry drains. It reports whether the caller may still disconnect before its
+// last response is written.
+func (c *conn) readUntilLast() bool {
 	for {
 		e, err := c.readRequest()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			// The entry drains, or the connection was idle for too long. Without an
+			// unanswered request the connection is closed at once. A request that
+			// crosses the close stays unread, so that its caller may send it again.
+			return len(c.unanswered()) > 0
+		}
 		if err != nil {
 			c.handleReadError(err)
-			return
-		}
-		if e == nil {
-			return
+			return false
 		}
 		streamed := e.Request.Rest != nil
 		c.enqueue(e)
 		if streamed && !c.awaitStreamedBody(e) {
-			return
+			return false
 		}
 		if e.closeAfter && !streamed {
-			c.awaitClose()
-			return
+			return true
 		}
 	}
 }
@@ -146,13 +161,9 @@
 // written. Whatever the caller still sends is discarded, and not read as a
 // request.
 func (c *conn) awaitClose() {
-	if c.source.setDeadline(time.Time{}) == nil {
-		c.discardUntilClose()
+	if c.source.setDeadline(time.Time{}) != nil {
+		return
 	}
-}
-
-// discardUntilClose reads until the caller disconnects or the read is interrupted.
-func (c *conn) discardUntilClose() {
 	_, err := io.Copy(io.Discard, c.reader)
 	if err == nil {
 		err = io.EOF
@@ -160,6 +171,26 @@
 	c.handleReadError(err)
 }
 
+// awaitRefusal detects that the caller disconnects before a refusal is written behind
+// other responses. The read deadline of the writer, which discards unread bytes after
+// the refusal, ends the wait, and a drain does not.
+func (c *conn) awaitRefusal() {
+	for len(c.unanswered()) > 0 {
+		if c.source.setInterruptibleDeadline(time.Time{}) != nil {
+			return
+		}
+		if len(c.unanswered()) == 0 {
+			// The writer may have set its deadline before.
+			_ = c.source.setInterruptibleDeadline(time.Now().Add(lingerTimeout))
+			return
+		}
+		if _, err := io.Copy(io.Discard, c.reader); !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.reportDisconnected()
+			return
+		}
+	}
+}
+
 // awaitStreamedBody waits until the response to a request with a streamed body
 // is written, since the next bytes on the connection belong to that body. It
 // reports whether another request may be read.
@@ -184,9 +215,7 @@
 
 // handleReadError handles the error that ended the reading. A request that can't
 // be accepted is answered with the status of the error. If the caller has
-// disconnected, its unanswered requests are reported. This also holds while a
-// request that can't be accepted waits for the responses before it; the writer
-// interrupts the reading when it has written its response.
+// disconnected, its unanswered requests are reported.
 func (c *conn) handleReadError(err error) {
 	var refused *refusedError
 	if errors.As(err, &refused) {
@@ -195,15 +224,13 @@
 		c.server.options.Callbacks.Refused(e.Request, refused.cause.Status, refused.cause.Reason)
 		e.Response <- plainResponse(refused.cause.Status, refused.cause.Reason)
 		c.enqueue(e)
-		if err := c.source.setInterruptibleDeadline(time.Time{}); err == nil {
-			c.discardUntilClose()
-		}
-		return
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		// The entry drains, or the connection was idle for too long.
+		c.awaitRefusal()
 		return
 	}
+	c.reportDisconnected()
+}
+
+func (c *conn) reportDisconnected() {
 	if abandoned := c.unanswered(); len(abandoned) > 0 {
 		c.server.options.Callbacks.Disconnected(abandoned)
 	}
@@ -413,33 +440,43 @@
 	return err
 }
 
-// dispatch sends a request to the entry task, or refuses it if there is no
-// configuration or no route for it. A request that must not run twice first
-// waits until the requests before it are answered.
+// dispatch sends a request to the entry task, or refuses it if no route for it is
+// known. A request that must not run twice first waits until the requests before it are
+// answered.
 func (c *conn) dispatch(request *Request) *Exchange {
 	exchange := newExchange(request, nil)
-	exchange.closeAfter = request.close || request.http10
+	exchange.closeAfter = c.isLast(request)
 	// The table is looked up only now, so that a request that took long to read
 	// is routed by the newest one.
-	table := c.server.options.Table()
-	if table == nil {
+	switch l := c.server.options.Table().Lookup(request.Host, request.Path, c.server.options.TableConfirmed()).(type) {
+	case route.Unconfigured:
 		c.refuse(exchange, http.StatusServiceUnavailable, "no configuration yet")
 		return exchange
-	}
-	matched, ok := table.Match(request.Host, request.Path)
-	if !ok {
+	case route.Unconfirmed:
+		c.refuse(exchange, http.StatusServiceUnavailable, "no route for this host and path in a configuration that may be outdated")
+		return exchange
+	case route.Absent:
 		c.refuse(exchange, http.StatusNotFound, "no route for this host and path")
 		return exchange
+	case route.Found:
+		exchange.Route = l.Route
 	}
-	exchange.Route = matched
-	if !matched.Idempotent {
+	if !exchange.Route.Idempotent {
 		c.awaitResponses()
 	}
+	// The drain may have begun during the wait.
+	exchange.closeAfter = c.isLast(request)
 	header.RemoveHopByHop(request.Header)
 	c.server.options.Callbacks.Arrived(exchange)
 	return exchange
 }
 
+// isLast reports whether no request after this one is read: the caller asked for a
+// close, or the entry drains and no further request has begun to arrive.
+func (c *conn) isLast(request *Request) bool {
+	return request.close || request.http10 || c.server.draining.Load() && c.reader.Buffered() == 0
+}
+
 // refuse answers a request that cannot be dispatched.
 func (c *conn) refuse(e *Exchange, status int, reason string) {
 	c.server.options.Callbacks.Refused(e.Request, status, reason)
