ingress: the package comment names the third wait of the reader

What callers saw: nothing. Cause: the reader also waits for earlier responses before it sends 100 (Continue), since "callers that are idle, wait for 100 or answered late keep their connection". Evidence: read in the code; a disconnect during that wait has no case. Change: the comment says so.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -6,13 +6,13 @@
 // everything before it on the connection is answered. When the caller closes
 // the connection, the reader detects that and the requests of the connection
 // are canceled. The reader does not detect it while it waits for other
-// responses: before a request that must not run twice, and after a request with
-// a streamed body.
+// responses: before a request that must not run twice, before it sends 100
+// (Continue), and after a request with a streamed body.
 //
 // Requests are parsed strictly. A request that could be understood in two ways
 // is refused and the connection closed, so that no request is smuggled to an
-// upstream. Whatever else RFC 9110 and RFC 9112 allow is accepted, as the target in
-// absolute form. Paths are forwarded unchanged and no redirects are sent.
+// upstream. A target in absolute form is accepted, and forwarded as its path and
+// query. Paths are forwarded unchanged and no redirects are sent.
 //
 // # Usage
 //
