--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -6,12 +6,13 @@
 // everything before it on the connection is answered. When the caller closes
 // the connection, the reader detects that and the requests of the connection
 // are canceled. The reader does not detect it while it waits for other
-// responses: before a request that must not run twice, and after a request with
-// a streamed body.
+// responses: before a request that must not run twice, before it sends 100
+// (Continue), and after a request with a streamed body.
 //
 // Requests are parsed strictly. A request that could be understood in two ways
 // is refused and the connection closed, so that no request is smuggled to an
-// upstream. Paths are forwarded unchanged and no redirects are sent.
+// upstream. A target in absolute form is accepted, and forwarded as its path and
+// query. Paths are forwarded unchanged and no redirects are sent.
 //
 // # Usage
 //
@@ -74,8 +75,9 @@
 	// unreadBytes is true when bytes may still arrive that belong to no request to
 	// be served. They are read and discarded before the connection is closed.
 	unreadBytes bool
-	// written is closed when the writer has finished with the response.
-	written chan struct{}
+	// written is closed when the writer has finished with the response, at writtenAt.
+	written   chan struct{}
+	writtenAt time.Time
 }
 
 // Callbacks holds the functions that send messages to the entry's task.
@@ -169,6 +171,26 @@
 	c.handleReadError(err)
 }
 
+// awaitRefusal detects that the caller disconnects before a refusal is written behind
+// other responses. The read deadline of the writer, which discards unread bytes after
+// the refusal, ends the wait, and a drain does not.
+func (c *conn) awaitRefusal() {
+	for len(c.unanswered()) > 0 {
+		if c.source.setInterruptibleDeadline(time.Time{}) != nil {
+			return
+		}
+		if len(c.unanswered()) == 0 {
+			// The writer may have set its deadline before.
+			_ = c.source.setInterruptibleDeadline(time.Now().Add(lingerTimeout))
+			return
+		}
+		if _, err := io.Copy(io.Discard, c.reader); !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.reportDisconnected()
+			return
+		}
+	}
+}
+
 // awaitStreamedBody waits until the response to a request with a streamed body
 // is written, since the next bytes on the connection belong to that body. It
 // reports whether another request may be read.
@@ -195,15 +217,20 @@
 // be accepted is answered with the status of the error. If the caller has
 // disconnected, its unanswered requests are reported.
 func (c *conn) handleReadError(err error) {
-	var statusErr *StatusError
-	if errors.As(err, &statusErr) {
-		e := newExchange(&Request{Method: http.MethodGet, Header: http.Header{}}, nil)
+	var refused *refusedError
+	if errors.As(err, &refused) {
+		e := newExchange(refused.request, nil)
 		e.closeAfter, e.unreadBytes = true, true
-		c.server.options.Callbacks.Refused(e.Request, statusErr.Status, statusErr.Reason)
-		e.Response <- plainResponse(statusErr.Status, statusErr.Reason)
+		c.server.options.Callbacks.Refused(e.Request, refused.cause.Status, refused.cause.Reason)
+		e.Response <- plainResponse(refused.cause.Status, refused.cause.Reason)
 		c.enqueue(e)
+		c.awaitRefusal()
 		return
 	}
+	c.reportDisconnected()
+}
+
+func (c *conn) reportDisconnected() {
 	if abandoned := c.unanswered(); len(abandoned) > 0 {
 		c.server.options.Callbacks.Disconnected(abandoned)
 	}
@@ -231,16 +258,18 @@
 	if err := c.source.setDeadline(time.Now().Add(limits.HeaderTimeout)); err != nil {
 		return nil, err
 	}
+	names := c.server.options.Names
 	head, err := readHead(c.reader, limits.HeaderBytes)
 	if err != nil {
-		return nil, timeoutStatus(err)
+		buffered, _ := c.reader.Peek(c.reader.Buffered())
+		return nil, refusal(identify(append(head.bytes, buffered...), names), err)
 	}
-	r, err := parseHead(head, c.server.options.Names, time.Now())
+	r, err := parseHead(head, names, time.Now())
 	if err != nil {
-		return nil, err
+		return nil, refusal(identify(head.bytes, names), err)
 	}
-	if err := c.readBody(r, limits); err != nil {
-		return nil, timeoutStatus(err)
+	if err := c.readBody(r, limits, bodyTimeout(r, table, limits)); err != nil {
+		return nil, refusal(r, err)
 	}
 	if err := c.source.setDeadline(time.Time{}); err != nil {
 		return nil, err
@@ -254,7 +283,7 @@
 // which no request was read yet may still send one. After a read error
 // awaitRequest returns true, and the next read returns the error.
 func (c *conn) awaitRequest(idle time.Duration) bool {
-	if c.reader.Buffered() > 0 {
+	if c.skipEmptyLines(); c.reader.Buffered() > 0 {
 		return true
 	}
 	idleEnd := time.Now().Add(idle)
@@ -276,19 +305,60 @@
 		if c.server.draining.Load() && !drainSeen {
 			continue
 		}
-		_, err := c.reader.Peek(1)
-		switch {
-		case !errors.Is(err, os.ErrDeadlineExceeded):
+		if err := c.peekRequest(); !errors.Is(err, os.ErrDeadlineExceeded) {
 			return true
-		case time.Now().Before(idleEnd):
+		}
+		if time.Now().Before(idleEnd) {
 			continue
-		case len(c.unanswered()) == 0:
+		}
+		// The idle time begins with the last response.
+		idleEnd = c.idleSince().Add(idle)
+		if !time.Now().Before(idleEnd) {
 			return false
 		}
-		idleEnd = time.Now().Add(idle)
 	}
 }
 
+// peekRequest waits for a byte that is not part of an empty line. Empty lines do not
+// begin a request, and so do not start its header timeout.
+func (c *conn) peekRequest() error {
+	for {
+		if _, err := c.reader.Peek(1); err != nil {
+			return err
+		}
+		if c.skipEmptyLines(); c.reader.Buffered() > 0 {
+			return nil
+		}
+	}
+}
+
+// skipEmptyLines discards empty lines that were received before a request.
+func (c *conn) skipEmptyLines() {
+	for c.reader.Buffered() >= 2 {
+		if line, err := c.reader.Peek(2); err != nil || string(line) != "\r\n" {
+			return
+		}
+		if _, err := c.reader.Discard(2); err != nil {
+			return
+		}
+	}
+}
+
+// idleSince returns the time of the last response: now while a request is unanswered,
+// and zero when no request was read.
+func (c *conn) idleSince() time.Time {
+	if len(c.unanswered()) > 0 {
+		return time.Now()
+	}
+	var last time.Time
+	for _, e := range c.pending {
+		if e.writtenAt.After(last) {
+			last = e.writtenAt
+		}
+	}
+	return last
+}
+
 // unanswered returns the requests whose response is not written yet.
 func (c *conn) unanswered() []*Exchange {
 	var unwritten []*Exchange
@@ -302,30 +372,70 @@
 	return unwritten
 }
 
-// readBody reads the buffered part of the body, within the header timeout or
-// the caller timeout, whichever is longer. If the caller asks for 100 Continue,
-// it is sent first, but only when all earlier requests are answered: responses
-// keep the order of the requests.
-func (c *conn) readBody(r *Request, limits route.Limits) error {
+// awaitResponses waits until all requests that were read are answered.
+func (c *conn) awaitResponses() {
+	for _, e := range c.unanswered() {
+		select {
+		case <-e.written:
+		case <-c.writerDone:
+		}
+	}
+}
+
+// bodyTimeout returns the time for the buffered part of the body: the caller timeout,
+// or that of the route if the caller sends none, but at least the header timeout.
+func bodyTimeout(r *Request, table *route.Table, limits route.Limits) time.Duration {
+	timeout := r.CallerTimeout
+	if timeout == 0 && table != nil {
+		if matched, ok := table.Match(r.Host, r.Path); ok {
+			timeout = matched.Timeout
+		}
+	}
+	return max(limits.HeaderTimeout, timeout)
+}
+
+// readBody reads the buffered part of the body within a time. If the caller asks for
+// 100 Continue and has not sent any of the body, it is sent first, once all earlier
+// requests are answered: responses keep the order of the requests.
+func (c *conn) readBody(r *Request, limits route.Limits, timeout time.Duration) error {
 	if !r.HasBody {
 		return nil
 	}
-	if r.expectsContinue() && len(c.unanswered()) == 0 {
+	if err := r.checkLength(limits.BodyBytes); err != nil {
+		return err
+	}
+	if r.expectsContinue() && c.reader.Buffered() == 0 {
+		c.awaitResponses()
 		if _, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return err
 		}
 	}
-	if err := c.source.setDeadline(time.Now().Add(max(limits.HeaderTimeout, r.CallerTimeout))); err != nil {
+	if err := c.source.setDeadline(time.Now().Add(timeout)); err != nil {
 		return err
 	}
-	return r.readBody(c.reader, limits.BodyBytes)
+	return r.readBody(c.reader, limits)
 }
 
-// timeoutStatus replaces an exceeded read deadline by the error for a response
-// with status 408. It returns other errors unchanged.
-func timeoutStatus(err error) error {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return &StatusError{http.StatusRequestTimeout, "the request did not come in time"}
+// refusedError is the error for a request that can't be accepted. request holds
+// what is known of it.
+type refusedError struct {
+	request *Request
+	cause   *StatusError
+}
+
+// Error implements error.
+func (e *refusedError) Error() string { return e.cause.Reason }
+
+// refusal returns the error with which a request that could not be read is refused.
+// An exceeded read deadline is answered with status 408. Errors of the connection
+// are returned unchanged.
+func refusal(request *Request, err error) error {
+	var statusErr *StatusError
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &refusedError{request, &StatusError{http.StatusRequestTimeout, "the request did not come in time"}}
+	case errors.As(err, &statusErr):
+		return &refusedError{request, statusErr}
 	}
 	return err
 }
@@ -355,12 +465,7 @@
 		exchange.Route = l.Route
 	}
 	if !exchange.Route.Idempotent {
-		for _, o := range c.unanswered() {
-			select {
-			case <-o.written:
-			case <-c.writerDone:
-			}
-		}
+		c.awaitResponses()
 	}
 	// The drain may have begun during the wait.
 	exchange.closeAfter = c.isLast(request)
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -5,9 +5,8 @@
 	"bytes"
 	"errors"
 	"io"
-	"net"
+	"math"
 	"net/http"
-	"net/http/httputil"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -28,6 +27,12 @@
 	defaultBodyBytes     = 64 << 20
 	defaultHeaderTimeout = 3 * time.Second
 	defaultIdleTimeout   = 15 * time.Second
+	// minRequestLineBytes is the length that every server should accept for a request
+	// line (RFC 9112, section 3). The limit for the header does not count the request
+	// line.
+	minRequestLineBytes = 8000
+	// maxCallerTimeout replaces longer timeouts of callers.
+	maxCallerTimeout = 24 * time.Hour
 )
 
 // limitsWithDefaults returns the limits of a configuration, with defaults for
@@ -51,14 +56,16 @@
 // Request is a caller's request.
 type Request struct {
 	Method string
-	// Target is the path and the query as sent. Path is Target without the query.
+	// Target is the path and the query as sent, without the host of a target in
+	// absolute form. Path is Target without the query.
 	Target string
 	Path   string
 	Host   string
 	Header http.Header
 	// ID is the value of the request ID header; empty if the caller sends none.
 	ID string
-	// CallerTimeout is the caller's timeout; zero when the caller sends none.
+	// CallerTimeout is the caller's timeout; zero when the caller sends none. A timeout
+	// that has passed is the shortest duration, one nanosecond.
 	CallerTimeout time.Duration
 	// Received is when the header of the request was read.
 	Received time.Time
@@ -89,149 +96,254 @@
 
 func malformed(reason string) error { return &StatusError{http.StatusBadRequest, reason} }
 
-// readHead reads the request line and the header of a request line by line. It
-// accepts only what can be understood in one way: every line ends with CR LF, no
-// header line is folded, and the length of the body is given only once.
-func readHead(reader *bufio.Reader, limit int) ([]byte, error) {
-	var head []byte
-	contentLengths, transferEncodings := 0, 0
+var (
+	// errLineTooLong is the error for a line above the limit.
+	errLineTooLong = errors.New("line too long")
+	// errLineEnd is the error for a line that ends with a bare LF or holds a CR.
+	errLineEnd = errors.New("line does not end with CR LF")
+)
+
+// readLine reads a line of at most limit bytes with the CR LF at its end. With an
+// error it returns what it has read.
+func readLine(reader *bufio.Reader, limit int) (line []byte, err error) {
 	for {
-		line, err := reader.ReadSlice('\n')
-		head = append(head, line...)
-		if len(head) > limit {
-			return nil, &StatusError{http.StatusRequestHeaderFieldsTooLarge, "header too large"}
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
+		part, err := reader.ReadSlice('\n')
+		line = append(line, part...)
+		switch {
+		case len(line) > limit:
+			return line, errLineTooLong
+		case errors.Is(err, bufio.ErrBufferFull):
 			continue
+		case err != nil:
+			return line, err
+		case !bytes.HasSuffix(line, []byte("\r\n")) || bytes.IndexByte(line[:len(line)-2], '\r') >= 0:
+			return line, errLineEnd
 		}
-		if err != nil {
-			return nil, err
+		return line, nil
+	}
+}
+
+// requestHead is the request line and the header of a request as sent, and how often
+// the header has the fields that determine the host and the length of the body.
+type requestHead struct {
+	bytes             []byte
+	hosts             int
+	contentLengths    int
+	transferEncodings int
+}
+
+// readHead reads the request line and the header of a request line by line. It
+// accepts only what can be understood in one way: every line ends with CR LF, no
+// header line is folded, no name is followed by a space, and the length of the body
+// is given only once. With an error it returns what it has read. The limit is that of
+// the header; a request line of that length is accepted besides.
+func readHead(reader *bufio.Reader, limit int) (head requestHead, err error) {
+	remaining := limit
+	for {
+		first := len(head.bytes) == 0
+		lineLimit := remaining
+		if first {
+			lineLimit = max(limit, minRequestLineBytes)
 		}
-		lineStart := bytes.LastIndexByte(head[:len(head)-1], '\n') + 1
-		fullLine := head[lineStart:]
-		if !bytes.HasSuffix(fullLine, []byte("\r\n")) || bytes.IndexByte(fullLine[:len(fullLine)-2], '\r') >= 0 {
-			return nil, malformed("a header line does not end with CR LF")
+		line, err := readLine(reader, lineLimit)
+		head.bytes = append(head.bytes, line...)
+		if !first {
+			remaining -= len(line)
 		}
-		if len(fullLine) == 2 {
-			if lineStart == 0 {
-				head = head[:0] // Empty lines before a request are skipped.
-				continue
+		switch {
+		case errors.Is(err, errLineTooLong):
+			return head, &StatusError{http.StatusRequestHeaderFieldsTooLarge, "header too large"}
+		case errors.Is(err, errLineEnd):
+			return head, malformed("a header line does not end with CR LF")
+		case err != nil:
+			return head, err
+		case first && len(line) == 2:
+			head.bytes = nil // Empty lines before a request are skipped.
+		case first:
+		case len(line) == 2:
+			return head, head.checkLengths()
+		default:
+			if err := head.addField(line); err != nil {
+				return head, err
 			}
-			break
-		}
-		if lineStart > 0 && (fullLine[0] == ' ' || fullLine[0] == '\t') {
-			return nil, malformed("a header line is continued")
-		}
-		name, _, _ := bytes.Cut(fullLine, []byte(":"))
-		switch strings.ToLower(string(name)) {
-		case "content-length":
-			contentLengths++
-		case "transfer-encoding":
-			transferEncodings++
 		}
 	}
-	if contentLengths+transferEncodings > 1 {
-		return nil, malformed("the length of the body is given twice")
+}
+
+// addField checks the syntax of a header line, as far as [http.ReadRequest] does not
+// check it, and counts its field.
+func (h *requestHead) addField(line []byte) error {
+	if line[0] == ' ' || line[0] == '\t' {
+		return malformed("a header line is continued")
+	}
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	if bytes.ContainsAny(name, " \t") {
+		return malformed("a header name holds a space")
 	}
-	return head, nil
+	switch strings.ToLower(string(name)) {
+	case "host":
+		h.hosts++
+	case "content-length":
+		h.contentLengths++
+	case "transfer-encoding":
+		h.transferEncodings++
+	}
+	return nil
+}
+
+func (h *requestHead) checkLengths() error {
+	if h.contentLengths+h.transferEncodings > 1 {
+		return malformed("the length of the body is given twice")
+	}
+	return nil
 }
 
+// maxIdentifyingBytes limits the ID, the host and the path that are logged of a
+// request that can't be accepted.
+const maxIdentifyingBytes = 256
+
+// identify returns what can be read of a request that can't be accepted: its method,
+// path, host and ID, so that it is found in the log. The request must not be served.
+func identify(head []byte, names header.Names) *Request {
+	firstLine, fields, _ := strings.Cut(string(head), "\n")
+	request := &Request{Header: http.Header{}}
+	request.Method, request.Target, _ = strings.Cut(strings.TrimSpace(firstLine), " ")
+	request.Target, _, _ = strings.Cut(request.Target, " ")
+	path, _, _ := strings.Cut(request.Target, "?")
+	request.Path = shortened(path)
+	for line := range strings.Lines(fields) {
+		name, value, found := strings.Cut(line, ":")
+		name, value = strings.TrimSpace(name), strings.TrimSpace(value)
+		switch {
+		case line == "\r\n":
+			return request
+		case !found || !strings.HasSuffix(line, "\n"):
+		case request.ID == "" && strings.EqualFold(name, names.RequestID):
+			request.ID = shortened(value)
+		case request.Host == "" && strings.EqualFold(name, "Host"):
+			request.Host = shortened(value)
+		}
+	}
+	return request
+}
+
+func shortened(text string) string { return text[:min(len(text), maxIdentifyingBytes)] }
+
 // parseHead parses the request line and the header of a request. The body is not
 // read yet.
-func parseHead(head []byte, names header.Names, now time.Time) (*Request, error) {
-	parsed, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
+func parseHead(head requestHead, names header.Names, now time.Time) (*Request, error) {
+	parsed, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head.bytes)))
 	if err != nil {
 		return nil, malformed(err.Error())
 	}
-	if parsed.Host == "" || parsed.Method == http.MethodConnect || parsed.ProtoMajor != 1 {
+	http10 := parsed.ProtoMinor == 0
+	if parsed.Host == "" || head.hosts == 0 && !http10 || parsed.Method == http.MethodConnect || parsed.ProtoMajor != 1 {
 		return nil, malformed("no host, or a method or protocol that is not served")
 	}
-	request := &Request{
-		Method: parsed.Method, Target: parsed.RequestURI, Path: parsed.URL.EscapedPath(), Host: parsed.Host,
-		Header: parsed.Header, ID: parsed.Header.Get(names.RequestID), Received: now,
-		Length: parsed.ContentLength, close: parsed.Close, http10: parsed.ProtoMinor == 0,
+	if http10 && head.transferEncodings > 0 {
+		return nil, malformed("a transfer coding in HTTP/1.0")
+	}
+	target, err := originForm(parsed)
+	if err != nil {
+		return nil, err
 	}
-	if path, _, _ := strings.Cut(request.Target, "?"); strings.HasPrefix(path, "/") {
-		request.Path = path
-	} else {
-		return nil, malformed("the target is not a path")
+	path, _, _ := strings.Cut(target, "?")
+	timeout, err := parseTimeout(parsed.Header.Get(names.Deadline))
+	if err != nil {
+		return nil, err
+	}
+	request := &Request{
+		Method: parsed.Method, Target: target, Path: path, Host: parsed.Host,
+		Header: parsed.Header, ID: parsed.Header.Get(names.RequestID), CallerTimeout: timeout, Received: now,
+		Length: parsed.ContentLength, close: parsed.Close, http10: http10,
 	}
 	if len(parsed.TransferEncoding) > 0 {
 		request.Length = -1
 	}
 	request.HasBody = request.Length != 0 || parsed.Header.Get("Content-Length") != ""
-	if timeout := parsed.Header.Get(names.Deadline); timeout != "" {
-		ms, err := strconv.ParseFloat(timeout, 64)
-		if err != nil || ms < 0 {
-			return nil, malformed("the deadline is not a number of milliseconds")
-		}
-		request.CallerTimeout = time.Duration(ms * float64(time.Millisecond))
-	}
 	return request, nil
 }
 
+// originForm returns the path and the query of the target. Servers must accept a
+// target in absolute form, which callers send to proxies (RFC 9112, section 3.2.2).
+func originForm(parsed *http.Request) (string, error) {
+	target := parsed.RequestURI
+	if strings.HasPrefix(target, "/") {
+		return target, nil
+	}
+	if u := parsed.URL; u.Scheme != "http" && u.Scheme != "https" || u.Hostname() == "" || u.User != nil {
+		return "", malformed("the target is not a path")
+	}
+	_, target, _ = strings.Cut(target, "://")
+	start := strings.IndexAny(target, "/?")
+	switch {
+	case start < 0:
+		return "/", nil
+	case target[start] == '?':
+		return "/" + target[start:], nil
+	}
+	return target[start:], nil
+}
+
+// parseTimeout parses the caller's timeout in milliseconds; an empty value means that
+// there is none. It returns maxCallerTimeout for longer timeouts, and one nanosecond
+// for a timeout that has passed.
+func parseTimeout(value string) (time.Duration, error) {
+	if value == "" {
+		return 0, nil
+	}
+	ms, err := strconv.ParseFloat(value, 64)
+	if err != nil && !errors.Is(err, strconv.ErrRange) || math.IsNaN(ms) {
+		return 0, malformed("the deadline is not a number of milliseconds")
+	}
+	nanoseconds := min(ms*float64(time.Millisecond), float64(maxCallerTimeout))
+	return time.Duration(max(nanoseconds, 1)), nil
+}
+
 // expectsContinue reports whether the caller waits for status 100 (Continue)
-// before it sends the body.
+// before it sends the body. Status 100 is unknown in HTTP/1.0.
 func (r *Request) expectsContinue() bool {
-	return r.HasBody && strings.EqualFold(r.Header.Get("Expect"), "100-continue")
+	return r.HasBody && !r.http10 && strings.EqualFold(r.Header.Get("Expect"), "100-continue")
 }
 
-// readBody reads the body into Body. Of a long body only the beginning is read,
-// and the remainder is left in Rest.
-func (r *Request) readBody(reader *bufio.Reader, limit int64) error {
+// checkLength refuses a body whose length is known to be above the limit.
+func (r *Request) checkLength(limit int64) error {
 	if r.Length > limit {
-		return &StatusError{http.StatusRequestEntityTooLarge, "body too large"}
+		return errBodyTooLarge
 	}
+	return nil
+}
+
+// errBodyTooLarge is the error for a body above the limit.
+var errBodyTooLarge = &StatusError{http.StatusRequestEntityTooLarge, "body too large"}
+
+// readBody reads the body into Body. Of a long body only the beginning is read, and
+// the remainder is left in Rest. A body that ends too early gives
+// [io.ErrUnexpectedEOF], as the caller has closed the connection.
+func (r *Request) readBody(reader *bufio.Reader, limits route.Limits) error {
 	var body io.Reader
+	bufferedLimit := int64(maxBufferedBodyBytes)
 	switch {
 	case r.Length == 0:
 		return nil
 	case r.Length > 0:
-		body = io.LimitReader(reader, r.Length)
+		body = &fixedLengthBody{source: reader, remaining: r.Length}
 	default:
-		body = &chunkedBody{chunks: httputil.NewChunkedReader(reader), source: reader, remaining: limit}
+		body = &chunkedBody{source: reader, remaining: limits.BodyBytes, trailerLimit: limits.HeaderBytes}
+		// One more byte shows whether a body that fills the buffer goes on.
+		bufferedLimit++
 	}
-	buffered, err := io.ReadAll(io.LimitReader(body, maxBufferedBodyBytes))
+	buffered, err := io.ReadAll(io.LimitReader(body, bufferedLimit))
 	if err != nil {
-		return bodyError(err)
+		return err
 	}
 	r.Body = buffered
-	if r.Length > 0 && int64(len(buffered)) < r.Length {
-		if len(buffered) < maxBufferedBodyBytes {
-			return malformed("the body ended early")
-		}
-		r.Rest = &streamedBody{source: &fixedLengthBody{source: body, remaining: r.Length - int64(len(buffered))}}
-	}
-	if r.Length < 0 {
-		return r.setChunkedRest(body)
-	}
-	return nil
-}
-
-// setChunkedRest leaves the remainder of a chunked body that fills the buffer in
-// Rest. A shorter chunked body must have been read to its end.
-func (r *Request) setChunkedRest(body io.Reader) error {
-	if len(r.Body) == maxBufferedBodyBytes {
+	if r.Length > maxBufferedBodyBytes || r.Length < 0 && int64(len(buffered)) == bufferedLimit {
 		r.Rest = &streamedBody{source: body}
-		return nil
-	}
-	if !body.(*chunkedBody).ended {
-		return malformed("the body ended early")
 	}
 	return nil
 }
 
-// bodyError returns network errors, the end of the connection and errors with a
-// status unchanged. Any other error means that the body is malformed.
-func bodyError(err error) error {
-	var statusErr *StatusError
-	var networkErr net.Error
-	if errors.As(err, &statusErr) || errors.As(err, &networkErr) || errors.Is(err, io.EOF) {
-		return err
-	}
-	return malformed("the body is broken: " + err.Error())
-}
-
 // streamedBody is the part of a body that is forwarded while it arrives. The task
 // that forwards it reads it, and the writer of the connection asks whether it was
 // read to its end.
@@ -264,7 +376,10 @@
 
 // Read implements io.Reader.
 func (b *fixedLengthBody) Read(p []byte) (int, error) {
-	n, err := b.source.Read(p)
+	if b.remaining == 0 {
+		return 0, io.EOF
+	}
+	n, err := b.source.Read(p[:min(int64(len(p)), b.remaining)])
 	b.remaining -= int64(n)
 	if errors.Is(err, io.EOF) && b.remaining > 0 {
 		return n, io.ErrUnexpectedEOF
@@ -272,42 +387,123 @@
 	return n, err
 }
 
-// chunkedBody reads a chunked body and the trailer after it.
+// chunkedBody decodes a chunked body and discards its extensions and its trailer.
+// The decoder of package httputil refuses spaces before an extension, which must be
+// accepted (RFC 9112, section 7.1.1), and limits lines to the size of the buffer.
 type chunkedBody struct {
-	chunks io.Reader
 	source *bufio.Reader
 	// remaining is how many more bytes the limit for the body allows.
 	remaining int64
-	// ended is true when the trailer was read.
-	ended bool
+	// trailerLimit is the limit for the lines of the trailer together.
+	trailerLimit int
+	// chunkRemaining is how many bytes of the current chunk are unread.
+	chunkRemaining int64
+	// endUnread is true when the CR LF at the end of the current chunk is unread.
+	endUnread bool
+	// overhead is how many bytes of extensions are not balanced by content.
+	overhead int64
+	// err is the error that ended the body: [io.EOF] after the trailer.
+	err error
 }
 
-// maxTrailerLines is the maximum number of lines of a trailer, with the empty
-// line at its end. Trailers are discarded.
-const maxTrailerLines = 32
+const (
+	// maxChunkLineBytes limits the size of a chunk with its extensions.
+	maxChunkLineBytes = 4 << 10
+	// maxChunkOverhead limits the bytes of extensions, beyond those for which chunks
+	// have freeChunkOverhead and twice their size. A body in chunks of one byte is
+	// accepted.
+	maxChunkOverhead  = 16 << 10
+	freeChunkOverhead = 16
+)
 
 // Read implements io.Reader.
-func (b *chunkedBody) Read(p []byte) (int, error) {
-	if b.ended {
-		return 0, io.EOF
+func (b *chunkedBody) Read(p []byte) (n int, err error) {
+	if b.err == nil {
+		n, b.err = b.read(p)
 	}
-	n, err := b.chunks.Read(p)
-	b.remaining -= int64(n)
-	if b.remaining < 0 {
-		return n, &StatusError{http.StatusRequestEntityTooLarge, "body too large"}
+	return n, b.err
+}
+
+func (b *chunkedBody) read(p []byte) (n int, err error) {
+	if b.chunkRemaining == 0 {
+		if err := b.nextChunk(); err != nil {
+			return 0, unexpectedEOF(err)
+		}
+		if b.chunkRemaining == 0 {
+			if err := b.readTrailer(); err != nil {
+				return 0, unexpectedEOF(err)
+			}
+			return 0, io.EOF
+		}
 	}
-	if !errors.Is(err, io.EOF) {
-		return n, err
+	n, err = b.source.Read(p[:min(int64(len(p)), b.chunkRemaining)])
+	b.chunkRemaining -= int64(n)
+	return n, unexpectedEOF(err)
+}
+
+// unexpectedEOF replaces [io.EOF] in the middle of a body.
+func unexpectedEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
 	}
-	for range maxTrailerLines {
-		line, err := b.source.ReadSlice('\n')
-		if err != nil || !bytes.HasSuffix(line, []byte("\r\n")) {
-			return n, malformed("the trailer is broken")
+	return err
+}
+
+func malformedBody(reason string) error { return malformed("the body is broken: " + reason) }
+
+// nextChunk reads the end of the current chunk and the size of the next one.
+func (b *chunkedBody) nextChunk() error {
+	if b.endUnread {
+		var end [2]byte
+		if _, err := io.ReadFull(b.source, end[:]); err != nil {
+			return err
 		}
-		if len(line) == 2 {
-			b.ended = true
-			return n, io.EOF
+		if string(end[:]) != "\r\n" {
+			return malformedBody("malformed chunked encoding")
+		}
+	}
+	line, err := readLine(b.source, maxChunkLineBytes)
+	switch {
+	case errors.Is(err, errLineTooLong):
+		return malformedBody("header line too long")
+	case errors.Is(err, errLineEnd):
+		return malformedBody("chunked line ends with bare LF")
+	case err != nil:
+		return err
+	}
+	digits, _, _ := bytes.Cut(bytes.TrimSuffix(line, []byte("\r\n")), []byte(";"))
+	size, err := strconv.ParseUint(string(bytes.TrimRight(digits, " \t")), 16, 63)
+	switch {
+	case errors.Is(err, strconv.ErrRange):
+		return malformedBody("http chunk length too large")
+	case err != nil:
+		return malformedBody("invalid byte in chunk length")
+	case int64(size) > b.remaining:
+		return errBodyTooLarge
+	}
+	b.overhead = max(0, b.overhead+int64(len(line))-freeChunkOverhead-2*int64(size))
+	if b.overhead > maxChunkOverhead {
+		return malformedBody("chunked encoding contains too much non-data")
+	}
+	b.chunkRemaining, b.endUnread = int64(size), true
+	b.remaining -= int64(size)
+	return nil
+}
+
+// readTrailer reads the trailer to its end and discards it.
+func (b *chunkedBody) readTrailer() error {
+	for remaining := b.trailerLimit; ; {
+		line, err := readLine(b.source, remaining)
+		switch {
+		case errors.Is(err, errLineTooLong):
+			return malformed("the trailer is too long")
+		case errors.Is(err, errLineEnd):
+			return malformed("the trailer is broken")
+		case err != nil:
+			return err
+		case len(line) == 2:
+			return nil
 		}
+		remaining -= len(line)
 	}
-	return n, malformed("the trailer is too long")
 }
--- a/route/lookup_test.go
+++ b/route/lookup_test.go
@@ -17,6 +17,7 @@
 
 var _ = script.Describe("route", "testdata/*.txt", func() script.Handler {
 	var table *route.Table
+	checked := route.Configuration{Version: 1, Services: []route.Service{{Name: "booking"}}}
 	return func(c script.Case) string {
 		switch c.Command {
 		case "configure":
@@ -26,6 +27,20 @@
 			}
 			table = route.NewTable(configuration)
 			return ""
+		case "route":
+			checked.Routes = append(checked.Routes, route.Route{
+				Host: c.Args["host"], Prefix: c.Args["prefix"], Services: []route.WeightedService{{Service: "booking", Weight: 1}},
+			})
+			if err := checked.Check(); err != nil {
+				return err.Error()
+			}
+			return ""
+		case "match":
+			matched, ok := route.NewTable(checked).Match(c.Args["host"], c.Args["path"])
+			if !ok {
+				return "none"
+			}
+			return matched.Host + " " + matched.Prefix
 		case "lookup":
 			switch l := table.Lookup(c.Args["host"], c.Args["path"], c.Bool("confirmed")).(type) {
 			case route.Found:
--- a/route/route.go
+++ b/route/route.go
@@ -82,13 +82,17 @@
 // Limits are the limits for callers' requests and connections. For a limit that
 // is zero or less, entries use their default.
 type Limits struct {
+	// HeaderBytes limits the header without the request line, and the trailer of a
+	// chunked body.
 	HeaderBytes int   `json:"header_bytes,omitempty"`
 	BodyBytes   int64 `json:"body_bytes,omitempty"`
 	// HeaderTimeout limits the time between the first byte of a request and the
 	// end of its header. The buffered part of the body has as much time again, or
-	// the caller timeout if that is longer.
+	// the caller timeout if that is longer; the route's timeout counts for a caller
+	// that sends none.
 	HeaderTimeout time.Duration `json:"header_timeout_ns,omitempty"`
-	// IdleTimeout limits the time between two requests on a connection.
+	// IdleTimeout limits the time between a response and the next request on a
+	// connection.
 	IdleTimeout time.Duration `json:"idle_timeout_ns,omitempty"`
 }
 
@@ -183,9 +187,14 @@
 }
 
 // Match returns the route of the host with the longest prefix that matches the
-// path. The second result is false when there is none.
+// path. The second result is false when there is none. A dot at the end of the host
+// marks a full domain name and is ignored when there are no routes for it.
 func (t *Table) Match(host, path string) (*Route, bool) {
-	routes := t.routes[normalizeHost(host)]
+	host = normalizeHost(host)
+	routes := t.routes[host]
+	if routes == nil {
+		routes = t.routes[strings.TrimSuffix(host, ".")]
+	}
 	for end := len(path); end > 0 && len(routes) > 0; {
 		slash := strings.LastIndexByte(path[:end], '/')
 		if slash < 0 {
