route: a configuration with a route that has no time is invalid

Change: Configuration.Check refuses a timeout of zero or below. A field that is missing is zero.

The second route of its first case and two routes of the case of the same place got a timeout, since without one they are invalid now; what they check is unchanged.

--- a/route/lookup_test.go
+++ b/route/lookup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
@@ -23,13 +24,13 @@
 		case "configure":
 			configuration := route.Configuration{Version: uint64(c.Int("version", 1))}
 			for _, prefix := range c.List("prefixes") {
-				configuration.Routes = append(configuration.Routes, route.Route{Name: prefix, Host: c.Args["host"], Prefix: prefix})
+				configuration.Routes = append(configuration.Routes, route.Route{Name: prefix, Host: c.Args["host"], Prefix: prefix, Timeout: time.Second})
 			}
 			table = route.NewTable(configuration)
 			return ""
 		case "route":
 			checked.Routes = append(checked.Routes, route.Route{
-				Host: c.Args["host"], Prefix: c.Args["prefix"], Services: []route.WeightedService{{Service: "booking", Weight: 1}},
+				Host: c.Args["host"], Prefix: c.Args["prefix"], Timeout: time.Second, Services: []route.WeightedService{{Service: "booking", Weight: 1}},
 			})
 			if err := checked.Check(); err != nil {
 				return err.Error()
--- a/route/route.go
+++ b/route/route.go
@@ -138,9 +138,21 @@
 		return fieldError(field+".prefix", fmt.Sprintf("%q", r.Prefix), "a path that begins and ends with a slash")
 	case len(r.Services) == 0:
 		return fieldError(field+".parts", "empty", "one service or more")
-	case r.Timeout < 0 || r.Objective < 0 || r.MaxAttempts < 0:
-		return fieldError(field, "negative", "timeout, objective and attempts of 0 or more")
+	case r.Objective < 0 || r.MaxAttempts < 0:
+		return fieldError(field, "negative", "objective and attempts of 0 or more")
 	}
+	if err := r.checkServices(field, services); err != nil {
+		return err
+	}
+	// A request of a route without time could not be served.
+	if r.Timeout <= 0 {
+		return fieldError(field+".timeout", r.Timeout, "more than 0")
+	}
+	return nil
+}
+
+// checkServices checks the services of a route against those of the configuration.
+func (r Route) checkServices(field string, services map[string]bool) error {
 	for i, p := range r.Services {
 		switch {
 		case !services[p.Service]:
