placement, upstream: an upstream that announces in a response that it leaves gets nothing more

The code knew of no such header: an entry out of contact, or with an old view, went on sending to an upstream that was about to end.

Change: every response head that is read on a connection, also of skipped, cut, streamed and health responses, is read for the notice; the entry task passes it to placement with the incarnation, before the outcome is decided and also for canceled attempts. placement/leaving.go keeps the marks by id and start time, apart from the view's upstreams. eligible, which all requests, hedges, retries and probes pass, rejects them. Queued requests are refused at once when no upstream is left (reason upstreams_leaving). Idle connections are closed. The header is not passed on to callers.

--- a/gateway/conns.go
+++ b/gateway/conns.go
@@ -28,7 +28,8 @@
 }
 
 // releaseConn keeps a connection as idle if it can be used again. It closes it
-// instead if the upstream is no longer known or has enough idle connections. A
+// instead if the upstream is no longer known, has announced that it leaves, or has
+// enough idle connections. A
 // connection that cannot be used again is left as it is: the task that owned it
 // has closed it, or the remainder of a response is still read from it.
 func (t *task) releaseConn(key placement.Key, c *upstream.Conn) {
@@ -36,7 +37,7 @@
 		return
 	}
 	u := t.placement.Upstreams[key.ID]
-	if !c.Reusable() || u == nil || placement.KeyOf(u.Info) != key || len(t.idleConns[key]) >= maxIdleConns {
+	if !c.Reusable() || u == nil || placement.KeyOf(u.Info) != key || t.placement.IsLeaving(key) || len(t.idleConns[key]) >= maxIdleConns {
 		if c.Reusable() {
 			_ = c.Close()
 		}
@@ -72,6 +73,7 @@
 			return
 		}
 		result := conn.Probe(t.ctx, t.gateway.options.Names, effect.Upstream.ID, effect.Upstream.Address, effect.HealthPath)
+		result.Notice = conn.TakeNotice()
 		if !conn.Reusable() {
 			_ = conn.Close()
 		}
@@ -103,6 +105,7 @@
 			return
 		}
 		ended.response, ended.outcome = conn.Exchange(ctx, t.gateway.options.Names, request)
+		ended.notice = conn.TakeNotice()
 		if !conn.Reusable() && ended.response.Rest == nil {
 			_ = conn.Close()
 		}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -41,7 +41,7 @@
 
 var names = header.Names{
 	RequestID: "Request-Id", Deadline: "Deadline", Target: "Target", Signature: "Signature",
-	NotRun: "Not-Run", Load: "Load", Cold: "Cold", Upstream: "Upstream",
+	NotRun: "Not-Run", Load: "Load", Cold: "Cold", Upstream: "Upstream", Leaving: "Leaving",
 }
 
 // fixture runs an entry, a control instance and upstreams on loopback addresses.
@@ -67,8 +67,11 @@
 	id      string
 	address string
 	// mode is good, shed (refuse each request), reset (close the connection
-	// without a response) or slow (respond after 700 ms).
+	// without a response), slow (respond after 700 ms), leaving (announce it in each
+	// response) or slow_leaving.
 	mode atomic.Value
+	// connections counts the open connections.
+	connections atomic.Int64
 	// requests counts the received requests, without probes.
 	requests atomic.Int64
 	running  atomic.Int64
@@ -128,6 +131,10 @@
 		u := b.upstreams[testCase.Args["at"]]
 		gomega.Eventually(u.running.Load, stateTimeout).Should(gomega.Equal(int64(testCase.Int("count", 0))))
 		return ""
+	case "connections":
+		u := b.upstreams[testCase.Args["at"]]
+		gomega.Eventually(u.connections.Load, stateTimeout).Should(gomega.Equal(int64(testCase.Int("count", 0))))
+		return ""
 	case "wait":
 		timer.Pause(context.Background(), time.Duration(testCase.Int("ms", 0))*time.Millisecond)
 		return ""
@@ -204,7 +211,7 @@
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		u = &fakeUpstream{id: id, address: listener.Addr().String()}
 		b.upstreams[id] = u
-		server := &http.Server{Handler: u, ReadHeaderTimeout: stateTimeout}
+		server := &http.Server{Handler: u, ReadHeaderTimeout: stateTimeout, ConnState: u.countConnection}
 		go func() { _ = server.Serve(listener) }()
 		ginkgo.DeferCleanup(server.Close)
 	}
@@ -212,10 +219,24 @@
 	return ""
 }
 
+func (u *fakeUpstream) countConnection(_ net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateNew:
+		u.connections.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		u.connections.Add(-1)
+	case http.StateActive, http.StateIdle:
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (u *fakeUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Upstream", u.id)
 	w.Header().Set("Load", fmt.Sprintf("%d,0,6,100", u.running.Load()))
+	mode := u.mode.Load().(string)
+	if strings.HasSuffix(mode, "leaving") {
+		w.Header().Set("Leaving", "1")
+	}
 	if r.URL.Path == "/health" {
 		return
 	}
@@ -223,7 +244,7 @@
 	u.running.Add(1)
 	defer u.running.Add(-1)
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-	switch u.mode.Load() {
+	switch mode {
 	case "shed":
 		w.Header().Set("Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -234,7 +255,7 @@
 			_ = conn.Close()
 		}
 		return
-	case "slow":
+	case "slow", "slow_leaving":
 		select {
 		case <-time.After(700 * time.Millisecond):
 		case <-r.Context().Done():
@@ -307,6 +328,9 @@
 		return "incomplete body"
 	}
 	text := fmt.Sprintf("%d %s", response.StatusCode, strings.TrimSpace(string(body)))
+	if response.Header.Get("Leaving") != "" {
+		text += " (Leaving)"
+	}
 	if response.Header.Get("Retry-After") != "" {
 		text += " (Retry-After)"
 	}
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -51,6 +51,16 @@
 	}).Info("request finished")
 }
 
+// logLeaving counts an upstream that has announced in a response that it leaves, and
+// logs the change.
+func (t *task) logLeaving(effect placement.UpstreamLeaving) {
+	t.gateway.options.Metrics.GetOrCreateCounter("oriolepost_upstreams_leaving_total").Inc()
+	t.gateway.options.Log.WithFields(log.Fields{
+		"change": "upstream_leaving", "upstream": effect.Upstream.ID, "started_ms": effect.Upstream.BornMS, "service": effect.Service,
+		"control_contact_age_ms": t.gateway.controlContactAge().Milliseconds(),
+	}).Info("upstream announced that it leaves")
+}
+
 func (t *task) logDisconnected(active *activeRequest) {
 	if active == nil {
 		return
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -68,6 +68,8 @@
 	startedAt time.Time
 	response  upstream.Response
 	outcome   placement.Outcome
+	// notice is what the upstream said about itself on the connection.
+	notice placement.Notice
 	// conn is the attempt's connection; nil when there was none.
 	conn *upstream.Conn
 }
@@ -245,6 +247,9 @@
 		t.finish(e)
 	case placement.UpstreamRemoved:
 		t.closeIdleConns(e.Upstream)
+	case placement.UpstreamLeaving:
+		t.closeIdleConns(e.Upstream)
+		t.logLeaving(e)
 	}
 }
 
@@ -257,7 +262,9 @@
 	}
 	t.responses[ended.attempt] = ended.response
 	t.recordAttempt(ended)
-	t.step(placement.AttemptEnded{Attempt: ended.attempt, Outcome: ended.outcome, Load: ended.response.Load})
+	t.step(placement.AttemptEnded{
+		Attempt: ended.attempt, Upstream: ended.key, Outcome: ended.outcome, Load: ended.response.Load, Notice: ended.notice,
+	})
 	if response, unused := t.responses[ended.attempt]; unused {
 		if response.Rest != nil {
 			_ = response.Rest.Close()
--- a/header/header.go
+++ b/header/header.go
@@ -40,8 +40,21 @@
 	Cold string
 	// Upstream holds the ID of the upstream that produced the response.
 	Upstream string
+	// Leaving is present in a response when the upstream that produced it leaves.
+	Leaving string
 }
 
+// ParseNotice returns what an upstream says about itself in the header of a response.
+// Any value marks it as leaving, except an empty one and 0.
+func (n Names) ParseNotice(response *http.Response) placement.Notice {
+	value := textproto.TrimString(response.Header.Get(n.Leaving))
+	return placement.Notice{Leaving: value != "" && value != "0"}
+}
+
+// RemoveNotice removes the headers that [Names.ParseNotice] reads. They concern this
+// entry and one upstream, and say nothing about the service that the caller sees.
+func (n Names) RemoveNotice(h http.Header) { h.Del(n.Leaving) }
+
 // hopByHopHeaders are not forwarded. Besides the headers that concern a single
 // connection, these are Content-Length, which an entry sets again, and Expect,
 // which it handles itself.
--- a/placement/attempt.go
+++ b/placement/attempt.go
@@ -120,8 +120,10 @@
 }
 
 // handleAttemptEnd updates the upstream and the request of an attempt that has
-// ended. The load report in the response may then let queued requests be sent.
+// ended. The load report in the response may then let queued requests be sent. What
+// the upstream said about itself counts also if the attempt was canceled.
 func (s *State) handleAttemptEnd(now time.Time, e AttemptEnded) {
+	s.handleNotice(now, e.Upstream, e.Notice)
 	id, known := s.requestOf[e.Attempt]
 	if !known {
 		return
--- a/placement/event.go
+++ b/placement/event.go
@@ -42,6 +42,15 @@
 	Known bool `json:"known"`
 }
 
+// Notice is what an upstream says about itself beside a response.
+type Notice struct {
+	// Leaving is true when the upstream announced that it leaves.
+	Leaving bool
+}
+
+// Merge combines what two responses of the same upstream said.
+func (n Notice) Merge(next Notice) Notice { return Notice{Leaving: n.Leaving || next.Leaving} }
+
 // Event is an input to [State.Step].
 //
 //sumtype:decl
@@ -63,14 +72,21 @@
 	Cold time.Duration
 	// Failed is true when there was no response, or one from another upstream.
 	Failed bool
+	// Notice is what the upstream said about itself in the response.
+	Notice Notice
 }
 
 // AttemptEnded reports the end of an attempt.
 type AttemptEnded struct {
 	Attempt AttemptID
-	Outcome Outcome
+	// Upstream is the incarnation to which the attempt was sent.
+	Upstream Key
+	Outcome  Outcome
 	// Load is the load report in the response, if there was one.
 	Load Load
+	// Notice is what the upstream said about itself, also in responses that did not
+	// belong to the request.
+	Notice Notice
 }
 
 // ViewReceived reports a change of the view from the leader of the control
@@ -155,6 +171,9 @@
 	ReasonCanceled Reason = "canceled"
 	// ReasonNoUpstream means that the service has no upstream.
 	ReasonNoUpstream Reason = "no_upstream"
+	// ReasonLeaving means that all upstreams of the service have announced in their
+	// responses that they leave.
+	ReasonLeaving Reason = "upstreams_leaving"
 	// ReasonOverload means that no upstream was eligible or could respond in time.
 	ReasonOverload Reason = "overload"
 	// ReasonBudget means that the service's retry budget is used up.
@@ -226,8 +245,17 @@
 // connections are of no further use.
 type UpstreamRemoved struct{ Upstream Key }
 
+// UpstreamLeaving reports that an incarnation has announced in a response that it
+// leaves. It gets no further request or probe, so its idle connections are of no
+// use. Its attempts in flight go on.
+type UpstreamLeaving struct {
+	Upstream Key
+	Service  string
+}
+
 func (StartProbe) effect()      {}
 func (StartAttempt) effect()    {}
 func (CancelAttempt) effect()   {}
 func (Finish) effect()          {}
 func (UpstreamRemoved) effect() {}
+func (UpstreamLeaving) effect() {}
--- a/placement/place.go
+++ b/placement/place.go
@@ -88,13 +88,15 @@
 }
 
 // noUpstreamAvailable returns the outcome for a request when no upstream is
-// eligible. It distinguishes a service without upstreams from one whose
-// upstreams are all ineligible.
+// eligible. Its reason says why.
 func (s *State) noUpstreamAvailable(pending *pendingRequest) NotRun {
-	if len(s.byService[pending.request.Service]) > 0 {
-		return NotRun{Reason: ReasonOverload}
+	switch service := pending.request.Service; {
+	case len(s.byService[service]) == 0:
+		return NotRun{Reason: ReasonNoUpstream}
+	case s.allLeaving(service):
+		return NotRun{Reason: ReasonLeaving}
 	}
-	return NotRun{Reason: ReasonNoUpstream}
+	return NotRun{Reason: ReasonOverload}
 }
 
 // queueDeadline returns the time until which the request may wait in the queue.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -152,6 +152,7 @@
 	EntryIndex, EntryCount int
 	ControlContactAt       time.Time
 
+	leaving    Leaving
 	byService  map[string][]*Upstream
 	outDomains []string
 	// domainCount is the number of failure domains that have upstreams.
@@ -175,7 +176,7 @@
 // random choices are drawn from random.
 func New(cfg Config, random *rand.Rand) *State {
 	return &State{
-		Config: cfg, random: random,
+		Config: cfg, random: random, leaving: Leaving{Marked: map[Key]bool{}},
 		Upstreams: map[string]*Upstream{}, Services: map[string]route.Service{},
 		byService: map[string][]*Upstream{}, queues: map[string]*waitQueue{}, lowestPriority: map[string]int{}, highestPriority: map[string]int{}, requests: map[RequestID]*pendingRequest{},
 		requestOf: map[AttemptID]RequestID{}, retryBudgets: map[string]*retry.Window{},
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/onsi/gomega"
+
 	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/placement"
 	"github.com/oriolepost/oriolepost/route"
@@ -21,11 +23,14 @@
 	// unansweredProbes holds the ids of the upstreams whose probes answer_probes
 	// has not answered yet.
 	unansweredProbes []string
+	// attempts holds the incarnation to which each attempt was sent.
+	attempts map[placement.AttemptID]placement.Key
 }
 
 var _ = script.Describe("steps", "testdata/steps/*.txt", func() script.Handler {
 	s := &steps{
-		now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+		attempts: map[placement.AttemptID]placement.Key{},
+		now:      time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
 		state: placement.New(placement.Config{
 			Name: "e1", Domain: "palermo", RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 80, ColdFactor: 1.5, ColdSlack: 5,
 		}, rand.New(rand.NewPCG(1, 1))),
@@ -52,14 +57,16 @@
 		}})
 	case "probe_result":
 		return s.step(placement.ProbeResult{
-			Upstream: placement.Key{ID: c.Args["upstream"], BornMS: 1}, Failed: c.Bool("failed"), Healthy: !c.Bool("unhealthy"),
-			Cold: time.Duration(c.Int("cold", 0)) * time.Millisecond,
-			Load: placement.Load{Running: c.Int("running", 0), Slots: 6, Slowdown: c.Int("slowdown", 100), Known: !c.Bool("no_load")},
+			Upstream: placement.Key{ID: c.Args["upstream"], BornMS: int64(c.Int("born", 1))}, Failed: c.Bool("failed"), Healthy: !c.Bool("unhealthy"),
+			Cold:   time.Duration(c.Int("cold", 0)) * time.Millisecond,
+			Load:   placement.Load{Running: c.Int("running", 0), Slots: 6, Slowdown: c.Int("slowdown", 100), Known: !c.Bool("no_load")},
+			Notice: notice(c),
 		})
 	case "answer_probes":
 		return s.answerProbes(c)
 	case "attempt_end":
-		return s.step(placement.AttemptEnded{Attempt: placement.AttemptID(c.Int("attempt", 1)), Outcome: attemptOutcome(c)})
+		id := placement.AttemptID(c.Int("attempt", 1))
+		return s.step(placement.AttemptEnded{Attempt: id, Upstream: s.attempts[id], Outcome: attemptOutcome(c), Notice: notice(c)})
 	case "caller_disconnected":
 		return s.step(placement.CallerDisconnected{Request: placement.RequestID(c.Int("id", 1))})
 	case "tick":
@@ -94,7 +101,13 @@
 	for _, text := range c.List("upstreams") {
 		id, domain, _ := strings.Cut(text, "/")
 		domain, cold, _ := strings.Cut(domain, "/")
+		cold, born, restarted := strings.Cut(cold, "/")
 		u := fleet.Upstream{ID: id, Service: "booking", Domain: domain, Slots: 6, StartMS: 1}
+		if restarted {
+			n, err := strconv.ParseInt(born, 10, 64)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			u.StartMS = n
+		}
 		if n, err := strconv.Atoi(cold); err == nil {
 			u.ColdMS = int64(n)
 		}
@@ -104,6 +117,9 @@
 	return s.step(v)
 }
 
+// notice returns what the upstream says about itself.
+func notice(c script.Case) placement.Notice { return placement.Notice{Leaving: c.Bool("leaving")} }
+
 func attemptOutcome(c script.Case) placement.Outcome {
 	reason := placement.Reason(c.Args["reason"])
 	switch c.Args["outcome"] {
@@ -121,6 +137,9 @@
 		if p, ok := effect.(placement.StartProbe); ok {
 			s.unansweredProbes = append(s.unansweredProbes, p.Upstream.ID)
 		}
+		if a, ok := effect.(placement.StartAttempt); ok {
+			s.attempts[a.Attempt] = placement.KeyOf(a.Upstream)
+		}
 		lines = append(lines, effectText(effect))
 	}
 	return strings.Join(lines, "\n")
@@ -138,6 +157,8 @@
 		return fmt.Sprintf("finish request=%d %s", e.Request, outcomeText(e.Outcome))
 	case placement.UpstreamRemoved:
 		return "upstream_removed " + e.Upstream.ID
+	case placement.UpstreamLeaving:
+		return fmt.Sprintf("upstream_leaving %s born=%d", e.Upstream.ID, e.Upstream.BornMS)
 	}
 	return "unknown effect"
 }
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -408,7 +408,7 @@
 			r.cancel(entry, e.Attempt)
 		case placement.Finish:
 			r.finish(e)
-		case placement.UpstreamRemoved:
+		case placement.UpstreamRemoved, placement.UpstreamLeaving:
 		}
 	}
 }
@@ -550,7 +550,7 @@
 			return
 		}
 		delete(r.jobs, attemptKey(j.entry, j.attempt))
-		r.perform(j.entry, r.entries[j.entry].Step(r.now, placement.AttemptEnded{Attempt: j.attempt, Outcome: o, Load: load}))
+		r.perform(j.entry, r.entries[j.entry].Step(r.now, placement.AttemptEnded{Attempt: j.attempt, Upstream: placement.KeyOf(m.info), Outcome: o, Load: load}))
 	})
 }
 
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -25,6 +25,7 @@
 	"syscall"
 	"time"
 
+	"github.com/oriolepost/oriolepost/placement"
 	"github.com/oriolepost/oriolepost/tcp"
 )
 
@@ -58,6 +59,12 @@
 	// idleTimeout is how long the connection may stay idle after idleSince.
 	idleTimeout time.Duration
 	idleSince   time.Time
+	// notice is what the upstream said about itself in the responses since the last
+	// call of TakeNotice.
+	notice placement.Notice
+	// misdirected is true once a response has shown that another upstream has the
+	// address.
+	misdirected bool
 }
 
 // Dial opens a connection to an upstream's address, given as host:port.
@@ -96,6 +103,19 @@
 	return err == nil && noData
 }
 
+// TakeNotice returns what the upstream said about itself in the responses that were
+// read since the last call, including those that were skipped or cut. All responses on a
+// connection come from the same process. If one of them shows that this is another
+// upstream, which has the address now, none says anything about the expected one.
+func (c *Conn) TakeNotice() placement.Notice {
+	n := c.notice
+	c.notice = placement.Notice{}
+	if c.misdirected {
+		return placement.Notice{}
+	}
+	return n
+}
+
 // markIdle records that the connection is idle from now on, and takes the idle
 // timeout from the upstream's Keep-Alive header if it is given there.
 func (c *Conn) markIdle(keepAlive string) {
--- a/upstream/limit.go
+++ b/upstream/limit.go
@@ -5,6 +5,8 @@
 	"io"
 	"math"
 	"net/http"
+
+	"github.com/oriolepost/oriolepost/header"
 )
 
 // maxHeadBytes limits the status line and the header of a response. A faulty
@@ -32,11 +34,23 @@
 	return n, err
 }
 
-// readHead reads the status line and the header of the next response. The body is
-// limited by whoever reads it.
-func (c *Conn) readHead(method string) (*http.Response, error) {
+// readHead reads the status line and the header of the next response, and records
+// what the upstream says about itself there. The body is limited by whoever reads it.
+func (c *Conn) readHead(names header.Names, method string) (*http.Response, error) {
 	c.source.remaining = maxHeadBytes
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	c.source.remaining = math.MaxInt64
+	if err == nil {
+		c.recordNotice(names, response)
+	}
 	return response, err
 }
+
+// recordNotice adds what a response says about the upstream to what it said before on
+// this connection.
+func (c *Conn) recordNotice(names header.Names, response *http.Response) {
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		c.misdirected = true
+	}
+	c.notice = c.notice.Merge(names.ParseNotice(response))
+}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -31,7 +31,7 @@
 
 var names = header.Names{
 	RequestID: "Request-Id", Deadline: "Deadline", Target: "Target", Signature: "Signature",
-	NotRun: "Not-Run", Load: "Load", Cold: "Cold", Upstream: "Upstream",
+	NotRun: "Not-Run", Load: "Load", Cold: "Cold", Upstream: "Upstream", Leaving: "Leaving",
 }
 
 // fixture is an upstream whose responses are in the test file.
@@ -165,15 +165,26 @@
 	}
 	text := <-replied + "\n" + formatOutcome(outcome)
 	if response.Rest != nil {
-		return text + rest
+		return text + rest + formatNotice(b.conn.TakeNotice())
 	}
 	if _, answered := outcome.(placement.Answered); answered {
 		text += fmt.Sprintf(" status=%d body=%q signature=%q", response.Status, response.Body, response.Header.Get("Signature"))
+		if response.Header.Get("Leaving") != "" {
+			text += " leaving passed on"
+		}
 		if c.Bool("length") {
 			text += fmt.Sprintf(" length=%d", response.Length)
 		}
 	}
-	return fmt.Sprintf("%s\nreusable=%v", text, b.conn.Reusable())
+	return fmt.Sprintf("%s\nreusable=%v%s", text, b.conn.Reusable(), formatNotice(b.conn.TakeNotice()))
+}
+
+// formatNotice returns what the upstream said about itself; nothing if it said nothing.
+func formatNotice(n placement.Notice) string {
+	if n.Leaving {
+		return "\nleaving"
+	}
+	return ""
 }
 
 func formatOutcome(o placement.Outcome) string {
@@ -195,6 +206,6 @@
 	if !b.conn.Reusable() {
 		_ = b.conn.Close()
 	}
-	return fmt.Sprintf("%s\nfailed=%v healthy=%v cold=%s load=%+v reusable=%v",
-		<-replied, p.Failed, p.Healthy, p.Cold, p.Load, b.conn.Reusable())
+	return fmt.Sprintf("%s\nfailed=%v healthy=%v cold=%s load=%+v reusable=%v%s",
+		<-replied, p.Failed, p.Healthy, p.Cold, p.Load, b.conn.Reusable(), formatNotice(b.conn.TakeNotice()))
 }
