placement, upstream: an upstream that asks for rest gets nothing until the rest has ended

The code did not read the header: after a short backoff the entry probed the upstream, found it idle, and sent again.

Change: placement/rest.go keeps rests by incarnation, apart from the view's upstreams, and eligible rejects an upstream that rests, so probes, requests, hedges and retries pass it by. A random time is added to the end; then one request is in flight at first, and twice as many with each response. Unreadable, negative and absurd times are bounded and counted. When no upstream is left and some rest, requests are refused at once, waiting ones too, with a Retry-After at the earliest end or as late as the caller still retries. A 503 of an upstream that is passed on gets the entry's Retry-After instead of the upstream's.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -36,6 +37,10 @@
 	ginkgo.RunSpecs(t, "gateway")
 }
 
+// maxRetryAfterSeconds is a third of the caller timeout of the requests of the tests, the
+// longest time for which callers wait.
+const maxRetryAfterSeconds = 2.0 / 3
+
 // stateTimeout limits the wait for an expected state.
 const stateTimeout = 5 * time.Second
 
@@ -68,7 +73,8 @@
 	address string
 	// mode is good, shed (refuse each request), reset (close the connection
 	// without a response), slow (respond after 700 ms), leaving (announce it in each
-	// response) or slow_leaving.
+	// response), slow_leaving, rest (refuse each request and ask for 3 s of rest) or
+	// signed_rest (the same, as a response of its own).
 	mode atomic.Value
 	// connections counts the open connections.
 	connections atomic.Int64
@@ -249,6 +255,16 @@
 		w.Header().Set("Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
+	case "rest", "signed_rest":
+		w.Header().Set("Retry-After", "3")
+		if mode == "signed_rest" {
+			w.Header().Set("Signature", "s")
+		} else {
+			w.Header().Set("Not-Run", "1")
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, "from "+u.id)
+		return
 	case "reset":
 		conn, _, err := http.NewResponseController(w).Hijack()
 		if err == nil {
@@ -331,8 +347,11 @@
 	if response.Header.Get("Leaving") != "" {
 		text += " (Leaving)"
 	}
-	if response.Header.Get("Retry-After") != "" {
+	if value := response.Header.Get("Retry-After"); value != "" {
 		text += " (Retry-After)"
+		seconds, err := strconv.ParseFloat(value, 64)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(seconds).To(gomega.And(gomega.BeNumerically(">", 0), gomega.BeNumerically("<=", maxRetryAfterSeconds)))
 	}
 	return text
 }
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -46,7 +46,7 @@
 		"version": gateway.configurationVersion(), "status": status, "outcome": outcomeName(finish.Outcome), "reason": reason,
 		"took_ms": took.Milliseconds(), "caller_timeout_ms": active.exchange.Request.CallerTimeout.Milliseconds(), "remaining_ms": time.Until(active.request.Deadline).Milliseconds(), "attempts": finish.AttemptsStarted,
 		"upstream": active.upstream, "upstream_domain": active.domain, "load_age_ms": active.basis.LoadAge.Milliseconds(), "cost": active.basis.Cost,
-		"known_upstreams": active.basis.Candidates, "eligible_upstreams": finish.EligibleUpstreams, "queue_length": finish.QueueLength, "load": active.basis.Load, "queue_time_ms": active.basis.Waited.Milliseconds(),
+		"known_upstreams": active.basis.Candidates, "eligible_upstreams": finish.EligibleUpstreams, "resting_upstreams": finish.RestingUpstreams, "leaving_upstreams": finish.LeavingUpstreams, "queue_length": finish.QueueLength, "load": active.basis.Load, "queue_time_ms": active.basis.Waited.Milliseconds(),
 		"tries": strings.Join(active.attemptSummaries, "; "), "control_contact_age_ms": gateway.controlContactAge().Milliseconds(),
 	}).Info("request finished")
 }
@@ -61,6 +61,44 @@
 	}).Info("upstream announced that it leaves")
 }
 
+// countInvalidRest counts a response whose time of rest could not be used as it was sent.
+func (t *task) countInvalidRest(n placement.Notice) {
+	if _, valid := n.RestTime(); !valid {
+		t.gateway.options.Metrics.GetOrCreateCounter("oriolepost_rests_invalid_total").Inc()
+	}
+}
+
+// logRestStarted counts an upstream that has asked for rest, and logs the change.
+func (t *task) logRestStarted(effect placement.RestStarted) {
+	t.gateway.options.Metrics.GetOrCreateCounter("oriolepost_rests_total").Inc()
+	t.setRestingRatio(effect.Service, effect.Resting, effect.Known)
+	fields := log.Fields{
+		"change": "upstream_rest", "from": "in_use", "to": "resting", "upstream": effect.Upstream.ID, "service": effect.Service,
+		"length_ms": effect.Length.Milliseconds(), "resting_upstreams": effect.Resting, "known_upstreams": effect.Known,
+	}
+	if !effect.Valid {
+		t.gateway.options.Log.WithFields(fields).WithField("sent", effect.Text).Warn("upstream asked for rest, for a time that was replaced or limited")
+		return
+	}
+	t.gateway.options.Log.WithFields(fields).Info("upstream asked for rest")
+}
+
+func (t *task) logRestEnded(effect placement.RestEnded) {
+	t.setRestingRatio(effect.Service, effect.Resting, effect.Known)
+	t.gateway.options.Log.WithFields(log.Fields{
+		"change": "upstream_rest", "from": "resting", "to": "in_use", "upstream": effect.Upstream.ID, "service": effect.Service,
+		"resting_upstreams": effect.Resting, "known_upstreams": effect.Known,
+	}).Info("rest of upstream ended")
+}
+
+// setRestingRatio sets the ratio of a service's upstreams that are resting.
+func (t *task) setRestingRatio(service string, resting, known int) {
+	if service == "" {
+		return
+	}
+	t.gateway.options.Metrics.GetOrCreateGauge(fmt.Sprintf("oriolepost_resting_upstreams_ratio{service=%q}", service), nil).Set(float64(resting) / float64(max(1, known)))
+}
+
 func (t *task) logDisconnected(active *activeRequest) {
 	if active == nil {
 		return
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -192,6 +192,7 @@
 	case probeResultMessage:
 		t.releaseConn(m.key, m.conn)
 		m.result.Upstream = m.key
+		t.countInvalidRest(m.result.Notice)
 		t.step(m.result)
 	case attemptEndedMessage:
 		t.releaseConn(m.key, m.conn)
@@ -250,6 +251,10 @@
 	case placement.UpstreamLeaving:
 		t.closeIdleConns(e.Upstream)
 		t.logLeaving(e)
+	case placement.RestStarted:
+		t.logRestStarted(e)
+	case placement.RestEnded:
+		t.logRestEnded(e)
 	}
 }
 
@@ -262,6 +267,7 @@
 	}
 	t.responses[ended.attempt] = ended.response
 	t.recordAttempt(ended)
+	t.countInvalidRest(ended.notice)
 	t.step(placement.AttemptEnded{
 		Attempt: ended.attempt, Upstream: ended.key, Outcome: ended.outcome, Load: ended.response.Load, Notice: ended.notice,
 	})
@@ -319,6 +325,9 @@
 		response := t.responses[effect.Attempt]
 		delete(t.responses, effect.Attempt)
 		status = response.Status
+		if o.RetryAfter > 0 {
+			ingress.SetRetryAfter(response.Header, o.RetryAfter)
+		}
 		t.respond(effect.Request, response)
 	case placement.NotRun:
 		status, reason = http.StatusServiceUnavailable, string(o.Reason)
--- a/header/header.go
+++ b/header/header.go
@@ -13,6 +13,8 @@
 package header
 
 import (
+	"errors"
+	"math"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -44,16 +46,45 @@
 	Leaving string
 }
 
+// retryAfter is the header in which a response with status 503 states, in seconds with
+// fractions, for how long the upstream wants nothing from this entry.
+const retryAfter = "Retry-After"
+
+// maxRestTextBytes limits the part of a stated time that is kept for the log.
+const maxRestTextBytes = 32
+
 // ParseNotice returns what an upstream says about itself in the header of a response.
 // Any value marks it as leaving, except an empty one and 0.
 func (n Names) ParseNotice(response *http.Response) placement.Notice {
 	value := textproto.TrimString(response.Header.Get(n.Leaving))
-	return placement.Notice{Leaving: value != "" && value != "0"}
+	notice := placement.Notice{Leaving: value != "" && value != "0"}
+	if lines := response.Header[retryAfter]; response.StatusCode == http.StatusServiceUnavailable && len(lines) > 0 {
+		text := textproto.TrimString(lines[0])
+		notice.RestAsked, notice.RestSeconds = true, parseSeconds(text)
+		notice.RestText = text[:min(len(text), maxRestTextBytes)]
+	}
+	return notice
+}
+
+// parseSeconds returns NaN if the text is not a number, and an infinite number if it is
+// too large.
+func parseSeconds(text string) float64 {
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil && !errors.Is(err, strconv.ErrRange) {
+		return math.NaN()
+	}
+	return seconds
 }
 
-// RemoveNotice removes the headers that [Names.ParseNotice] reads. They concern this
-// entry and one upstream, and say nothing about the service that the caller sees.
-func (n Names) RemoveNotice(h http.Header) { h.Del(n.Leaving) }
+// RemoveNotice removes the headers that [Names.ParseNotice] reads from a response with
+// the given status. They concern this entry and one upstream, and say nothing about the
+// service that the caller sees.
+func (n Names) RemoveNotice(status int, h http.Header) {
+	h.Del(n.Leaving)
+	if status == http.StatusServiceUnavailable {
+		h.Del(retryAfter)
+	}
+}
 
 // hopByHopHeaders are not forwarded. Besides the headers that concern a single
 // connection, these are Content-Length, which an entry sets again, and Expect,
--- a/ingress/response.go
+++ b/ingress/response.go
@@ -31,11 +31,16 @@
 func Refusal(status int, reason string, retryAfter time.Duration) upstream.Response {
 	response := plainResponse(status, reason)
 	if retryAfter > 0 {
-		response.Header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+		SetRetryAfter(response.Header, retryAfter)
 	}
 	return response
 }
 
+// SetRetryAfter sets the time after which the caller should retry, in seconds.
+func SetRetryAfter(h http.Header, delay time.Duration) {
+	h.Set("Retry-After", strconv.FormatFloat(delay.Seconds(), 'f', 3, 64))
+}
+
 // writeResponses writes the responses in the order of the requests, until the
 // connection ends.
 func (c *conn) writeResponses() {
--- a/placement/attempt.go
+++ b/placement/attempt.go
@@ -53,8 +53,9 @@
 )
 
 // handleTick handles deadlines, queue timeouts and hedges that are due, and
-// begins probe rounds that are due.
+// begins probe rounds that are due. It also ends the rests of upstreams.
 func (s *State) handleTick(now time.Time) {
+	s.endRests(now)
 	for _, id := range slices.Sorted(maps.Keys(s.requests)) {
 		pending := s.requests[id]
 		if pending == nil {
@@ -152,6 +153,9 @@
 			pending.outcome = mergeOutcomes(pending.outcome, Unknown{Reason: ReasonShed})
 			return
 		}
+		if o.Failed && e.Notice.RestAsked {
+			o.RetryAfter = s.retryAfter(now, pending.request, ReasonShed)
+		}
 		pending.outcome = o
 		s.finish(now, pending, e.Attempt)
 		return
@@ -203,6 +207,7 @@
 			s.backOff(now, u, 0.7)
 			return
 		}
+		u.countReturnAnswer(a.startedAt)
 		u.FailurePenalty = u.failurePenalty(now) * responsePenaltyFactor
 		u.FailurePenaltyAt = now
 		took := now.Sub(a.startedAt)
@@ -287,17 +292,23 @@
 	s.dequeue(pending)
 	s.cancelAttempts(pending)
 	delete(s.requests, pending.request.ID)
+	resting, leaving := s.countUnavailable(now, pending.request.Service)
 	s.emit(Finish{
 		Request: pending.request.ID, Outcome: pending.outcome, Attempt: answer, AttemptsStarted: pending.attemptsStarted,
 		EligibleUpstreams: s.countEligible(now, pending.request.Service), QueueLength: len(s.queue(pending.request.Service).waiting),
+		RestingUpstreams: resting, LeavingUpstreams: leaving,
 	})
 }
 
 // retryAfter returns the time after which a refused caller should retry. While
 // a response can still be on time, the delay is short enough for that.
 // Otherwise it is long, so that the overload may have passed by then. It is
-// drawn at random so that callers do not retry at the same time.
+// drawn at random so that callers do not retry at the same time. While the service's
+// upstreams rest, it depends on the end of the earliest rest instead.
 func (s *State) retryAfter(now time.Time, r Request, reason Reason) time.Duration {
+	if s.onlyResting(now, r.Service) {
+		return s.restRetryAfter(now, r)
+	}
 	maxDelay := min(maxRetryAfter, time.Duration(maxRetryAfterRatio*float64(r.Deadline.Sub(now))))
 	if reason == ReasonShed || reason == ReasonBudget {
 		maxDelay = min(maxDelay, maxRefusedRetryAfter)
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -113,10 +113,10 @@
 }
 
 // eligible reports whether an upstream may get requests. It may not after it has
-// announced in a response that it leaves, while it drains, while its failure domain is out of service, while it is backed off
+// announced in a response that it leaves, while it rests or drains, while its failure domain is out of service, while it is backed off
 // after a failure, or while it is cold and this entry may not send to it.
 func (s *State) eligible(now time.Time, u *Upstream) bool {
-	if s.IsLeaving(KeyOf(u.Info)) || u.Info.Draining || !u.Healthy && now.Before(u.BackoffUntil) || slices.Contains(s.outDomains, u.Info.Domain) {
+	if u.leaving || u.resting(now) || u.Info.Draining || !u.Healthy && now.Before(u.BackoffUntil) || slices.Contains(s.outDomains, u.Info.Domain) {
 		return false
 	}
 	if now.Before(u.BackoffUntil) {
--- a/placement/event.go
+++ b/placement/event.go
@@ -46,10 +46,25 @@
 type Notice struct {
 	// Leaving is true when the upstream announced that it leaves.
 	Leaving bool
+	// RestAsked is true when the upstream turned a request away and stated for how
+	// long it wants nothing from this entry. RestSeconds is that time, NaN if it could
+	// not be read, and RestText the beginning of its text; see [Notice.RestTime].
+	RestAsked   bool
+	RestSeconds float64
+	RestText    string
 }
 
-// Merge combines what two responses of the same upstream said.
-func (n Notice) Merge(next Notice) Notice { return Notice{Leaving: n.Leaving || next.Leaving} }
+// Merge combines what two responses of the same upstream said. Of two rests, the longer
+// one counts.
+func (n Notice) Merge(next Notice) Notice {
+	merged := n
+	before, _ := n.RestTime()
+	if after, _ := next.RestTime(); next.RestAsked && (!n.RestAsked || after > before) {
+		merged = next
+	}
+	merged.Leaving = n.Leaving || next.Leaving
+	return merged
+}
 
 // Event is an input to [State.Step].
 //
@@ -129,6 +144,10 @@
 	// Failed is true when the response reports a failure of the upstream (status
 	// 5xx).
 	Failed bool
+	// RetryAfter is the delay after which the caller should retry. It is set in the
+	// outcome of a request whose response is a failure of an upstream that asked for
+	// rest.
+	RetryAfter time.Duration
 }
 
 // NotRun means that the request was not run and will not be.
@@ -174,6 +193,9 @@
 	// ReasonLeaving means that all upstreams of the service have announced in their
 	// responses that they leave.
 	ReasonLeaving Reason = "upstreams_leaving"
+	// ReasonResting means that the upstreams of the service that could be used have
+	// all asked for rest.
+	ReasonResting Reason = "upstreams_resting"
 	// ReasonOverload means that no upstream was eligible or could respond in time.
 	ReasonOverload Reason = "overload"
 	// ReasonBudget means that the service's retry budget is used up.
@@ -239,6 +261,10 @@
 	// QueueLength the number of its queued requests, both at the end of the
 	// request.
 	EligibleUpstreams, QueueLength int
+	// RestingUpstreams is the number of the service's upstreams that want nothing from
+	// this entry at present, and LeavingUpstreams the number of those that have
+	// announced in a response that they leave.
+	RestingUpstreams, LeavingUpstreams int
 }
 
 // UpstreamRemoved reports that an incarnation of an upstream is gone. Its
@@ -253,9 +279,33 @@
 	Service  string
 }
 
+// RestStarted reports that an upstream has asked for rest and gets no request and no
+// probe for a time.
+type RestStarted struct {
+	Upstream Key
+	Service  string
+	// Length is the time that it asked for. If that was replaced or limited, Valid is
+	// false, and Text is the beginning of what it sent.
+	Length time.Duration
+	Valid  bool
+	Text   string
+	// Resting is the number of the service's upstreams that are resting now, and Known
+	// the number of all.
+	Resting, Known int
+}
+
+// RestEnded reports the end of a rest.
+type RestEnded struct {
+	Upstream       Key
+	Service        string
+	Resting, Known int
+}
+
 func (StartProbe) effect()      {}
 func (StartAttempt) effect()    {}
 func (CancelAttempt) effect()   {}
 func (Finish) effect()          {}
 func (UpstreamRemoved) effect() {}
 func (UpstreamLeaving) effect() {}
+func (RestStarted) effect()     {}
+func (RestEnded) effect()       {}
--- a/placement/leaving.go
+++ b/placement/leaving.go
@@ -45,12 +45,16 @@
 // handleNotice applies what an upstream said about itself in a response. An
 // incarnation that the view does not list, or no longer lists, is marked as well.
 func (s *State) handleNotice(now time.Time, k Key, n Notice) {
-	if !n.Leaving || !s.leaving.Mark(k) {
+	if !n.Leaving {
+		s.startRest(now, k, n)
+		return
+	}
+	if !s.leaving.Mark(k) {
 		return
 	}
 	leaving := UpstreamLeaving{Upstream: k}
 	if u := s.upstream(k); u != nil {
-		leaving.Service = u.Info.Service
+		u.leaving, leaving.Service = true, u.Info.Service
 	}
 	s.emit(leaving)
 	s.refuseWaiting(now, leaving.Service)
@@ -64,7 +68,7 @@
 		return
 	}
 	for _, pending := range slices.Clone(q.waiting) {
-		s.refuse(now, pending, s.noUpstreamAvailable(pending))
+		s.refuse(now, pending, s.noUpstreamAvailable(now, pending))
 	}
 }
 
@@ -72,5 +76,5 @@
 // in a response that they leave.
 func (s *State) allLeaving(service string) bool {
 	list := s.byService[service]
-	return len(list) > 0 && !slices.ContainsFunc(list, func(u *Upstream) bool { return !s.IsLeaving(KeyOf(u.Info)) })
+	return len(list) > 0 && !slices.ContainsFunc(list, func(u *Upstream) bool { return !u.leaving })
 }
--- a/placement/place.go
+++ b/placement/place.go
@@ -63,7 +63,7 @@
 // The request is refused if no upstream is eligible.
 func (s *State) place(now time.Time, pending *pendingRequest) {
 	if s.countEligible(now, pending.request.Service) == 0 {
-		s.refuse(now, pending, s.noUpstreamAvailable(pending))
+		s.refuse(now, pending, s.noUpstreamAvailable(now, pending))
 		return
 	}
 	q := s.queue(pending.request.Service)
@@ -89,12 +89,14 @@
 
 // noUpstreamAvailable returns the outcome for a request when no upstream is
 // eligible. Its reason says why.
-func (s *State) noUpstreamAvailable(pending *pendingRequest) NotRun {
+func (s *State) noUpstreamAvailable(now time.Time, pending *pendingRequest) NotRun {
 	switch service := pending.request.Service; {
 	case len(s.byService[service]) == 0:
 		return NotRun{Reason: ReasonNoUpstream}
 	case s.allLeaving(service):
 		return NotRun{Reason: ReasonLeaving}
+	case s.onlyResting(now, service):
+		return NotRun{Reason: ReasonResting}
 	}
 	return NotRun{Reason: ReasonOverload}
 }
@@ -241,7 +243,7 @@
 		return !pending.tried[KeyOf(u.Info)] && s.eligible(now, u)
 	})
 	for _, u := range list {
-		if !s.hasFreshLoad(now, u) || u.atCapacity() || !s.eligible(now, u) || pending.tried[KeyOf(u.Info)] && !mayReuse {
+		if !s.hasFreshLoad(now, u) || u.atCapacity() || u.atReturnLimit(now) || !s.eligible(now, u) || pending.tried[KeyOf(u.Info)] && !mayReuse {
 			continue
 		}
 		if c := s.cost(now, u); best == nil || c < bestCost {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -107,6 +107,10 @@
 	// The slowdown in Load is another value: the upstream reports it, in percent.
 	MeasuredSlowdown   float64
 	MeasuredSlowdownAt time.Time
+	// leaving is true once the upstream has announced in a response that it leaves.
+	leaving bool
+	// rest is the upstream's last rest; nil if it did not ask for one lately.
+	rest *Rest
 	// coldSent holds the start times of the requests that were sent to the
 	// upstream while it was cold, within the last second plus coldWindowMargin.
 	coldSent []time.Time
@@ -152,7 +156,10 @@
 	EntryIndex, EntryCount int
 	ControlContactAt       time.Time
 
-	leaving    Leaving
+	leaving Leaving
+	// rests holds the rests by incarnation. Like leaving, it is kept when an upstream is
+	// removed, as an older view may list it again.
+	rests      map[Key]*Rest
 	byService  map[string][]*Upstream
 	outDomains []string
 	// domainCount is the number of failure domains that have upstreams.
@@ -176,7 +183,7 @@
 // random choices are drawn from random.
 func New(cfg Config, random *rand.Rand) *State {
 	return &State{
-		Config: cfg, random: random, leaving: Leaving{Marked: map[Key]bool{}},
+		Config: cfg, random: random, leaving: Leaving{Marked: map[Key]bool{}}, rests: map[Key]*Rest{},
 		Upstreams: map[string]*Upstream{}, Services: map[string]route.Service{},
 		byService: map[string][]*Upstream{}, queues: map[string]*waitQueue{}, lowestPriority: map[string]int{}, highestPriority: map[string]int{}, requests: map[RequestID]*pendingRequest{},
 		requestOf: map[AttemptID]RequestID{}, retryBudgets: map[string]*retry.Window{},
@@ -228,6 +235,11 @@
 			wakeBy(pending.queueDeadline)
 		}
 	}
+	for _, rest := range s.rests {
+		if !rest.Ended {
+			wakeBy(rest.Until)
+		}
+	}
 	for _, q := range s.queues {
 		if len(q.waiting) > 0 {
 			wakeBy(q.nextRoundAt)
@@ -291,6 +303,7 @@
 		}
 		s.Upstreams[u.ID] = &Upstream{
 			Info: u, ColdUntil: coldUntil, Healthy: true, InFlight: map[AttemptID]time.Time{}, MeasuredSlowdown: 1,
+			leaving: s.IsLeaving(KeyOf(u)), rest: s.rests[KeyOf(u)],
 		}
 		return
 	}
@@ -376,6 +389,10 @@
 	return w
 }
 
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.BornMS, b.BornMS))
+}
+
 // upstream returns the incarnation k; nil if it is no longer known or was
 // replaced.
 func (s *State) upstream(k Key) *Upstream {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"strconv"
 	"strings"
@@ -118,7 +119,17 @@
 }
 
 // notice returns what the upstream says about itself.
-func notice(c script.Case) placement.Notice { return placement.Notice{Leaving: c.Bool("leaving")} }
+func notice(c script.Case) placement.Notice {
+	n := placement.Notice{Leaving: c.Bool("leaving")}
+	if text, ok := c.Args["rest"]; ok {
+		n.RestAsked, n.RestText = true, text
+		var err error
+		if n.RestSeconds, err = strconv.ParseFloat(text, 64); err != nil {
+			n.RestSeconds = math.NaN()
+		}
+	}
+	return n
+}
 
 func attemptOutcome(c script.Case) placement.Outcome {
 	reason := placement.Reason(c.Args["reason"])
@@ -159,6 +170,10 @@
 		return "upstream_removed " + e.Upstream.ID
 	case placement.UpstreamLeaving:
 		return fmt.Sprintf("upstream_leaving %s born=%d", e.Upstream.ID, e.Upstream.BornMS)
+	case placement.RestStarted:
+		return fmt.Sprintf("rest_started %s length=%s valid=%v resting=%d/%d", e.Upstream.ID, e.Length, e.Valid, e.Resting, e.Known)
+	case placement.RestEnded:
+		return fmt.Sprintf("rest_ended %s resting=%d/%d", e.Upstream.ID, e.Resting, e.Known)
 	}
 	return "unknown effect"
 }
@@ -166,8 +181,14 @@
 func outcomeText(o placement.Outcome) string {
 	switch o := o.(type) {
 	case placement.Answered:
+		if o.RetryAfter > 0 {
+			return fmt.Sprintf("answered retry_after=%s", o.RetryAfter.Round(time.Millisecond))
+		}
 		return "answered"
 	case placement.NotRun:
+		if o.Reason == placement.ReasonResting {
+			return fmt.Sprintf("not_run %s retry_after=%s", o.Reason, o.RetryAfter.Round(time.Millisecond))
+		}
 		return fmt.Sprintf("not_run %s retry_after=%v", o.Reason, o.RetryAfter > 0)
 	case placement.Unknown:
 		return "unknown " + string(o.Reason)
--- a/placement/probe.go
+++ b/placement/probe.go
@@ -118,7 +118,7 @@
 func (s *State) sendProbes(now time.Time, q *waitQueue) int {
 	var candidates []*Upstream
 	for _, u := range s.byService[q.service] {
-		if s.eligible(now, u) && !s.hasFreshLoad(now, u) && !q.probed[KeyOf(u.Info)] {
+		if s.eligible(now, u) && !s.hasFreshLoad(now, u) && !u.atReturnLimit(now) && !q.probed[KeyOf(u.Info)] {
 			candidates = append(candidates, u)
 		}
 	}
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -69,6 +69,19 @@
 	// refusalRatio is the ratio of requests that the machine refuses whatever its
 	// load.
 	refusalRatio float64
+	// restUntil is the time until which the machine turns all requests away. Each
+	// response asks for rest for restLength, which is zero for a machine that asks for
+	// none. Its health and load are reported as good.
+	restUntil  time.Time
+	restLength time.Duration
+	// askedAt holds, by entry, when the machine last began to ask it for rest.
+	askedAt map[int]time.Time
+	// restArrivals counts the requests turned away, and restLate those from entries that
+	// it had asked for rest more than half a second before. returns counts the
+	// requests in the first 100 ms after the end.
+	restArrivals int
+	restLate     int
+	returns      int
 	// coldUntil is the time until which the machine is cold: it runs at half speed.
 	coldUntil time.Time
 	// coldStarts holds when requests arrived while it was cold.
@@ -140,6 +153,8 @@
 	attempts       int
 	outDomains     []string
 	entryOf        map[placement.RequestID]int
+	// restIgnored is true while the entries do not learn that they are asked for rest.
+	restIgnored bool
 }
 
 var _ = script.Describe("replay", "testdata/replay/*.txt", func() script.Handler {
@@ -167,6 +182,9 @@
 		return r.setMachineState(c)
 	case "cold":
 		return r.coldReturn(c)
+	case "rest":
+		r.restMachines(c)
+		return ""
 	case "refuse":
 		for _, m := range r.machineList {
 			m.refusalRatio = number(c.Args["ratio"])
@@ -292,6 +310,51 @@
 	return ""
 }
 
+// restMachines lets machines turn requests away for a time. With former, the entries do
+// not learn that they are asked for rest, as before they knew of it.
+func (r *replay) restMachines(c script.Case) {
+	for i, m := range r.machineList {
+		if i%c.Int("every", 1) != 0 {
+			continue
+		}
+		m.restUntil = r.now.Add(time.Duration(c.Int("ms", 0)) * time.Millisecond)
+		m.restLength = time.Duration(c.Int("length", 0)) * time.Millisecond
+		m.askedAt = map[int]time.Time{}
+	}
+	r.restIgnored = c.Bool("former")
+}
+
+// turnAway answers a request at a machine that wants rest.
+func (r *replay) turnAway(m *machine, j *job) {
+	m.restArrivals++
+	asked, known := m.askedAt[j.entry]
+	since := r.now.Sub(asked)
+	switch {
+	case !known || since >= m.restLength:
+		m.askedAt[j.entry] = r.now
+	case since > 500*time.Millisecond:
+		m.restLate++
+	}
+	n := placement.Notice{}
+	if !r.restIgnored {
+		n = placement.Notice{RestAsked: true, RestSeconds: m.restLength.Seconds()}
+	}
+	r.endJobWith(m, j, placement.NotRun{Reason: placement.ReasonShed, Sent: true}, n)
+}
+
+// restCounts returns the number of requests that machines turned away, the number of
+// those that came although the entry had been asked for rest, and the most requests
+// that one machine got right after its rest.
+func (r *replay) restCounts() (arrivals, late, returns int) {
+	for _, m := range r.machineList {
+		arrivals += m.restArrivals
+		late += m.restLate
+		returns = max(returns, m.returns)
+		m.restArrivals, m.restLate, m.returns = 0, 0, 0
+	}
+	return arrivals, late, returns
+}
+
 // coldPeak returns the number of requests that reached cold machines, and the most
 // that one of them got within a second.
 func (r *replay) coldPeak() (total, peak int) {
@@ -346,6 +409,9 @@
 	if total, peak := r.coldPeak(); total > 0 {
 		fmt.Fprintf(&b, "cold requests=%d peak=%d\n", total, peak)
 	}
+	if arrivals, late, returns := r.restCounts(); arrivals > 0 {
+		fmt.Fprintf(&b, "rest turned_away=%d late=%d returns=%d\n", arrivals, late, returns)
+	}
 	if target, ok := c.Args["target"]; ok {
 		fmt.Fprintf(&b, "target met: %v\n", valueRatio >= number(target))
 	}
@@ -408,7 +474,7 @@
 			r.cancel(entry, e.Attempt)
 		case placement.Finish:
 			r.finish(e)
-		case placement.UpstreamRemoved, placement.UpstreamLeaving:
+		case placement.UpstreamRemoved, placement.UpstreamLeaving, placement.RestStarted, placement.RestEnded:
 		}
 	}
 }
@@ -464,8 +530,13 @@
 		if r.now.Before(m.coldUntil) {
 			m.coldStarts = append(m.coldStarts, r.now)
 		}
+		if since := r.now.Sub(m.restUntil); since >= 0 && since < 100*time.Millisecond {
+			m.returns++
+		}
 		switch {
 		case m.down || j.dropped:
+		case r.now.Before(m.restUntil):
+			r.turnAway(m, j)
 		case m.random.Float64() < m.refusalRatio:
 			r.endJob(m, j, placement.NotRun{Reason: placement.ReasonShed, Sent: true})
 		case len(m.running) < m.slots:
@@ -544,13 +615,17 @@
 }
 
 func (r *replay) endJob(m *machine, j *job, o placement.Outcome) {
+	r.endJobWith(m, j, o, placement.Notice{})
+}
+
+func (r *replay) endJobWith(m *machine, j *job, o placement.Outcome, n placement.Notice) {
 	load := m.load()
 	r.schedule(r.networkDelay(j.entry, m), func() {
 		if j.dropped {
 			return
 		}
 		delete(r.jobs, attemptKey(j.entry, j.attempt))
-		r.perform(j.entry, r.entries[j.entry].Step(r.now, placement.AttemptEnded{Attempt: j.attempt, Upstream: placement.KeyOf(m.info), Outcome: o, Load: load}))
+		r.perform(j.entry, r.entries[j.entry].Step(r.now, placement.AttemptEnded{Attempt: j.attempt, Upstream: placement.KeyOf(m.info), Outcome: o, Load: load, Notice: n}))
 	})
 }
 
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -207,7 +207,7 @@
 		return Response{}, placement.Unknown{Reason: placement.ReasonMalformed}
 	}
 	header.RemoveHopByHop(response.Header)
-	names.RemoveNotice(response.Header)
+	names.RemoveNotice(received.StatusCode, response.Header)
 	return response, placement.Answered{Failed: received.StatusCode >= 500}
 }
 
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -172,6 +172,9 @@
 		if response.Header.Get("Leaving") != "" {
 			text += " leaving passed on"
 		}
+		if response.Header.Get("Retry-After") != "" {
+			text += " rest passed on"
+		}
 		if c.Bool("length") {
 			text += fmt.Sprintf(" length=%d", response.Length)
 		}
@@ -181,10 +184,15 @@
 
 // formatNotice returns what the upstream said about itself; nothing if it said nothing.
 func formatNotice(n placement.Notice) string {
+	text := ""
 	if n.Leaving {
-		return "\nleaving"
+		text += "\nleaving"
 	}
-	return ""
+	if n.RestAsked {
+		length, valid := n.RestTime()
+		text += fmt.Sprintf("\nrest=%s valid=%v sent=%q", length, valid, n.RestText)
+	}
+	return text
 }
 
 func formatOutcome(o placement.Outcome) string {
