logtrace, placement: explain shows the rests and announcements behind a refusal

A rest may last for minutes and an announcement is final, but explain showed changes within 5 s of a request only, so the refusal "upstreams_resting" came without its cause.

Change: a request that ended with resting or leaving upstreams is shown with those earlier changes of its service at its instance. A rest that is extended by more than the random time is a change of its own, with a line.

--- a/gateway/log.go
+++ b/gateway/log.go
@@ -73,7 +73,7 @@
 	t.gateway.options.Metrics.GetOrCreateCounter("oriolepost_rests_total").Inc()
 	t.setRestingRatio(effect.Service, effect.Resting, effect.Known)
 	fields := log.Fields{
-		"change": "upstream_rest", "from": "in_use", "to": "resting", "upstream": effect.Upstream.ID, "service": effect.Service,
+		"change": "upstream_rest", "to": "resting", "upstream": effect.Upstream.ID, "service": effect.Service,
 		"length_ms": effect.Length.Milliseconds(), "resting_upstreams": effect.Resting, "known_upstreams": effect.Known,
 	}
 	if !effect.Valid {
@@ -86,7 +86,7 @@
 func (t *task) logRestEnded(effect placement.RestEnded) {
 	t.setRestingRatio(effect.Service, effect.Resting, effect.Known)
 	t.gateway.options.Log.WithFields(log.Fields{
-		"change": "upstream_rest", "from": "resting", "to": "in_use", "upstream": effect.Upstream.ID, "service": effect.Service,
+		"change": "upstream_rest", "to": "in_use", "upstream": effect.Upstream.ID, "service": effect.Service,
 		"resting_upstreams": effect.Resting, "known_upstreams": effect.Known,
 	}).Info("rest of upstream ended")
 }
--- a/logtrace/logtrace.go
+++ b/logtrace/logtrace.go
@@ -65,7 +65,8 @@
 
 // Select returns the lines that match a filter, in the order of time. For a
 // request, it adds the changes within changeWindow of one of its lines: those of
-// the upstream that the line names, and those at the instance that logged it.
+// the upstream that the line names, and those at the instance that logged it. It also
+// adds earlier ones that had taken upstreams out of use for the request.
 func Select(lines []Line, f Filter) []Line {
 	matching := slices.DeleteFunc(slices.Clone(lines), func(l Line) bool { return !f.matches(l) })
 	if f.RequestID != "" {
@@ -105,10 +106,14 @@
 }
 
 // relatesTo reports whether a change is within changeWindow of a line of a request
-// and was logged at the same instance or names the same upstream. A line with the
-// change "upstreams" is logged for each update of the upstream view, so it does not
-// relate to a request unless it mentions the request's upstream.
+// and was logged at the same instance or names the same upstream, or whether it took an
+// upstream out of use for the request. A line with the change "upstreams" is logged for
+// each update of the upstream view, so it does not relate to a request unless it
+// mentions the request's upstream.
 func (l Line) relatesTo(request Line) bool {
+	if l.tookOutOfUse(request) {
+		return true
+	}
 	if d := l.Time.Sub(request.Time).Abs(); d > changeWindow {
 		return false
 	}
@@ -117,6 +122,29 @@
 	return sameInstance || upstream != "" && l.mentions(upstream)
 }
 
+// tookOutOfUse reports whether a change, however long before, had taken an upstream of the
+// request's service out of use at its instance, and still did when the request ended: an
+// announcement that it leaves, or a rest.
+func (l Line) tookOutOfUse(request Line) bool {
+	if l.Time.After(request.Time) || l.text("instance") != request.text("instance") || l.text("service") != request.text("service") {
+		return false
+	}
+	switch l.text("change") {
+	case "upstream_leaving":
+		return request.number("leaving_upstreams") > 0
+	case "upstream_rest":
+		length := time.Duration(l.number("length_ms")) * time.Millisecond
+		return request.number("resting_upstreams") > 0 && request.Time.Sub(l.Time) <= length
+	}
+	return false
+}
+
+// number returns a field as a number, or 0 when it is absent or not a number.
+func (l Line) number(name string) float64 {
+	n, _ := l.Fields[name].(float64)
+	return n
+}
+
 // mentions reports whether a line names an upstream. In the lists "upstreams" and
 // "tries", a longer id that contains the given one matches too.
 func (l Line) mentions(upstream string) bool {
--- a/placement/event.go
+++ b/placement/event.go
@@ -279,8 +279,8 @@
 	Service  string
 }
 
-// RestStarted reports that an upstream has asked for rest and gets no request and no
-// probe for a time.
+// RestStarted reports that an upstream has asked for rest, or for a longer one, and gets
+// no request and no probe for a time.
 type RestStarted struct {
 	Upstream Key
 	Service  string
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -236,7 +236,7 @@
 		}
 	}
 	for _, rest := range s.rests {
-		if !rest.Ended {
+		if rest.EndedAt.IsZero() {
 			wakeBy(rest.Until)
 		}
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -29,16 +29,20 @@
 }
 
 var _ = script.Describe("steps", "testdata/steps/*.txt", func() script.Handler {
-	s := &steps{
-		attempts: map[placement.AttemptID]placement.Key{},
-		now:      time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
-		state: placement.New(placement.Config{
-			Name: "e1", Domain: "palermo", RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 80, ColdFactor: 1.5, ColdSlack: 5,
-		}, rand.New(rand.NewPCG(1, 1))),
-	}
+	s := &steps{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
+	s.restart()
 	return s.run
 })
 
+// restart replaces the entry by one that knows nothing.
+func (s *steps) restart() {
+	s.attempts = map[placement.AttemptID]placement.Key{}
+	s.unansweredProbes = nil
+	s.state = placement.New(placement.Config{
+		Name: "e1", Domain: "palermo", RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 80, ColdFactor: 1.5, ColdSlack: 5,
+	}, rand.New(rand.NewPCG(1, 1)))
+}
+
 func (s *steps) run(c script.Case) string {
 	s.now = s.now.Add(time.Duration(c.Int("after", 0)) * time.Millisecond)
 	switch c.Command {
@@ -70,6 +74,9 @@
 		return s.step(placement.AttemptEnded{Attempt: id, Upstream: s.attempts[id], Outcome: attemptOutcome(c), Notice: notice(c)})
 	case "caller_disconnected":
 		return s.step(placement.CallerDisconnected{Request: placement.RequestID(c.Int("id", 1))})
+	case "restart":
+		s.restart()
+		return ""
 	case "tick":
 		return s.step(placement.TimerExpired{})
 	}
--- a/placement/rest.go
+++ b/placement/rest.go
@@ -28,7 +28,7 @@
 	// requests in flight at the upstream are no longer limited. The limit is one at
 	// first, and doubles with each response.
 	returnAnswers = 3
-	// returnPeriod is the time after a rest until the limit ends in any case.
+	// returnPeriod is the time after the noticed end until the limit ends in any case.
 	returnPeriod = 10 * time.Second
 )
 
@@ -38,8 +38,9 @@
 	Service string
 	// Until is the end of the rest, including the random time that was added.
 	Until time.Time
-	// Ended is true once the end was reported.
-	Ended bool
+	// EndedAt is when the end was noticed; zero before. A process that is frozen notices
+	// it late.
+	EndedAt time.Time
 	// Answers counts the responses without failure to requests sent since the end.
 	Answers int
 }
@@ -67,17 +68,17 @@
 	}
 	spread := min(time.Duration(returnSpreadRatio*float64(length)), maxReturnSpread)
 	until := now.Add(length + s.randomBelow(spread))
-	rest := s.rests[k]
-	wasResting := rest != nil && !rest.Ended
-	if wasResting && !until.After(rest.Until) {
+	before := s.rests[k]
+	wasResting := before != nil && before.EndedAt.IsZero()
+	if wasResting && !until.After(before.Until) {
 		return
 	}
-	rest = &Rest{Until: until}
+	rest := &Rest{Until: until}
 	s.rests[k] = rest
 	if u := s.upstream(k); u != nil {
 		u.rest, rest.Service = rest, u.Info.Service
 	}
-	if wasResting {
+	if wasResting && until.Sub(before.Until) <= maxReturnSpread {
 		return
 	}
 	resting, _ := s.countUnavailable(now, rest.Service)
@@ -92,10 +93,10 @@
 func (s *State) endRests(now time.Time) {
 	for _, k := range slices.SortedFunc(maps.Keys(s.rests), compareKeys) {
 		switch rest := s.rests[k]; {
-		case rest.Ended && now.Sub(rest.Until) > returnPeriod:
+		case !rest.EndedAt.IsZero() && now.Sub(rest.EndedAt) > returnPeriod:
 			delete(s.rests, k)
-		case !rest.Ended && !now.Before(rest.Until):
-			rest.Ended = true
+		case rest.EndedAt.IsZero() && !now.Before(rest.Until):
+			rest.EndedAt = now
 			resting, _ := s.countUnavailable(now, rest.Service)
 			s.emit(RestEnded{Upstream: k, Service: rest.Service, Resting: resting, Known: len(s.byService[rest.Service])})
 		}
@@ -109,7 +110,7 @@
 // flight as it may get so soon after its rest.
 func (u *Upstream) atReturnLimit(now time.Time) bool {
 	rest := u.rest
-	if rest == nil || rest.Answers >= returnAnswers || now.Sub(rest.Until) > returnPeriod {
+	if rest == nil || rest.Answers >= returnAnswers || !rest.EndedAt.IsZero() && now.Sub(rest.EndedAt) > returnPeriod {
 		return false
 	}
 	sent := 0
--- a/upstream/fuzz_test.go
+++ b/upstream/fuzz_test.go
@@ -5,23 +5,28 @@
 	"bytes"
 	"context"
 	"testing"
+	"time"
 
 	"github.com/oriolepost/oriolepost/header"
 	"github.com/oriolepost/oriolepost/placement"
 )
 
 // FuzzResponse checks that no bytes of an upstream make the client panic, that a body
-// that is not streamed is bounded, and that a success always has the request's ID and
+// that is not streamed and a rest are bounded, and that a success always has the request's ID and
 // a signature.
 func FuzzResponse(f *testing.F) {
 	f.Add([]byte("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSignature: s1\r\nContent-Length: 2\r\n\r\nok"), false)
 	f.Add([]byte("HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"), true)
+	f.Add([]byte("HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nLeaving: 1\r\nRetry-After: 1e999\r\nContent-Length: 0\r\n\r\n"), false)
 	f.Add([]byte("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSignature: s1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"), false)
 	f.Fuzz(func(t *testing.T, data []byte, used bool) {
 		source := &limitedSource{source: bytes.NewReader(data)}
 		c := &Conn{reader: bufio.NewReaderSize(source, readBufferBytes), source: source, used: used}
-		names := header.Names{RequestID: "Request-Id", Signature: "Signature", NotRun: "Not-Run", Load: "Load"}
+		names := header.Names{RequestID: "Request-Id", Signature: "Signature", NotRun: "Not-Run", Load: "Load", Leaving: "Leaving"}
 		response, outcome := c.readResponse(context.Background(), names, Request{Method: "POST", ID: "r1"})
+		if length, _ := c.TakeNotice().RestTime(); length < 0 || length > 5*time.Minute {
+			t.Fatalf("a rest of %s was accepted", length)
+		}
 		if len(response.Body) > maxBufferedBodyBytes+1 {
 			t.Fatalf("%d bytes of a body were buffered", len(response.Body))
 		}
