upstream, gateway: an announcement counts as soon as the header is read

An upstream whose body is slow, or never ends, had announced in the header that it leaves or wants rest, but the entry learned of it only with the end of the attempt, and sent further requests until then.

Cause: what an upstream says about itself travelled in the result of the attempt or probe. Change: Conn.OnNotice reports it when the header is read; the task of the attempt posts a message, and placement has an event for it (NoticeReceived). The fields in AttemptEnded and ProbeResult, and the merging of several notices, are gone.

--- a/gateway/conns.go
+++ b/gateway/conns.go
@@ -29,9 +29,9 @@
 
 // releaseConn keeps a connection as idle if it can be used again. It closes it
 // instead if the upstream is no longer known, has announced that it leaves, or has
-// enough idle connections. A
-// connection that cannot be used again is left as it is: the task that owned it
-// has closed it, or the remainder of a response is still read from it.
+// enough idle connections. A connection that cannot be used again is left as it is:
+// the task that owned it has closed it, or the remainder of a response is still read
+// from it.
 func (t *task) releaseConn(key placement.Key, c *upstream.Conn) {
 	if c == nil {
 		return
@@ -53,12 +53,19 @@
 	delete(t.idleConns, key)
 }
 
-// connect returns the idle connection, or opens a new one if idle is nil.
-func connect(ctx context.Context, idle *upstream.Conn, u fleet.Upstream) (*upstream.Conn, error) {
+// connect returns the idle connection, or opens a new one if idle is nil. What the
+// upstream says about itself on it is posted while the response is still being read.
+func (t *task) connect(ctx context.Context, idle *upstream.Conn, u fleet.Upstream) (*upstream.Conn, error) {
 	if idle != nil {
 		return idle, nil
 	}
-	return upstream.Dial(ctx, u.Address)
+	conn, err := upstream.Dial(ctx, u.Address)
+	if err != nil {
+		return nil, err
+	}
+	key := placement.KeyOf(u)
+	conn.OnNotice = func(n placement.Notice) { t.post(noticeMessage{key: key, notice: n}) }
+	return conn, nil
 }
 
 // startProbe sends a probe in a task of its own, which posts the result.
@@ -67,13 +74,12 @@
 	idle := t.takeIdleConn(key)
 	t.gateway.options.Metrics.GetOrCreateCounter("oriolepost_probes_total").Inc()
 	go func() {
-		conn, err := connect(t.ctx, idle, effect.Upstream)
+		conn, err := t.connect(t.ctx, idle, effect.Upstream)
 		if err != nil {
 			t.post(probeResultMessage{key: key, result: placement.ProbeResult{Failed: true}})
 			return
 		}
 		result := conn.Probe(t.ctx, t.gateway.options.Names, effect.Upstream.ID, effect.Upstream.Address, effect.HealthPath)
-		result.Notice = conn.TakeNotice()
 		if !conn.Reusable() {
 			_ = conn.Close()
 		}
@@ -98,14 +104,13 @@
 	}
 	go func() {
 		ended := attemptEndedMessage{key: key, request: effect.Request, attempt: effect.Attempt, startedAt: time.Now()}
-		conn, err := connect(ctx, idle, effect.Upstream)
+		conn, err := t.connect(ctx, idle, effect.Upstream)
 		if err != nil {
 			ended.outcome = placement.NotRun{Reason: placement.ReasonUnsent}
 			t.post(ended)
 			return
 		}
 		ended.response, ended.outcome = conn.Exchange(ctx, t.gateway.options.Names, request)
-		ended.notice = conn.TakeNotice()
 		if !conn.Reusable() && ended.response.Rest == nil {
 			_ = conn.Close()
 		}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -73,7 +73,8 @@
 	address string
 	// mode is good, shed (refuse each request), reset (close the connection
 	// without a response), slow (respond after 700 ms), leaving (announce it in each
-	// response), slow_leaving, rest (refuse each request and ask for 3 s of rest) or
+	// response), slow_leaving, trickle_leaving (in no health response,
+	// and with a pause of 700 ms before the body), rest (refuse each request and ask for 3 s of rest) or
 	// signed_rest (the same, as a response of its own).
 	mode atomic.Value
 	// connections counts the open connections.
@@ -240,7 +241,7 @@
 	w.Header().Set("Upstream", u.id)
 	w.Header().Set("Load", fmt.Sprintf("%d,0,6,100", u.running.Load()))
 	mode := u.mode.Load().(string)
-	if strings.HasSuffix(mode, "leaving") {
+	if strings.HasSuffix(mode, "leaving") && (mode != "trickle_leaving" || r.URL.Path != "/health") {
 		w.Header().Set("Leaving", "1")
 	}
 	if r.URL.Path == "/health" {
@@ -279,6 +280,10 @@
 		}
 	}
 	w.Header().Set("Signature", "s")
+	if mode == "trickle_leaving" {
+		_ = http.NewResponseController(w).Flush()
+		timer.Pause(r.Context(), 700*time.Millisecond)
+	}
 	_, _ = io.WriteString(w, "from "+u.id)
 }
 
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -60,6 +60,12 @@
 	conn *upstream.Conn
 }
 
+// noticeMessage carries what an upstream said about itself in the header of a response.
+type noticeMessage struct {
+	key    placement.Key
+	notice placement.Notice
+}
+
 // attemptEndedMessage carries the outcome of an attempt.
 type attemptEndedMessage struct {
 	key       placement.Key
@@ -68,8 +74,6 @@
 	startedAt time.Time
 	response  upstream.Response
 	outcome   placement.Outcome
-	// notice is what the upstream said about itself on the connection.
-	notice placement.Notice
 	// conn is the attempt's connection; nil when there was none.
 	conn *upstream.Conn
 }
@@ -78,6 +82,7 @@
 func (disconnectedMessage) message() {}
 func (viewMessage) message()         {}
 func (probeResultMessage) message()  {}
+func (noticeMessage) message()       {}
 func (attemptEndedMessage) message() {}
 
 // task is the entry task. It owns the placement state, the idle connections and
@@ -192,8 +197,10 @@
 	case probeResultMessage:
 		t.releaseConn(m.key, m.conn)
 		m.result.Upstream = m.key
-		t.countInvalidRest(m.result.Notice)
 		t.step(m.result)
+	case noticeMessage:
+		t.countInvalidRest(m.notice)
+		t.step(placement.NoticeReceived{Upstream: m.key, Notice: m.notice})
 	case attemptEndedMessage:
 		t.releaseConn(m.key, m.conn)
 		t.attemptEnded(m)
@@ -267,10 +274,7 @@
 	}
 	t.responses[ended.attempt] = ended.response
 	t.recordAttempt(ended)
-	t.countInvalidRest(ended.notice)
-	t.step(placement.AttemptEnded{
-		Attempt: ended.attempt, Upstream: ended.key, Outcome: ended.outcome, Load: ended.response.Load, Notice: ended.notice,
-	})
+	t.step(placement.AttemptEnded{Attempt: ended.attempt, Upstream: ended.key, Outcome: ended.outcome, Load: ended.response.Load})
 	if response, unused := t.responses[ended.attempt]; unused {
 		if response.Rest != nil {
 			_ = response.Rest.Close()
@@ -325,7 +329,7 @@
 		response := t.responses[effect.Attempt]
 		delete(t.responses, effect.Attempt)
 		status = response.Status
-		if o.RetryAfter > 0 {
+		if o.RetryAfter > 0 && status == http.StatusServiceUnavailable {
 			ingress.SetRetryAfter(response.Header, o.RetryAfter)
 		}
 		t.respond(effect.Request, response)
--- a/placement/attempt.go
+++ b/placement/attempt.go
@@ -121,10 +121,8 @@
 }
 
 // handleAttemptEnd updates the upstream and the request of an attempt that has
-// ended. The load report in the response may then let queued requests be sent. What
-// the upstream said about itself counts also if the attempt was canceled.
+// ended. The load report in the response may then let queued requests be sent.
 func (s *State) handleAttemptEnd(now time.Time, e AttemptEnded) {
-	s.handleNotice(now, e.Upstream, e.Notice)
 	id, known := s.requestOf[e.Attempt]
 	if !known {
 		return
@@ -153,7 +151,7 @@
 			pending.outcome = mergeOutcomes(pending.outcome, Unknown{Reason: ReasonShed})
 			return
 		}
-		if o.Failed && e.Notice.RestAsked {
+		if u := s.upstream(e.Upstream); o.Failed && u != nil && u.resting(now) {
 			o.RetryAfter = s.retryAfter(now, pending.request, ReasonShed)
 		}
 		pending.outcome = o
--- a/placement/event.go
+++ b/placement/event.go
@@ -54,18 +54,6 @@
 	RestText    string
 }
 
-// Merge combines what two responses of the same upstream said. Of two rests, the longer
-// one counts.
-func (n Notice) Merge(next Notice) Notice {
-	merged := n
-	before, _ := n.RestTime()
-	if after, _ := next.RestTime(); next.RestAsked && (!n.RestAsked || after > before) {
-		merged = next
-	}
-	merged.Leaving = n.Leaving || next.Leaving
-	return merged
-}
-
 // Event is an input to [State.Step].
 //
 //sumtype:decl
@@ -87,8 +75,14 @@
 	Cold time.Duration
 	// Failed is true when there was no response, or one from another upstream.
 	Failed bool
-	// Notice is what the upstream said about itself in the response.
-	Notice Notice
+}
+
+// NoticeReceived reports what an upstream said about itself, before the attempt or the
+// probe in whose response it did ends. It may also have been another response on the
+// same connection, or one to an attempt that was canceled.
+type NoticeReceived struct {
+	Upstream Key
+	Notice   Notice
 }
 
 // AttemptEnded reports the end of an attempt.
@@ -99,9 +93,6 @@
 	Outcome  Outcome
 	// Load is the load report in the response, if there was one.
 	Load Load
-	// Notice is what the upstream said about itself, also in responses that did not
-	// belong to the request.
-	Notice Notice
 }
 
 // ViewReceived reports a change of the view from the leader of the control
@@ -128,6 +119,7 @@
 func (Arrived) event()            {}
 func (CallerDisconnected) event() {}
 func (ProbeResult) event()        {}
+func (NoticeReceived) event()     {}
 func (AttemptEnded) event()       {}
 func (ViewReceived) event()       {}
 func (PositionReported) event()   {}
@@ -145,8 +137,7 @@
 	// 5xx).
 	Failed bool
 	// RetryAfter is the delay after which the caller should retry. It is set in the
-	// outcome of a request whose response is a failure of an upstream that asked for
-	// rest.
+	// outcome of a request whose response is a failure of an upstream that is resting.
 	RetryAfter time.Duration
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -202,6 +202,8 @@
 		s.handleDisconnect(e.Request)
 	case ProbeResult:
 		s.handleProbeResult(now, e)
+	case NoticeReceived:
+		s.handleNotice(now, e.Upstream, e.Notice)
 	case AttemptEnded:
 		s.handleAttemptEnd(now, e)
 	case ViewReceived:
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -61,17 +62,19 @@
 			Deadline:     s.now.Add(time.Duration(c.Int("deadline", 2000)) * time.Millisecond),
 		}})
 	case "probe_result":
-		return s.step(placement.ProbeResult{
-			Upstream: placement.Key{ID: c.Args["upstream"], BornMS: int64(c.Int("born", 1))}, Failed: c.Bool("failed"), Healthy: !c.Bool("unhealthy"),
-			Cold:   time.Duration(c.Int("cold", 0)) * time.Millisecond,
-			Load:   placement.Load{Running: c.Int("running", 0), Slots: 6, Slowdown: c.Int("slowdown", 100), Known: !c.Bool("no_load")},
-			Notice: notice(c),
+		key := placement.Key{ID: c.Args["upstream"], BornMS: int64(c.Int("born", 1))}
+		return s.stepAfterNotice(c, key, placement.ProbeResult{
+			Upstream: key, Failed: c.Bool("failed"), Healthy: !c.Bool("unhealthy"),
+			Cold: time.Duration(c.Int("cold", 0)) * time.Millisecond,
+			Load: placement.Load{Running: c.Int("running", 0), Slots: 6, Slowdown: c.Int("slowdown", 100), Known: !c.Bool("no_load")},
 		})
 	case "answer_probes":
 		return s.answerProbes(c)
 	case "attempt_end":
 		id := placement.AttemptID(c.Int("attempt", 1))
-		return s.step(placement.AttemptEnded{Attempt: id, Upstream: s.attempts[id], Outcome: attemptOutcome(c), Notice: notice(c)})
+		return s.stepAfterNotice(c, s.attempts[id], placement.AttemptEnded{Attempt: id, Upstream: s.attempts[id], Outcome: attemptOutcome(c)})
+	case "notice":
+		return s.stepAfterNotice(c, placement.Key{ID: c.Args["upstream"], BornMS: 1}, nil)
 	case "caller_disconnected":
 		return s.step(placement.CallerDisconnected{Request: placement.RequestID(c.Int("id", 1))})
 	case "restart":
@@ -125,6 +128,19 @@
 	return s.step(v)
 }
 
+// stepAfterNotice reports what the upstream says about itself, if it does, and then an
+// event, unless it is nil.
+func (s *steps) stepAfterNotice(c script.Case, key placement.Key, e placement.Event) string {
+	var lines []string
+	if n := notice(c); n != (placement.Notice{}) {
+		lines = append(lines, s.step(placement.NoticeReceived{Upstream: key, Notice: n}))
+	}
+	if e != nil {
+		lines = append(lines, s.step(e))
+	}
+	return strings.Join(slices.DeleteFunc(lines, func(l string) bool { return l == "" }), "\n")
+}
+
 // notice returns what the upstream says about itself.
 func notice(c script.Case) placement.Notice {
 	n := placement.Notice{Leaving: c.Bool("leaving")}
--- a/placement/probe.go
+++ b/placement/probe.go
@@ -180,7 +180,6 @@
 // an upstream is now acceptable. When all probes of a round are answered the
 // next round begins.
 func (s *State) handleProbeResult(now time.Time, e ProbeResult) {
-	s.handleNotice(now, e.Upstream, e.Notice)
 	u := s.upstream(e.Upstream)
 	if u == nil {
 		return
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -625,7 +625,11 @@
 			return
 		}
 		delete(r.jobs, attemptKey(j.entry, j.attempt))
-		r.perform(j.entry, r.entries[j.entry].Step(r.now, placement.AttemptEnded{Attempt: j.attempt, Upstream: placement.KeyOf(m.info), Outcome: o, Load: load, Notice: n}))
+		key := placement.KeyOf(m.info)
+		if n != (placement.Notice{}) {
+			r.perform(j.entry, r.entries[j.entry].Step(r.now, placement.NoticeReceived{Upstream: key, Notice: n}))
+		}
+		r.perform(j.entry, r.entries[j.entry].Step(r.now, placement.AttemptEnded{Attempt: j.attempt, Upstream: key, Outcome: o, Load: load}))
 	})
 }
 
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -12,6 +12,7 @@
 // # Usage
 //
 //	c, err := upstream.Dial(ctx, address)
+//	c.OnNotice = report
 //	response, outcome := c.Exchange(ctx, names, request)
 //	if c.Reusable() { keep(c) }
 package upstream
@@ -59,9 +60,9 @@
 	// idleTimeout is how long the connection may stay idle after idleSince.
 	idleTimeout time.Duration
 	idleSince   time.Time
-	// notice is what the upstream said about itself in the responses since the last
-	// call of TakeNotice.
-	notice placement.Notice
+	// OnNotice is called when an upstream says something about itself, as soon as the
+	// header of the response is read, also if the response is then skipped or cut.
+	OnNotice func(placement.Notice)
 	// misdirected is true once a response has shown that another upstream has the
 	// address.
 	misdirected bool
@@ -103,19 +104,6 @@
 	return err == nil && noData
 }
 
-// TakeNotice returns what the upstream said about itself in the responses that were
-// read since the last call, including those that were skipped or cut. All responses on a
-// connection come from the same process. If one of them shows that this is another
-// upstream, which has the address now, none says anything about the expected one.
-func (c *Conn) TakeNotice() placement.Notice {
-	n := c.notice
-	c.notice = placement.Notice{}
-	if c.misdirected {
-		return placement.Notice{}
-	}
-	return n
-}
-
 // markIdle records that the connection is idle from now on, and takes the idle
 // timeout from the upstream's Keep-Alive header if it is given there.
 func (c *Conn) markIdle(keepAlive string) {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -159,7 +159,7 @@
 	c.used = true
 	for range maxSkippedResponses + 1 {
 		//nolint:bodyclose // A body that is read to its end needs no close, and whoever receives Response.Rest closes it.
-		received, err := c.readHead(names, request.Method)
+		received, err := c.readHead(names, request.Method, "")
 		if err != nil {
 			c.broken = true
 			return Response{}, c.failureOutcome(ctx, err)
--- a/upstream/fuzz_test.go
+++ b/upstream/fuzz_test.go
@@ -22,11 +22,13 @@
 	f.Fuzz(func(t *testing.T, data []byte, used bool) {
 		source := &limitedSource{source: bytes.NewReader(data)}
 		c := &Conn{reader: bufio.NewReaderSize(source, readBufferBytes), source: source, used: used}
+		c.OnNotice = func(n placement.Notice) {
+			if length, _ := n.RestTime(); length < 0 || length > 5*time.Minute {
+				t.Fatalf("a rest of %s was accepted", length)
+			}
+		}
 		names := header.Names{RequestID: "Request-Id", Signature: "Signature", NotRun: "Not-Run", Load: "Load", Leaving: "Leaving"}
 		response, outcome := c.readResponse(context.Background(), names, Request{Method: "POST", ID: "r1"})
-		if length, _ := c.TakeNotice().RestTime(); length < 0 || length > 5*time.Minute {
-			t.Fatalf("a rest of %s was accepted", length)
-		}
 		if len(response.Body) > maxBufferedBodyBytes+1 {
 			t.Fatalf("%d bytes of a body were buffered", len(response.Body))
 		}
--- a/upstream/limit.go
+++ b/upstream/limit.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/oriolepost/oriolepost/header"
+	"github.com/oriolepost/oriolepost/placement"
 )
 
 // maxHeadBytes limits the status line and the header of a response. A faulty
@@ -34,23 +35,27 @@
 	return n, err
 }
 
-// readHead reads the status line and the header of the next response, and records
-// what the upstream says about itself there. The body is limited by whoever reads it.
-func (c *Conn) readHead(names header.Names, method string) (*http.Response, error) {
+// readHead reads the status line and the header of the next response, and reports what
+// the upstream says about itself there. The body is limited by whoever reads it. id is the
+// ID of the upstream that the response must carry; empty if it need not.
+func (c *Conn) readHead(names header.Names, method, id string) (*http.Response, error) {
 	c.source.remaining = maxHeadBytes
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	c.source.remaining = math.MaxInt64
 	if err == nil {
-		c.recordNotice(names, response)
+		c.reportNotice(names, response, id)
 	}
 	return response, err
 }
 
-// recordNotice adds what a response says about the upstream to what it said before on
-// this connection.
-func (c *Conn) recordNotice(names header.Names, response *http.Response) {
-	if response.StatusCode == http.StatusMisdirectedRequest {
+// reportNotice reports what a response says about the upstream. All responses on a
+// connection come from the same process. Once one of them shows that this is another
+// upstream, which has the address now, none says anything about the expected one.
+func (c *Conn) reportNotice(names header.Names, response *http.Response, id string) {
+	if response.StatusCode == http.StatusMisdirectedRequest || id != "" && response.Header.Get(names.Upstream) != id {
 		c.misdirected = true
 	}
-	c.notice = c.notice.Merge(names.ParseNotice(response))
+	if n := names.ParseNotice(response); !c.misdirected && c.OnNotice != nil && n != (placement.Notice{}) {
+		c.OnNotice(n)
+	}
 }
--- a/upstream/probe.go
+++ b/upstream/probe.go
@@ -23,8 +23,7 @@
 
 // Probe requests the health and the load of an upstream, and waits up to
 // probeTimeout. It fails unless the response carries the upstream's ID.
-// Cancelling the context closes the connection. What the upstream said about itself
-// is left to TakeNotice.
+// Cancelling the context closes the connection.
 func (c *Conn) Probe(ctx context.Context, names header.Names, id, host, path string) placement.ProbeResult {
 	failed := placement.ProbeResult{Failed: true}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
@@ -39,7 +38,7 @@
 		return failed
 	}
 	//nolint:bodyclose // The body is read to its end, or the connection is closed.
-	response, err := c.readHead(names, http.MethodGet)
+	response, err := c.readHead(names, http.MethodGet, id)
 	if err != nil {
 		c.broken = true
 		return failed
@@ -49,10 +48,7 @@
 		c.broken = true
 	}
 	c.markIdle(response.Header.Get("Keep-Alive"))
-	if response.Header.Get(names.Upstream) != id {
-		c.misdirected = true
-	}
-	if err != nil || c.misdirected {
+	if err != nil || response.Header.Get(names.Upstream) != id {
 		c.broken = true
 		return failed
 	}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -41,6 +41,8 @@
 	// conn is the connection under test, and peer its other end.
 	conn *upstream.Conn
 	peer net.Conn
+	// notices holds what the upstream said about itself since the last result.
+	notices []placement.Notice
 }
 
 var _ = script.Describe("upstream", "testdata/*.txt", func() script.Handler {
@@ -85,6 +87,7 @@
 	}()
 	conn, err := upstream.Dial(context.Background(), b.listener.Addr().String())
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	conn.OnNotice = func(n placement.Notice) { b.notices = append(b.notices, n) }
 	b.conn = conn
 	b.peer = <-b.accepted
 	return ""
@@ -165,7 +168,7 @@
 	}
 	text := <-replied + "\n" + formatOutcome(outcome)
 	if response.Rest != nil {
-		return text + rest + formatNotice(b.conn.TakeNotice())
+		return text + rest + b.takeNotices()
 	}
 	if _, answered := outcome.(placement.Answered); answered {
 		text += fmt.Sprintf(" status=%d body=%q signature=%q", response.Status, response.Body, response.Header.Get("Signature"))
@@ -179,19 +182,23 @@
 			text += fmt.Sprintf(" length=%d", response.Length)
 		}
 	}
-	return fmt.Sprintf("%s\nreusable=%v%s", text, b.conn.Reusable(), formatNotice(b.conn.TakeNotice()))
+	return fmt.Sprintf("%s\nreusable=%v%s", text, b.conn.Reusable(), b.takeNotices())
 }
 
-// formatNotice returns what the upstream said about itself; nothing if it said nothing.
-func formatNotice(n placement.Notice) string {
+// takeNotices returns what the upstream said about itself since the last call; nothing
+// if it said nothing.
+func (b *fixture) takeNotices() string {
 	text := ""
-	if n.Leaving {
-		text += "\nleaving"
-	}
-	if n.RestAsked {
-		length, valid := n.RestTime()
-		text += fmt.Sprintf("\nrest=%s valid=%v sent=%q", length, valid, n.RestText)
+	for _, n := range b.notices {
+		if n.Leaving {
+			text += "\nleaving"
+		}
+		if n.RestAsked {
+			length, valid := n.RestTime()
+			text += fmt.Sprintf("\nrest=%s valid=%v sent=%q", length, valid, n.RestText)
+		}
 	}
+	b.notices = nil
 	return text
 }
 
@@ -215,5 +222,5 @@
 		_ = b.conn.Close()
 	}
 	return fmt.Sprintf("%s\nfailed=%v healthy=%v cold=%s load=%+v reusable=%v%s",
-		<-replied, p.Failed, p.Healthy, p.Cold, p.Load, b.conn.Reusable(), formatNotice(b.conn.TakeNotice()))
+		<-replied, p.Failed, p.Healthy, p.Cold, p.Load, b.conn.Reusable(), b.takeNotices())
 }
