--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,7 +41,9 @@
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/placement"
 	"github.com/oriolepost/oriolepost/route"
+	"github.com/oriolepost/oriolepost/search"
 	"github.com/oriolepost/oriolepost/settings"
+	"github.com/oriolepost/oriolepost/timer"
 )
 
 const (
@@ -77,12 +79,19 @@
 	callers  *ingress.Server
 	// table is nil until the first configuration.
 	table atomic.Pointer[route.Table]
-	// lastControlContact is when the leader last answered, in nanoseconds after
-	// started.
-	lastControlContact atomic.Int64
-	started            time.Time
-	stopping           atomic.Bool
-	seedUpdates        chan<- []peer.Address
+	// lastContact is the last answer of the leader; before the first one, the start of
+	// the entry.
+	lastContact atomic.Pointer[controlContact]
+	stopping    atomic.Bool
+	seedUpdates chan<- []search.Instance
+}
+
+// controlContact is an answer of the leader to a watch.
+type controlContact struct {
+	at timer.Stamp
+	// confirms is how long the entry's configuration counts as the newest after the
+	// answer: until the next answer is overdue. It is zero before the first answer.
+	confirms time.Duration
 }
 
 // Start starts an entry. Its tasks run until the context ends; Stop closes the
@@ -98,7 +107,8 @@
 	if err != nil {
 		return nil, err
 	}
-	gateway = &Gateway{settings: deployment, options: options, started: time.Now()}
+	gateway = &Gateway{settings: deployment, options: options}
+	gateway.lastContact.Store(&controlContact{at: timer.Now()})
 	gateway.task = newTask(ctx, gateway, placement.New(placement.Config{
 		Name: deployment.Instance, Domain: deployment.Domain, RetryRatio: deployment.Bounds.RetryRatio, RetryWindow: deployment.Bounds.RetryWindow,
 		RetrySlack: deployment.Bounds.RetrySlack, ColdFactor: deployment.Bounds.ColdFactor, ColdSlack: deployment.Bounds.ColdSlack,
@@ -106,13 +116,13 @@
 	go gateway.task.run()
 	pool := peer.NewPool(ctx, peer.Options{Metrics: options.Metrics, Dial: options.Dial})
 	watch := &watchTask{
-		gateway: gateway, ctx: ctx, leader: control.NewLeaderClient(pool, seeds, deployment.PeerPort), seeds: seeds, seedUpdates: make(chan []peer.Address, 1),
+		gateway: gateway, ctx: ctx, leader: control.NewLeaderClient(pool, seeds, deployment.PeerPort), seeds: seeds, seedUpdates: make(chan []search.Instance, 1),
 		mirror: fleet.NewMirror(), pool: pool, copyDelay: minCopyRetryDelay,
 	}
 	gateway.seedUpdates = watch.seedUpdates
 	go watch.run()
 	gateway.callers, err = ingress.Listen(ingress.Options{
-		Address: deployment.Caller, Names: options.Names, Metrics: options.Metrics, Table: gateway.table.Load,
+		Address: deployment.Caller, Names: options.Names, Metrics: options.Metrics, Table: gateway.table.Load, TableConfirmed: gateway.tableConfirmed,
 		Callbacks: ingress.Callbacks{Arrived: gateway.task.requestArrived, Disconnected: gateway.task.callersDisconnected, Refused: gateway.logRefused},
 	})
 	return gateway, err
@@ -147,23 +157,37 @@
 	return !g.stopping.Load() && g.table.Load() != nil && g.controlContactAge() < controlContactTimeout
 }
 
-// controlContactAge returns the time since the leader's last answer.
+// controlContactAge returns the time since the leader's last answer. It includes the time
+// for which the machine was suspended.
 func (g *Gateway) controlContactAge() time.Duration {
-	return time.Since(g.started) - time.Duration(g.lastControlContact.Load())
+	return timer.Now().Since(g.lastContact.Load().at)
+}
+
+// tableConfirmed reports whether the leader has answered so recently that it would have
+// reported a newer configuration.
+func (g *Gateway) tableConfirmed() bool {
+	contact := g.lastContact.Load()
+	return timer.Now().Since(contact.at) < contact.confirms
 }
 
 // Stop shuts the entry down gracefully. The entry reports that it is not ready,
 // answers the requests that it has read and those that still arrive, and closes
-// the connections. Stop returns when the listener is closed and all callers'
+// the connections. Requests whose response is not expected before the end are
+// refused. Stop returns when the listener is closed and all callers'
 // connections have ended, at the latest killMargin before the end of the grace
 // period. If the context ends first, it returns the error of the context.
 func (g *Gateway) Stop(ctx context.Context) error {
+	startedAt := time.Now()
+	plan := placement.StopPlan{
+		AcceptsUntil: startedAt.Add(min(listenerCloseDelay, max(0, g.settings.Bounds.Grace/2))),
+		EndsAt:       startedAt.Add(max(0, g.settings.Bounds.Grace-killMargin)),
+	}
 	g.stopping.Store(true)
+	g.task.post(stopMessage{plan})
 	g.callers.Drain()
-	startedAt := time.Now()
-	graceTimer := time.NewTimer(max(0, g.settings.Bounds.Grace-killMargin))
+	graceTimer := time.NewTimer(time.Until(plan.EndsAt))
 	defer graceTimer.Stop()
-	listenerTimer := time.NewTimer(min(listenerCloseDelay, max(0, g.settings.Bounds.Grace/2)))
+	listenerTimer := time.NewTimer(time.Until(plan.AcceptsUntil))
 	defer listenerTimer.Stop()
 	var err error
 	for {
@@ -188,6 +212,7 @@
 	g.options.Metrics.GetOrCreateCounter(fmt.Sprintf(`oriolepost_requests_total{outcome="refused",status="%d"}`, status)).Inc()
 	g.options.Log.WithFields(log.Fields{
 		"request_id": r.ID, "host": r.Host, "path": r.Path, "status": status, "reason": reason, "version": g.configurationVersion(),
+		"control_contact_age_ms": g.controlContactAge().Milliseconds(),
 	}).Info("request refused")
 }
 
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -44,6 +44,8 @@
 type viewMessage struct {
 	// position is the entry's index and the number of entries; zero with a copy.
 	position placement.PositionReported
+	// contact is nil with a copy.
+	contact *controlContact
 	// view holds the changes, or the full view; nil when nothing changed.
 	view *peer.View
 	// epoch is the term of the leader, and revision the revision of the view within
@@ -78,6 +80,10 @@
 	conn *upstream.Conn
 }
 
+// stopMessage reports that the entry stops.
+type stopMessage struct{ plan placement.StopPlan }
+
+func (stopMessage) message()         {}
 func (arrivedMessage) message()      {}
 func (disconnectedMessage) message() {}
 func (viewMessage) message()         {}
@@ -192,6 +198,8 @@
 				t.respond(id, upstream.Response{})
 			}
 		}
+	case stopMessage:
+		t.step(placement.StopBegan{Plan: m.plan})
 	case viewMessage:
 		t.handleView(m)
 	case probeResultMessage:
@@ -274,7 +282,7 @@
 	}
 	t.responses[ended.attempt] = ended.response
 	t.recordAttempt(ended)
-	t.step(placement.AttemptEnded{Attempt: ended.attempt, Upstream: ended.key, Outcome: ended.outcome, Load: ended.response.Load})
+	t.step(placement.AttemptEnded{Attempt: ended.attempt, Outcome: ended.outcome, Load: ended.response.Load})
 	if response, unused := t.responses[ended.attempt]; unused {
 		if response.Rest != nil {
 			_ = response.Rest.Close()
@@ -288,6 +296,10 @@
 	if m.view != nil {
 		t.applyView(m)
 	}
+	// Only now does the table have what the answer confirms.
+	if m.contact != nil {
+		t.gateway.lastContact.Store(m.contact)
+	}
 	if m.position.Count > 0 {
 		t.step(m.position)
 	}
@@ -329,9 +341,6 @@
 		response := t.responses[effect.Attempt]
 		delete(t.responses, effect.Attempt)
 		status = response.Status
-		if o.RetryAfter > 0 && status == http.StatusServiceUnavailable {
-			ingress.SetRetryAfter(response.Header, o.RetryAfter)
-		}
 		t.respond(effect.Request, response)
 	case placement.NotRun:
 		status, reason = http.StatusServiceUnavailable, string(o.Reason)
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -11,6 +12,7 @@
 	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/placement"
+	"github.com/oriolepost/oriolepost/search"
 	"github.com/oriolepost/oriolepost/timer"
 )
 
@@ -19,12 +21,12 @@
 	gateway *Gateway
 	ctx     context.Context
 	leader  *peer.LeaderClient
-	seeds   []peer.Address
+	seeds   []search.Instance
 	// controlInstances are the IP addresses of the control instances, from the
-	// first view of the current epoch.
+	// newest view.
 	controlInstances []string
 	// seedUpdates receives the seeds of changed settings.
-	seedUpdates chan []peer.Address
+	seedUpdates chan []search.Instance
 	// request is the next watch. It reports to the leader which view the entry
 	// has.
 	request peer.WatchRequest
@@ -41,6 +43,9 @@
 	// connected is false until the first answer, and after contact with the
 	// control instances was lost.
 	connected bool
+	// searchLogAt is the earliest time of the next log line about the search for the
+	// leader.
+	searchLogAt time.Time
 }
 
 // watchRetryBackoff is the pause after a failed watch.
@@ -59,13 +64,14 @@
 			w.copyDelay = min(2*w.copyDelay, maxCopyRetryDelay)
 			w.takeCopy()
 		}
+		sent := timer.Now()
 		response, err := w.watch()
 		if err != nil {
 			w.watchFailed(err)
 			timer.Pause(w.ctx, watchRetryBackoff)
 			continue
 		}
-		w.handle(response)
+		w.handle(response, sent)
 	}
 }
 
@@ -95,20 +101,38 @@
 	return peer.WatchDuration(w.request.Count)
 }
 
+// searchLogInterval limits the log lines about a search for the leader that goes on.
+const searchLogInterval = 5 * time.Second
+
 // watchFailed counts a failed watch. It logs the loss of contact with the
-// control instances once it has lasted for controlContactTimeout.
+// control instances once it has lasted for controlContactTimeout, and then from time
+// to time which instances are asked for the leader.
 func (w *watchTask) watchFailed(err error) {
 	w.gateway.options.Metrics.GetOrCreateCounter("oriolepost_watch_errors_total").Inc()
-	if w.connected && w.gateway.controlContactAge() >= controlContactTimeout {
+	age := w.gateway.controlContactAge()
+	if age < controlContactTimeout {
+		return
+	}
+	now := time.Now()
+	if w.connected {
 		w.connected = false
+		w.searchLogAt = now
 		w.gateway.options.Log.WithError(err).WithFields(log.Fields{
 			"change": "control", "from": "connected", "to": "disconnected", "epoch": w.request.Epoch, "revision": w.request.Revision,
 		}).Warn("lost contact with the control instances")
 	}
+	if now.Before(w.searchLogAt) {
+		return
+	}
+	w.searchLogAt = now.Add(searchLogInterval)
+	w.gateway.options.Log.WithError(err).WithFields(log.Fields{
+		"change": "control", "asked": w.leader.Address(), "instances": w.leader.Instances(), "control_contact_age_ms": age.Milliseconds(),
+		"version": w.gateway.configurationVersion(), "epoch": w.request.Epoch,
+	}).Warn("searching for the leader")
 }
 
-// handle passes the answer to a watch on to the entry task.
-func (w *watchTask) handle(response peer.WatchResponse) {
+// handle passes the answer to a watch that was sent at a time on to the entry task.
+func (w *watchTask) handle(response peer.WatchResponse, sent timer.Stamp) {
 	if response.DigestWanted {
 		w.request.Digest = peer.EncodeDigest(w.mirror.Digest)
 		return
@@ -125,7 +149,8 @@
 		message.view, message.epoch, message.revision = &view, response.Epoch, response.Revision
 		w.adoptView(response, view)
 	}
-	gateway.lastControlContact.Store(int64(time.Since(gateway.started)))
+	received := timer.Now()
+	message.contact = &controlContact{at: received, confirms: peer.Confirms(sent, received, response.Count)}
 	if !w.connected {
 		w.connected = true
 		gateway.options.Log.WithFields(log.Fields{
@@ -159,7 +184,7 @@
 
 // adoptView records in the next watch which view the entry has.
 func (w *watchTask) adoptView(response peer.WatchResponse, view peer.View) {
-	if response.Epoch != w.request.Epoch {
+	if len(view.Control) > 0 && !slices.Equal(view.Control, w.controlInstances) {
 		w.controlInstances = view.Control
 		w.updateLeaderSearch()
 	}
@@ -175,9 +200,9 @@
 // seeds, and the control instances from the view. With the latter, the leader
 // is found even if none of the seeds exists any more.
 func (w *watchTask) updateLeaderSearch() {
-	list := append([]peer.Address(nil), w.seeds...)
+	list := append([]search.Instance(nil), w.seeds...)
 	for _, ip := range w.controlInstances {
-		list = append(list, peer.Address{Instance: ip, Address: control.PeerAddress(ip, w.gateway.settings.PeerPort)})
+		list = append(list, search.Instance{Name: ip, Address: control.PeerAddress(ip, w.gateway.settings.PeerPort)})
 	}
 	w.leader.SetInstances(list)
 }
--- a/header/header.go
+++ b/header/header.go
@@ -76,15 +76,10 @@
 	return seconds
 }
 
-// RemoveNotice removes the headers that [Names.ParseNotice] reads from a response with
-// the given status. They concern this entry and one upstream, and say nothing about the
-// service that the caller sees.
-func (n Names) RemoveNotice(status int, h http.Header) {
-	h.Del(n.Leaving)
-	if status == http.StatusServiceUnavailable {
-		h.Del(retryAfter)
-	}
-}
+// RemoveNotice removes the announcement that an upstream leaves. It concerns this entry
+// and one upstream, and says nothing about the service that the caller sees. A response
+// that asks for rest is not forwarded.
+func (n Names) RemoveNotice(h http.Header) { h.Del(n.Leaving) }
 
 // hopByHopHeaders are not forwarded. Besides the headers that concern a single
 // connection, these are Content-Length, which an entry sets again, and Expect,
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -68,7 +68,8 @@
 	// sent and the connection is closed.
 	Response chan upstream.Response
 	// closeAfter is true when the connection must be closed after the response:
-	// the caller asked for it, or the bytes that follow can't be interpreted.
+	// the caller asked for it, the entry drains and nothing has begun to arrive behind
+	// the request, or the bytes that follow can't be interpreted.
 	closeAfter bool
 	// unreadBytes is true when bytes may still arrive that belong to no request to
 	// be served. They are read and discarded before the connection is closed.
@@ -116,26 +117,40 @@
 	k.writeResponses()
 }
 
-// readRequests reads requests until the connection ends or the entry drains.
+// readRequests reads requests until the last one, and then waits for the end of the
+// connection. Once the channel of the requests is closed, the writer knows which
+// response is the last.
 func (c *conn) readRequests() {
-	defer close(c.exchanges)
+	open := c.readUntilLast()
+	close(c.exchanges)
+	if open {
+		c.awaitClose()
+	}
+}
+
+// readUntilLast reads requests until the connection ends, the caller asks for a close,
+// or the entry drains. It reports whether the caller may still disconnect before its
+// last response is written.
+func (c *conn) readUntilLast() bool {
 	for {
 		e, err := c.readRequest()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			// The entry drains, or the connection was idle for too long. Without an
+			// unanswered request the connection is closed at once. A request that
+			// crosses the close stays unread, so that its caller may send it again.
+			return len(c.unanswered()) > 0
+		}
 		if err != nil {
 			c.handleReadError(err)
-			return
-		}
-		if e == nil {
-			return
+			return false
 		}
 		streamed := e.Request.Rest != nil
 		c.enqueue(e)
 		if streamed && !c.awaitStreamedBody(e) {
-			return
+			return false
 		}
 		if e.closeAfter && !streamed {
-			c.awaitClose()
-			return
+			return true
 		}
 	}
 }
@@ -189,10 +204,6 @@
 		c.enqueue(e)
 		return
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		// The entry drains, or the connection was idle for too long.
-		return
-	}
 	if abandoned := c.unanswered(); len(abandoned) > 0 {
 		c.server.options.Callbacks.Disconnected(abandoned)
 	}
@@ -319,26 +330,31 @@
 	return err
 }
 
-// dispatch sends a request to the entry task, or refuses it if there is no
-// configuration or no route for it. A request that must not run twice first
-// waits until the requests before it are answered.
+// dispatch sends a request to the entry task, or refuses it if no route for it is
+// known. A request that must not run twice first waits until the requests before it are
+// answered.
 func (c *conn) dispatch(request *Request) *Exchange {
 	exchange := newExchange(request, nil)
-	exchange.closeAfter = request.close || request.http10
+	exchange.closeAfter = c.isLast(request)
 	// The table is looked up only now, so that a request that took long to read
 	// is routed by the newest one.
-	table := c.server.options.Table()
-	if table == nil {
+	// Whether it is the newest is asked before: what is confirmed later may be a newer
+	// table.
+	confirmed := c.server.options.TableConfirmed()
+	switch l := c.server.options.Table().Lookup(request.Host, request.Path, confirmed).(type) {
+	case route.Unconfigured:
 		c.refuse(exchange, http.StatusServiceUnavailable, "no configuration yet")
 		return exchange
-	}
-	matched, ok := table.Match(request.Host, request.Path)
-	if !ok {
+	case route.Unconfirmed:
+		c.refuse(exchange, http.StatusServiceUnavailable, "no route for this host and path in a configuration that may be outdated")
+		return exchange
+	case route.Absent:
 		c.refuse(exchange, http.StatusNotFound, "no route for this host and path")
 		return exchange
+	case route.Found:
+		exchange.Route = l.Route
 	}
-	exchange.Route = matched
-	if !matched.Idempotent {
+	if !exchange.Route.Idempotent {
 		for _, o := range c.unanswered() {
 			select {
 			case <-o.written:
@@ -346,11 +362,19 @@
 			}
 		}
 	}
+	// The drain may have begun during the wait.
+	exchange.closeAfter = c.isLast(request)
 	header.RemoveHopByHop(request.Header)
 	c.server.options.Callbacks.Arrived(exchange)
 	return exchange
 }
 
+// isLast reports whether no request after this one is read: the caller asked for a
+// close, or the entry drains and no further request has begun to arrive.
+func (c *conn) isLast(request *Request) bool {
+	return request.close || request.http10 || c.server.draining.Load() && c.reader.Buffered() == 0
+}
+
 // refuse answers a request that cannot be dispatched.
 func (c *conn) refuse(e *Exchange, status int, reason string) {
 	c.server.options.Callbacks.Refused(e.Request, status, reason)
--- a/placement/event.go
+++ b/placement/event.go
@@ -88,9 +88,7 @@
 // AttemptEnded reports the end of an attempt.
 type AttemptEnded struct {
 	Attempt AttemptID
-	// Upstream is the incarnation to which the attempt was sent.
-	Upstream Key
-	Outcome  Outcome
+	Outcome Outcome
 	// Load is the load report in the response, if there was one.
 	Load Load
 }
@@ -113,6 +111,9 @@
 // index among all entries and their number.
 type PositionReported struct{ Index, Count int }
 
+// StopBegan reports that this entry stops.
+type StopBegan struct{ Plan StopPlan }
+
 // TimerExpired reports that the time returned by [State.NextWake] has come.
 type TimerExpired struct{}
 
@@ -123,6 +124,7 @@
 func (AttemptEnded) event()       {}
 func (ViewReceived) event()       {}
 func (PositionReported) event()   {}
+func (StopBegan) event()          {}
 func (TimerExpired) event()       {}
 
 // Outcome is the result of an attempt or of a request.
@@ -136,9 +138,6 @@
 	// Failed is true when the response reports a failure of the upstream (status
 	// 5xx).
 	Failed bool
-	// RetryAfter is the delay after which the caller should retry. It is set in the
-	// outcome of a request whose response is a failure of an upstream that is resting.
-	RetryAfter time.Duration
 }
 
 // NotRun means that the request was not run and will not be.
@@ -195,6 +194,8 @@
 	ReasonNoConfiguration Reason = "no_configuration"
 	// ReasonNoWeight means that all services of the route have weight zero.
 	ReasonNoWeight Reason = "no_weight"
+	// ReasonStopping means that this entry stops before a response is expected.
+	ReasonStopping Reason = "stopping"
 )
 
 // Effect is an action that the caller of [State.Step] has to perform.
@@ -256,6 +257,8 @@
 	// this entry at present, and LeavingUpstreams the number of those that have
 	// announced in a response that they leave.
 	RestingUpstreams, LeavingUpstreams int
+	// ResponseTime holds the response times of the request's route.
+	ResponseTime ResponseTime
 }
 
 // UpstreamRemoved reports that an incarnation of an upstream is gone. Its
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -2,12 +2,15 @@
 // carries one request at a time.
 //
 // A response is accepted only if it is complete, well formed, echoes the ID of
-// the request and carries the signature of the upstream. A response with status
-// 300 or above may omit the signature, and, as the first on its connection, also
-// the ID: on a connection that was used before, a response without an ID may be a
-// late copy of an earlier one. After anything else the connection is not used again, because bytes that remain on it can't be
-// assigned to a request; nor is it after a long response that is streamed. Each
-// connection is owned by one task at a time.
+// the request and carries the signature of the upstream. A refusal and a failure that
+// promises nothing may omit the signature; see [Claim]. A response with status 300 or
+// above may omit the ID if it is the first on its connection: on a connection that was
+// used before, a response without an ID may be a late copy of an earlier one. For the
+// same reason, a request that was refused or failed is sent once more on another
+// connection; see [Conn.Accepts]. After anything else the connection is not used
+// again, because bytes that remain on it can't be assigned to a request; nor is it
+// after a long response that is streamed. Each connection is owned by one task at a
+// time.
 //
 // # Usage
 //
@@ -15,12 +18,14 @@
 //	c.OnNotice = report
 //	response, outcome := c.Exchange(ctx, names, request)
 //	if c.Reusable() { keep(c) }
+//	if kept.Accepts(id) && kept.Alive(now) { use(kept) }
 package upstream
 
 import (
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -44,6 +49,9 @@
 	idleTimeoutRatio = 0.85
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 2048
+	// maxRepeatableIDs is the number of refused or failed requests after which the
+	// connection is not used again.
+	maxRepeatableIDs = 64
 )
 
 // Conn is a connection to an upstream.
@@ -55,6 +63,9 @@
 	// used is true once a request or a probe was sent. From then on, the response
 	// to an earlier request may arrive in place of a later one.
 	used bool
+	// repeatable holds the IDs of the requests that were refused or failed on this
+	// connection, and so may be sent once more.
+	repeatable []string
 	// broken is true when the connection must not be used for another request.
 	broken bool
 	// idleTimeout is how long the connection may stay idle after idleSince.
@@ -84,6 +95,13 @@
 // Reusable reports whether the connection may carry another request.
 func (c *Conn) Reusable() bool { return !c.broken }
 
+// Accepts reports whether the connection may carry a request: whether its response
+// can be told from a late copy of an earlier one. It can't if a request with that ID
+// was refused or failed on this connection before.
+func (c *Conn) Accepts(id string) bool {
+	return !c.used || id != "" && !slices.Contains(c.repeatable, id)
+}
+
 // Alive reports whether an idle connection can be used: it is still open, its
 // idle timeout has not passed, and the upstream has sent nothing on it since
 // its last response.
--- a/upstream/limit.go
+++ b/upstream/limit.go
@@ -35,13 +35,20 @@
 	return n, err
 }
 
+// errNotHTTP11 reports a response in another version of HTTP. net/http ignores chunked
+// encoding in an HTTP/1.0 response, so the frames of the chunks would become the body.
+var errNotHTTP11 = errors.New("response is not HTTP/1.1")
+
 // readHead reads the status line and the header of the next response, and reports what
 // the upstream says about itself there. The body is limited by whoever reads it. id is the
-// ID of the upstream that the response must carry; empty if it need not.
+// ID of the upstream that the response to a probe must carry; empty for other requests.
 func (c *Conn) readHead(names header.Names, method, id string) (*http.Response, error) {
 	c.source.remaining = maxHeadBytes
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	c.source.remaining = math.MaxInt64
+	if err == nil && response.Proto != "HTTP/1.1" {
+		return nil, errNotHTTP11
+	}
 	if err == nil {
 		c.reportNotice(names, response, id)
 	}
@@ -52,7 +59,9 @@
 // connection come from the same process. Once one of them shows that this is another
 // upstream, which has the address now, none says anything about the expected one.
 func (c *Conn) reportNotice(names header.Names, response *http.Response, id string) {
-	if response.StatusCode == http.StatusMisdirectedRequest || id != "" && response.Header.Get(names.Upstream) != id {
+	// A response with a request's ID is a late copy, which need not name its upstream.
+	isOther := id != "" && response.Header.Get(names.RequestID) == "" && response.Header.Get(names.Upstream) != id
+	if response.StatusCode == http.StatusMisdirectedRequest || isOther {
 		c.misdirected = true
 	}
 	if n := names.ParseNotice(response); !c.misdirected && c.OnNotice != nil && n != (placement.Notice{}) {
