--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -38,6 +38,10 @@
 	ginkgo.RunSpecs(t, "gateway")
 }
 
+// maxRetryAfterSeconds is a third of the caller timeout of the requests of the tests, the
+// longest time for which callers wait.
+const maxRetryAfterSeconds = 2.0 / 3
+
 // stateTimeout limits the wait for an expected state.
 const stateTimeout = 5 * time.Second
 
@@ -46,7 +50,7 @@
 
 var names = header.Names{
 	RequestID: "Request-Id", Deadline: "Deadline", Target: "Target", Signature: "Signature",
-	NotRun: "Not-Run", Load: "Load", Cold: "Cold", Upstream: "Upstream",
+	NotRun: "Not-Run", Load: "Load", Cold: "Cold", Upstream: "Upstream", Leaving: "Leaving",
 }
 
 // fixture runs an entry, a control instance and upstreams on loopback addresses.
@@ -83,10 +87,16 @@
 	// mode is good, shed (refuse each request), reset (close the connection
 	// without a response), slow (respond after delayMS), full (report that
 	// all slots are in use), unsigned_404 (respond with that status and without a
-	// signature) or repeat (refuse one request, and write the refusal
-	// once more before each response to a further request on its connection).
+	// signature), repeat (refuse one request, and write the refusal
+	// once more before each response to a further request on its connection),
+	// leaving (announce it in each response), answer_leaving (in each but those to
+	// health checks), trickle_leaving (the same, with a pause of 700 ms before the
+	// body), rest (refuse each request and ask for 3 s of rest) or signed_rest (the
+	// same, as a response of its own).
 	mode    atomic.Value
 	delayMS atomic.Int64
+	// connections counts the open connections.
+	connections atomic.Int64
 	// requests counts the received requests, without probes.
 	requests atomic.Int64
 	running  atomic.Int64
@@ -170,6 +180,10 @@
 		u := b.upstreams[testCase.Args["at"]]
 		gomega.Eventually(u.running.Load, stateTimeout).Should(gomega.Equal(int64(testCase.Int("count", 0))))
 		return ""
+	case "connections":
+		u := b.upstreams[testCase.Args["at"]]
+		gomega.Eventually(u.connections.Load, stateTimeout).Should(gomega.Equal(int64(testCase.Int("count", 0))))
+		return ""
 	case "refused":
 		gomega.Eventually(b.upstreams[testCase.Args["at"]].refused.Load, stateTimeout).Should(gomega.BeTrue())
 		return ""
@@ -296,7 +310,7 @@
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		u = &fakeUpstream{id: id, address: listener.Addr().String()}
 		b.upstreams[id] = u
-		server := &http.Server{Handler: u, ReadHeaderTimeout: stateTimeout}
+		server := &http.Server{Handler: u, ReadHeaderTimeout: stateTimeout, ConnState: u.countConnection}
 		go func() { _ = server.Serve(listener) }()
 		ginkgo.DeferCleanup(server.Close)
 	}
@@ -305,11 +319,25 @@
 	return ""
 }
 
+func (u *fakeUpstream) countConnection(_ net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateNew:
+		u.connections.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		u.connections.Add(-1)
+	case http.StateActive, http.StateIdle:
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (u *fakeUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Upstream", u.id)
 	w.Header().Set("Load", fmt.Sprintf("%d,0,6,100", u.running.Load()))
-	if u.mode.Load() == "full" {
+	mode := u.mode.Load().(string)
+	if mode == "leaving" || strings.HasSuffix(mode, "_leaving") && r.URL.Path != "/health" {
+		w.Header().Set("Leaving", "1")
+	}
+	if mode == "full" {
 		w.Header().Set("Load", "6,6,6,100")
 	}
 	if r.URL.Path == "/health" {
@@ -319,7 +347,6 @@
 	u.running.Add(1)
 	defer u.running.Add(-1)
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-	mode, _ := u.mode.Load().(string)
 	if status, ok := strings.CutPrefix(mode, "unsigned_"); ok {
 		code, err := strconv.Atoi(status)
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
@@ -331,6 +358,16 @@
 		w.Header().Set("Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
+	case "rest", "signed_rest":
+		w.Header().Set("Retry-After", "3")
+		if mode == "signed_rest" {
+			w.Header().Set("Signature", "s")
+		} else {
+			w.Header().Set("Not-Run", "1")
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, "from "+u.id)
+		return
 	case "reset":
 		conn, _, err := http.NewResponseController(w).Hijack()
 		if err == nil {
@@ -353,6 +390,10 @@
 		}
 	}
 	w.Header().Set("Signature", "s")
+	if mode == "trickle_leaving" {
+		_ = http.NewResponseController(w).Flush()
+		timer.Pause(r.Context(), 700*time.Millisecond)
+	}
 	_, _ = io.WriteString(w, "from "+u.id)
 }
 
@@ -447,8 +488,14 @@
 		return "", err
 	}
 	text := fmt.Sprintf("%d %s", response.StatusCode, strings.TrimSpace(string(body)))
-	if response.Header.Get("Retry-After") != "" {
+	if response.Header.Get("Leaving") != "" {
+		text += " (Leaving)"
+	}
+	if value := response.Header.Get("Retry-After"); value != "" {
 		text += " (Retry-After)"
+		seconds, err := strconv.ParseFloat(value, 64)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(seconds).To(gomega.And(gomega.BeNumerically(">", 0), gomega.BeNumerically("<=", maxRetryAfterSeconds)))
 	}
 	return text, nil
 }
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -62,6 +62,12 @@
 	conn *upstream.Conn
 }
 
+// noticeMessage carries what an upstream said about itself in the header of a response.
+type noticeMessage struct {
+	key    placement.Key
+	notice placement.Notice
+}
+
 // attemptEndedMessage carries the outcome of an attempt.
 type attemptEndedMessage struct {
 	key       placement.Key
@@ -82,6 +88,7 @@
 func (disconnectedMessage) message() {}
 func (viewMessage) message()         {}
 func (probeResultMessage) message()  {}
+func (noticeMessage) message()       {}
 func (attemptEndedMessage) message() {}
 
 // task is the entry task. It owns the placement state, the idle connections and
@@ -199,6 +206,9 @@
 		t.releaseConn(m.key, m.conn)
 		m.result.Upstream = m.key
 		t.step(m.result)
+	case noticeMessage:
+		t.countInvalidRest(m.notice)
+		t.step(placement.NoticeReceived{Upstream: m.key, Notice: m.notice})
 	case attemptEndedMessage:
 		t.releaseConn(m.key, m.conn)
 		t.attemptEnded(m)
@@ -253,6 +263,13 @@
 		t.finish(e)
 	case placement.UpstreamRemoved:
 		t.closeIdleConns(e.Upstream)
+	case placement.UpstreamLeaving:
+		t.closeIdleConns(e.Upstream)
+		t.logLeaving(e)
+	case placement.RestStarted:
+		t.logRestStarted(e)
+	case placement.RestEnded:
+		t.logRestEnded(e)
 	}
 }
 
--- a/placement/event.go
+++ b/placement/event.go
@@ -42,6 +42,18 @@
 	Known bool `json:"known"`
 }
 
+// Notice is what an upstream says about itself beside a response.
+type Notice struct {
+	// Leaving is true when the upstream announced that it leaves.
+	Leaving bool
+	// RestAsked is true when the upstream turned a request away and stated for how
+	// long it wants nothing from this entry. RestSeconds is that time, NaN if it could
+	// not be read, and RestText the beginning of its text; see [Notice.RestTime].
+	RestAsked   bool
+	RestSeconds float64
+	RestText    string
+}
+
 // Event is an input to [State.Step].
 //
 //sumtype:decl
@@ -65,6 +77,14 @@
 	Failed bool
 }
 
+// NoticeReceived reports what an upstream said about itself, before the attempt or the
+// probe in whose response it did ends. It may also have been another response on the
+// same connection, or one to an attempt that was canceled.
+type NoticeReceived struct {
+	Upstream Key
+	Notice   Notice
+}
+
 // AttemptEnded reports the end of an attempt.
 type AttemptEnded struct {
 	Attempt AttemptID
@@ -100,6 +120,7 @@
 func (Arrived) event()            {}
 func (CallerDisconnected) event() {}
 func (ProbeResult) event()        {}
+func (NoticeReceived) event()     {}
 func (AttemptEnded) event()       {}
 func (ViewReceived) event()       {}
 func (PositionReported) event()   {}
@@ -159,6 +180,12 @@
 	ReasonCanceled Reason = "canceled"
 	// ReasonNoUpstream means that the service has no upstream.
 	ReasonNoUpstream Reason = "no_upstream"
+	// ReasonLeaving means that all upstreams of the service have announced in their
+	// responses that they leave.
+	ReasonLeaving Reason = "upstreams_leaving"
+	// ReasonResting means that the upstreams of the service that could be used have
+	// all asked for rest.
+	ReasonResting Reason = "upstreams_resting"
 	// ReasonOverload means that no upstream was eligible or could respond in time.
 	ReasonOverload Reason = "overload"
 	// ReasonBudget means that the service's retry budget is used up.
@@ -226,6 +253,10 @@
 	// QueueLength the number of its queued requests, both at the end of the
 	// request.
 	EligibleUpstreams, QueueLength int
+	// RestingUpstreams is the number of the service's upstreams that want nothing from
+	// this entry at present, and LeavingUpstreams the number of those that have
+	// announced in a response that they leave.
+	RestingUpstreams, LeavingUpstreams int
 	// ResponseTime holds the response times of the request's route.
 	ResponseTime ResponseTime
 }
@@ -234,8 +265,41 @@
 // connections are of no further use.
 type UpstreamRemoved struct{ Upstream Key }
 
+// UpstreamLeaving reports that an incarnation has announced in a response that it
+// leaves. It gets no further request or probe, so its idle connections are of no
+// use. Its attempts in flight go on.
+type UpstreamLeaving struct {
+	Upstream Key
+	Service  string
+}
+
+// RestStarted reports that an upstream has asked for rest, or for a longer one, and gets
+// no request and no probe for a time.
+type RestStarted struct {
+	Upstream Key
+	Service  string
+	// Length is the time that it asked for. If that was replaced or limited, Valid is
+	// false, and Text is the beginning of what it sent.
+	Length time.Duration
+	Valid  bool
+	Text   string
+	// Resting is the number of the service's upstreams that are resting now, and Known
+	// the number of all.
+	Resting, Known int
+}
+
+// RestEnded reports the end of a rest.
+type RestEnded struct {
+	Upstream       Key
+	Service        string
+	Resting, Known int
+}
+
 func (StartProbe) effect()      {}
 func (StartAttempt) effect()    {}
 func (CancelAttempt) effect()   {}
 func (Finish) effect()          {}
 func (UpstreamRemoved) effect() {}
+func (UpstreamLeaving) effect() {}
+func (RestStarted) effect()     {}
+func (RestEnded) effect()       {}
--- a/placement/place.go
+++ b/placement/place.go
@@ -72,7 +72,7 @@
 		return
 	}
 	if s.countEligible(now, pending.request.Service) == 0 {
-		s.refuse(now, pending, s.noUpstreamAvailable(pending))
+		s.refuse(now, pending, s.noUpstreamAvailable(now, pending))
 		return
 	}
 	q := s.queue(pending.request.Service)
@@ -97,13 +97,17 @@
 }
 
 // noUpstreamAvailable returns the outcome for a request when no upstream is
-// eligible. It distinguishes a service without upstreams from one whose
-// upstreams are all ineligible.
-func (s *State) noUpstreamAvailable(pending *pendingRequest) NotRun {
-	if len(s.byService[pending.request.Service]) > 0 {
-		return NotRun{Reason: ReasonOverload}
+// eligible. Its reason says why.
+func (s *State) noUpstreamAvailable(now time.Time, pending *pendingRequest) NotRun {
+	switch service := pending.request.Service; {
+	case len(s.byService[service]) == 0:
+		return NotRun{Reason: ReasonNoUpstream}
+	case s.allLeaving(service):
+		return NotRun{Reason: ReasonLeaving}
+	case s.onlyResting(now, service):
+		return NotRun{Reason: ReasonResting}
 	}
-	return NotRun{Reason: ReasonNoUpstream}
+	return NotRun{Reason: ReasonOverload}
 }
 
 // queueDeadline returns the time until which the request may wait in the queue.
@@ -252,7 +256,7 @@
 		return !pending.tried[KeyOf(u.Info)] && s.eligible(now, u)
 	})
 	for _, u := range list {
-		if !s.hasFreshLoad(now, u) || u.atCapacity() || !s.eligible(now, u) || pending.tried[KeyOf(u.Info)] && !mayReuse {
+		if !s.hasFreshLoad(now, u) || u.atCapacity() || u.atReturnLimit(now) || !s.eligible(now, u) || pending.tried[KeyOf(u.Info)] && !mayReuse {
 			continue
 		}
 		if c := s.cost(now, u); best == nil || c < bestCost {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/onsi/gomega"
+
 	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/placement"
 	"github.com/oriolepost/oriolepost/route"
@@ -21,18 +25,25 @@
 	// unansweredProbes holds the ids of the upstreams whose probes answer_probes
 	// has not answered yet.
 	unansweredProbes []string
+	// attempts holds the incarnation to which each attempt was sent.
+	attempts map[placement.AttemptID]placement.Key
 }
 
 var _ = script.Describe("steps", "testdata/steps/*.txt", func() script.Handler {
-	s := &steps{
-		now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
-		state: placement.New(placement.Config{
-			Name: "e1", Domain: "palermo", RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 80, ColdFactor: 1.5, ColdSlack: 5,
-		}, rand.New(rand.NewPCG(1, 1))),
-	}
+	s := &steps{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
+	s.restart()
 	return s.run
 })
 
+// restart replaces the entry by one that knows nothing.
+func (s *steps) restart() {
+	s.attempts = map[placement.AttemptID]placement.Key{}
+	s.unansweredProbes = nil
+	s.state = placement.New(placement.Config{
+		Name: "e1", Domain: "palermo", RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 80, ColdFactor: 1.5, ColdSlack: 5,
+	}, rand.New(rand.NewPCG(1, 1)))
+}
+
 func (s *steps) run(c script.Case) string {
 	s.now = s.now.Add(time.Duration(c.Int("after", 0)) * time.Millisecond)
 	switch c.Command {
@@ -51,15 +62,19 @@
 			Deadline:     s.now.Add(time.Duration(c.Int("deadline", 2000)) * time.Millisecond),
 		}})
 	case "probe_result":
-		return s.step(placement.ProbeResult{
-			Upstream: placement.Key{ID: c.Args["upstream"], BornMS: 1}, Failed: c.Bool("failed"), Healthy: !c.Bool("unhealthy"),
+		key := placement.Key{ID: c.Args["upstream"], BornMS: int64(c.Int("born", 1))}
+		return s.stepAfterNotice(c, key, placement.ProbeResult{
+			Upstream: key, Failed: c.Bool("failed"), Healthy: !c.Bool("unhealthy"),
 			Cold: time.Duration(c.Int("cold", 0)) * time.Millisecond,
 			Load: placement.Load{Running: c.Int("running", 0), Slots: 6, Slowdown: c.Int("slowdown", 100), Known: !c.Bool("no_load")},
 		})
 	case "answer_probes":
 		return s.answerProbes(c)
 	case "attempt_end":
-		return s.step(placement.AttemptEnded{Attempt: placement.AttemptID(c.Int("attempt", 1)), Outcome: attemptOutcome(c)})
+		id := placement.AttemptID(c.Int("attempt", 1))
+		return s.stepAfterNotice(c, s.attempts[id], placement.AttemptEnded{Attempt: id, Outcome: attemptOutcome(c)})
+	case "notice":
+		return s.stepAfterNotice(c, placement.Key{ID: c.Args["upstream"], BornMS: 1}, nil)
 	case "stop":
 		return s.step(placement.StopBegan{Plan: placement.StopPlan{
 			AcceptsUntil: s.now.Add(time.Duration(c.Int("accepts", 0)) * time.Millisecond),
@@ -67,6 +82,9 @@
 		}})
 	case "caller_disconnected":
 		return s.step(placement.CallerDisconnected{Request: placement.RequestID(c.Int("id", 1))})
+	case "restart":
+		s.restart()
+		return ""
 	case "tick":
 		return s.step(placement.TimerExpired{})
 	}
@@ -99,7 +117,13 @@
 	for _, text := range c.List("upstreams") {
 		id, domain, _ := strings.Cut(text, "/")
 		domain, cold, _ := strings.Cut(domain, "/")
+		cold, born, restarted := strings.Cut(cold, "/")
 		u := fleet.Upstream{ID: id, Service: "booking", Domain: domain, Slots: 6, StartMS: 1}
+		if restarted {
+			n, err := strconv.ParseInt(born, 10, 64)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			u.StartMS = n
+		}
 		if n, err := strconv.Atoi(cold); err == nil {
 			u.ColdMS = int64(n)
 		}
@@ -109,6 +133,32 @@
 	return s.step(v)
 }
 
+// stepAfterNotice reports what the upstream says about itself, if it does, and then an
+// event, unless it is nil.
+func (s *steps) stepAfterNotice(c script.Case, key placement.Key, e placement.Event) string {
+	var lines []string
+	if n := notice(c); n != (placement.Notice{}) {
+		lines = append(lines, s.step(placement.NoticeReceived{Upstream: key, Notice: n}))
+	}
+	if e != nil {
+		lines = append(lines, s.step(e))
+	}
+	return strings.Join(slices.DeleteFunc(lines, func(l string) bool { return l == "" }), "\n")
+}
+
+// notice returns what the upstream says about itself.
+func notice(c script.Case) placement.Notice {
+	n := placement.Notice{Leaving: c.Bool("leaving")}
+	if text, ok := c.Args["rest"]; ok {
+		n.RestAsked, n.RestText = true, text
+		var err error
+		if n.RestSeconds, err = strconv.ParseFloat(text, 64); err != nil {
+			n.RestSeconds = math.NaN()
+		}
+	}
+	return n
+}
+
 func attemptOutcome(c script.Case) placement.Outcome {
 	reason := placement.Reason(c.Args["reason"])
 	switch c.Args["outcome"] {
@@ -126,6 +176,9 @@
 		if p, ok := effect.(placement.StartProbe); ok {
 			s.unansweredProbes = append(s.unansweredProbes, p.Upstream.ID)
 		}
+		if a, ok := effect.(placement.StartAttempt); ok {
+			s.attempts[a.Attempt] = placement.KeyOf(a.Upstream)
+		}
 		lines = append(lines, effectText(effect))
 	}
 	return strings.Join(lines, "\n")
@@ -143,6 +196,12 @@
 		return fmt.Sprintf("finish request=%d %s", e.Request, outcomeText(e.Outcome))
 	case placement.UpstreamRemoved:
 		return "upstream_removed " + e.Upstream.ID
+	case placement.UpstreamLeaving:
+		return fmt.Sprintf("upstream_leaving %s born=%d", e.Upstream.ID, e.Upstream.BornMS)
+	case placement.RestStarted:
+		return fmt.Sprintf("rest_started %s length=%s valid=%v resting=%d/%d", e.Upstream.ID, e.Length, e.Valid, e.Resting, e.Known)
+	case placement.RestEnded:
+		return fmt.Sprintf("rest_ended %s resting=%d/%d", e.Upstream.ID, e.Resting, e.Known)
 	}
 	return "unknown effect"
 }
@@ -152,6 +211,9 @@
 	case placement.Answered:
 		return "answered"
 	case placement.NotRun:
+		if o.Reason == placement.ReasonResting {
+			return fmt.Sprintf("not_run %s retry_after=%s", o.Reason, o.RetryAfter.Round(time.Millisecond))
+		}
 		return fmt.Sprintf("not_run %s retry_after=%v", o.Reason, o.RetryAfter > 0)
 	case placement.Unknown:
 		return "unknown " + string(o.Reason)
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -15,6 +15,7 @@
 // # Usage
 //
 //	c, err := upstream.Dial(ctx, address)
+//	c.OnNotice = report
 //	response, outcome := c.Exchange(ctx, names, request)
 //	if c.Reusable() { keep(c) }
 //	if kept.Accepts(id) && kept.Alive(now) { use(kept) }
@@ -30,6 +31,7 @@
 	"syscall"
 	"time"
 
+	"github.com/oriolepost/oriolepost/placement"
 	"github.com/oriolepost/oriolepost/tcp"
 )
 
@@ -69,6 +71,12 @@
 	// idleTimeout is how long the connection may stay idle after idleSince.
 	idleTimeout time.Duration
 	idleSince   time.Time
+	// OnNotice is called when an upstream says something about itself, as soon as the
+	// header of the response is read, also if the response is then skipped or cut.
+	OnNotice func(placement.Notice)
+	// misdirected is true once a response has shown that another upstream has the
+	// address.
+	misdirected bool
 }
 
 // Dial opens a connection to an upstream's address, given as host:port.
--- a/upstream/limit.go
+++ b/upstream/limit.go
@@ -5,6 +5,9 @@
 	"io"
 	"math"
 	"net/http"
+
+	"github.com/oriolepost/oriolepost/header"
+	"github.com/oriolepost/oriolepost/placement"
 )
 
 // maxHeadBytes limits the status line and the header of a response. A faulty
@@ -36,14 +39,32 @@
 // encoding in an HTTP/1.0 response, so the frames of the chunks would become the body.
 var errNotHTTP11 = errors.New("response is not HTTP/1.1")
 
-// readHead reads the status line and the header of the next response. The body is
-// limited by whoever reads it.
-func (c *Conn) readHead(method string) (*http.Response, error) {
+// readHead reads the status line and the header of the next response, and reports what
+// the upstream says about itself there. The body is limited by whoever reads it. id is the
+// ID of the upstream that the response to a probe must carry; empty for other requests.
+func (c *Conn) readHead(names header.Names, method, id string) (*http.Response, error) {
 	c.source.remaining = maxHeadBytes
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	c.source.remaining = math.MaxInt64
 	if err == nil && response.Proto != "HTTP/1.1" {
 		return nil, errNotHTTP11
 	}
+	if err == nil {
+		c.reportNotice(names, response, id)
+	}
 	return response, err
 }
+
+// reportNotice reports what a response says about the upstream. All responses on a
+// connection come from the same process. Once one of them shows that this is another
+// upstream, which has the address now, none says anything about the expected one.
+func (c *Conn) reportNotice(names header.Names, response *http.Response, id string) {
+	// A response with a request's ID is a late copy, which need not name its upstream.
+	isOther := id != "" && response.Header.Get(names.RequestID) == "" && response.Header.Get(names.Upstream) != id
+	if response.StatusCode == http.StatusMisdirectedRequest || isOther {
+		c.misdirected = true
+	}
+	if n := names.ParseNotice(response); !c.misdirected && c.OnNotice != nil && n != (placement.Notice{}) {
+		c.OnNotice(n)
+	}
+}
--- a/upstream/probe.go
+++ b/upstream/probe.go
@@ -39,7 +39,7 @@
 		return failed
 	}
 	//nolint:bodyclose // readProbeResponse reads the body to its end, or the connection is closed.
-	response, err := c.readProbeResponse(names)
+	response, err := c.readProbeResponse(names, id)
 	if err != nil || response.Header.Get(names.Upstream) != id {
 		c.broken = true
 		return failed
@@ -62,9 +62,9 @@
 
 // readProbeResponse reads the response to a probe with its body. It skips late copies
 // of the responses to earlier requests: those have an ID, and a probe has none.
-func (c *Conn) readProbeResponse(names header.Names) (*http.Response, error) {
+func (c *Conn) readProbeResponse(names header.Names, id string) (*http.Response, error) {
 	for range maxSkippedResponses + 1 {
-		response, err := c.readHead(http.MethodGet)
+		response, err := c.readHead(names, http.MethodGet, id)
 		if err != nil {
 			return nil, err
 		}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -31,7 +31,7 @@
 
 var names = header.Names{
 	RequestID: "Request-Id", Deadline: "Deadline", Target: "Target", Signature: "Signature",
-	NotRun: "Not-Run", Load: "Load", Cold: "Cold", Upstream: "Upstream",
+	NotRun: "Not-Run", Load: "Load", Cold: "Cold", Upstream: "Upstream", Leaving: "Leaving",
 }
 
 // fixture is an upstream whose responses are in the test file.
@@ -41,6 +41,8 @@
 	// conn is the connection under test, and peer its other end.
 	conn *upstream.Conn
 	peer net.Conn
+	// notices holds what the upstream said about itself since the last result.
+	notices []placement.Notice
 }
 
 var _ = script.Describe("upstream", "testdata/*.txt", func() script.Handler {
@@ -93,6 +95,7 @@
 	}()
 	conn, err := upstream.Dial(context.Background(), b.listener.Addr().String())
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	conn.OnNotice = func(n placement.Notice) { b.notices = append(b.notices, n) }
 	b.conn = conn
 	b.peer = <-b.accepted
 	return ""
@@ -187,15 +190,38 @@
 	}
 	text := <-replied + "\n" + formatOutcome(outcome)
 	if response.Rest != nil {
-		return text + rest
+		return text + rest + b.takeNotices()
 	}
 	if _, answered := outcome.(placement.Answered); answered {
 		text += fmt.Sprintf(" status=%d body=%q signature=%q", response.Status, response.Body, response.Header.Get("Signature"))
+		if response.Header.Get("Leaving") != "" {
+			text += " leaving passed on"
+		}
+		if response.Header.Get("Retry-After") != "" {
+			text += " rest passed on"
+		}
 		if c.Bool("length") {
 			text += fmt.Sprintf(" length=%d", response.Length)
 		}
 	}
-	return fmt.Sprintf("%s\nreusable=%v", text, b.conn.Reusable())
+	return fmt.Sprintf("%s\nreusable=%v%s", text, b.conn.Reusable(), b.takeNotices())
+}
+
+// takeNotices returns what the upstream said about itself since the last call; nothing
+// if it said nothing.
+func (b *fixture) takeNotices() string {
+	text := ""
+	for _, n := range b.notices {
+		if n.Leaving {
+			text += "\nleaving"
+		}
+		if n.RestAsked {
+			length, valid := n.RestTime()
+			text += fmt.Sprintf("\nrest=%s valid=%v sent=%q", length, valid, n.RestText)
+		}
+	}
+	b.notices = nil
+	return text
 }
 
 // claims returns what a response proves, for all statuses of a final response.
@@ -306,6 +332,6 @@
 	if !b.conn.Reusable() {
 		_ = b.conn.Close()
 	}
-	return fmt.Sprintf("%s\nfailed=%v healthy=%v cold=%s load=%+v reusable=%v",
-		<-replied, p.Failed, p.Healthy, p.Cold, p.Load, b.conn.Reusable())
+	return fmt.Sprintf("%s\nfailed=%v healthy=%v cold=%s load=%+v reusable=%v%s",
+		<-replied, p.Failed, p.Healthy, p.Cold, p.Load, b.conn.Reusable(), b.takeNotices())
 }
