faultsoak: proper requests that an entry denies are a violation

Cause that it missed before: the verdict looked at 2xx, 429, 503 and signed answers only; a 404 from an old configuration passed unnoticed. Change: count `denied`: status 300 to 499 except 408, 421 and 429, without the signature of an upstream. All requests of the soak's callers are proper and their routes are in every configuration, so none may be denied, at no time. An entry without a configuration answers 503.

--- a/faultsoak/history.go
+++ b/faultsoak/history.go
@@ -103,6 +103,9 @@
 	// request, and error responses other than 429 and 503 with the signature of an
 	// upstream.
 	WrongAnswer int `json:"wrong_answer"`
+	// Denied counts proper requests, on routes of all configurations, that an
+	// entry itself ended with a status from 300 to 499 other than 408, 421 and 429.
+	Denied int `json:"denied"`
 	// NotAsked counts executions and responses that match no sent request.
 	NotAsked int `json:"not_asked"`
 	// AfterLeave counts requests to an upstream later than Bounds.Drain after the
@@ -123,7 +126,7 @@
 
 // Broken reports whether any guarantee was violated.
 func (v Verdict) Broken() bool {
-	return v.RanTwice+v.FalseNotRun+v.WrongAnswer+v.NotAsked+v.AfterLeave+v.StaleRead+v.OverCold+v.Exits+v.NotRecovered > 0
+	return v.RanTwice+v.FalseNotRun+v.WrongAnswer+v.Denied+v.NotAsked+v.AfterLeave+v.StaleRead+v.OverCold+v.Exits+v.NotRecovered > 0
 }
 
 // maxExamples is the maximum number of violations that a verdict describes.
@@ -252,6 +255,8 @@
 		}
 	case e.Signature != "":
 		v.add(&v.WrongAnswer, "request %s got status %d with signature %q", e.ID, e.Status, e.Signature)
+	case e.Status < 500 && e.Status != 408 && e.Status != 421:
+		v.add(&v.Denied, "request %s %s to %s got status %d", e.ID, sent.Path, sent.Entry, e.Status)
 	}
 }
 
