faultsoak: every entry serves by the newest configuration after the faults

Cause that it missed before: the check at the end sent requests to random entries and wanted nine of ten served; an old configuration serves them too. Change: once all links are restored and all processes run, configuration version 1048576 is applied. Count `stale_entry`. Requests outside all versions' routes don't count as `denied`.

--- a/faultsoak/clients.go
+++ b/faultsoak/clients.go
@@ -44,15 +44,17 @@
 			Objective: 300 * time.Millisecond, Timeout: 1200 * time.Millisecond, Services: parts,
 		}
 	}
-	v := strconv.FormatUint(version, 10)
 	return route.Configuration{
 		Version:  version,
-		Routes:   []route.Route{r("view", "/view/", true), r("book", "/book/", false), r("v"+v, "/v"+v+"/", true)},
+		Routes:   []route.Route{r("view", "/view/", true), r("book", "/book/", false), r(fmt.Sprintf("v%d", version), versionPrefix(version), true)},
 		Services: []route.Service{{Name: serviceName, HealthPath: healthPath, MaxConnections: 240, ColdTime: coldTime, ColdRate: coldRate}},
 		Limits:   route.Limits{HeaderBytes: 16384, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 	}
 }
 
+// versionPrefix is the prefix of the route that only one version has.
+func versionPrefix(version uint64) string { return fmt.Sprintf("/v%d/", version) }
+
 // caller is a task that sends one request after the other to random entries, on
 // persistent connections.
 type caller struct {
@@ -75,14 +77,22 @@
 	}
 }
 
-// send sends one request and reports whether it got a complete response with a
+// send sends one request to a random entry and reports whether it got a complete response with a
 // status below 300. Responses with other statuses are recorded too.
 func (c caller) send(ctx context.Context, transport *http.Transport, id string) bool {
-	i := rand.IntN(len(c.entries))
-	sent := RequestSent{ID: id, Entry: c.entries[i], Path: "/view/" + id, Idempotent: true}
-	method := http.MethodGet
+	sent := RequestSent{ID: id, Path: "/view/" + id, Idempotent: true}
 	if rand.Float64() < 0.6 {
-		sent.Path, sent.Body, sent.Idempotent, method = "/book/"+id, "body of "+id, false, http.MethodPost
+		sent.Path, sent.Body, sent.Idempotent = "/book/"+id, "body of "+id, false
+	}
+	return c.sendTo(ctx, transport, rand.IntN(len(c.entries)), sent)
+}
+
+// sendTo is like send, but sends a given request to entry number i.
+func (c caller) sendTo(ctx context.Context, transport *http.Transport, i int, sent RequestSent) bool {
+	sent.Entry, sent.At = c.entries[i], c.observer.now()
+	method := http.MethodGet
+	if !sent.Idempotent {
+		method = http.MethodPost
 	}
 	ctx, cancel := context.WithTimeout(ctx, callerTimeout)
 	defer cancel()
@@ -93,7 +103,7 @@
 	}
 	names := platform.HeaderNames()
 	request.Host = serviceHost
-	request.Header.Set(names.RequestID, id)
+	request.Header.Set(names.RequestID, sent.ID)
 	request.Header.Set(names.Deadline, strconv.FormatInt(callerTimeout.Milliseconds(), 10))
 	c.observer.record(sent)
 	response, err := transport.RoundTrip(request)
@@ -105,7 +115,7 @@
 	if err != nil {
 		return false
 	}
-	c.observer.record(ResponseReceived{ID: id, Status: response.StatusCode, Body: string(body), Signature: response.Header.Get(names.Signature)})
+	c.observer.record(ResponseReceived{ID: sent.ID, Status: response.StatusCode, Body: string(body), Signature: response.Header.Get(names.Signature)})
 	return response.StatusCode < 300
 }
 
--- a/faultsoak/faultsoak.go
+++ b/faultsoak/faultsoak.go
@@ -103,6 +103,12 @@
 	// recoveryRequests is the number of requests sent after the last fault to
 	// check that the system serves again.
 	recoveryRequests = 40
+	// finalVersion is the version of the configuration that is sent after the last
+	// fault. No operator reaches it.
+	finalVersion = 1 << 20
+	// finalProbes is the number of requests to each entry that only finalVersion
+	// allows.
+	finalProbes = 5
 	// drainLimit, applyLimit and faultGrace are limits that the users of the
 	// system set. See [Bounds].
 	drainLimit = 2 * time.Second
@@ -128,7 +134,9 @@
 	entryRelays   []*relay
 	controlRelays []*relay
 	upstreams     []*upstream
-	ctx           context.Context
+	// finalVersionDue is when all entries must serve by finalVersion.
+	finalVersionDue time.Duration
+	ctx             context.Context
 }
 
 // Run starts a system, injects faults for the configured duration, waits for
@@ -154,6 +162,7 @@
 	}
 	counts := s.runUnderFaults(ctx)
 	recovered := s.waitForRecovery(ctx)
+	s.probeEntries(ctx)
 	s.stopProcesses()
 	r = s.result(s.observer.stop(), counts, recovered)
 	if !r.Verdict.Broken() {
@@ -317,7 +326,7 @@
 	return injector.counts
 }
 
-// endFaults restores all links and starts the processes that are not running.
+// endFaults restores all links, and starts the processes that are not running.
 // Paused processes and the behaviour of upstreams are restored by endLater when
 // the context of the run ends.
 func (s *testSystem) endFaults() {
@@ -327,18 +336,50 @@
 	for _, u := range s.upstreams {
 		u.relay.setLink(link{})
 	}
+	var running []chan struct{}
 	for _, p := range append(s.entries, s.control...) {
-		p.mailbox <- startMessage{}
+		c := make(chan struct{})
+		p.mailbox <- startMessage{running: c}
+		running = append(running, c)
+	}
+	for _, c := range running {
+		<-c
+	}
+	s.observer.record(FaultsEnded{At: s.observer.now()})
+}
+
+// probeEntries sends each entry requests that only finalVersion allows, and one that
+// only the first version allows. It does so as soon as all entries must serve by
+// finalVersion.
+func (s *testSystem) probeEntries(ctx context.Context) {
+	timer.Pause(ctx, s.finalVersionDue-s.observer.now())
+	sender := s.newCallers()[0]
+	transport := &http.Transport{DisableKeepAlives: true}
+	for i := range s.entries {
+		for n := range finalProbes + 1 {
+			id, version := fmt.Sprintf("probe-%d-%d", i, n), uint64(finalVersion)
+			if n == finalProbes {
+				version = 1
+			}
+			sender.sendTo(ctx, transport, i, RequestSent{ID: id, Path: versionPrefix(version) + id, Idempotent: true, Version: version})
+		}
 	}
 }
 
 // waitForRecovery sends rounds of recoveryRequests requests. It reports whether,
-// within recoveryTimeout after the last fault, at least nine tenths of a round are
-// served and the configuration can be read.
+// within recoveryTimeout after the last fault, finalVersion is acknowledged, at least
+// nine tenths of a round are served and the configuration can be read.
 func (s *testSystem) waitForRecovery(ctx context.Context) bool {
 	reader := operator{controlAddresses: s.controlRelayAddresses(), observer: s.observer}
 	sender := s.newCallers()[0]
 	deadline := time.Now().Add(recoveryTimeout)
+	for !reader.applyVersion(ctx, finalVersion) {
+		if time.Now().After(deadline) {
+			return false
+		}
+		timer.Pause(ctx, announceInterval)
+	}
+	s.finalVersionDue = s.observer.now() + applyLimit + faultGrace
 	for round := 0; time.Now().Before(deadline); round++ {
 		served := 0
 		transport := &http.Transport{DisableKeepAlives: true}
@@ -385,7 +426,7 @@
 			r.Changes++
 		case ConfigurationRead:
 			r.Reads++
-		case RequestExecuted, LeaveAcknowledged, FaultInjected, Failure:
+		case RequestExecuted, LeaveAcknowledged, FaultInjected, FaultsEnded, Failure:
 		}
 	}
 	return r
--- a/faultsoak/faultsoak_test.go
+++ b/faultsoak/faultsoak_test.go
@@ -61,7 +61,7 @@
 	id := c.Args["id"]
 	switch c.Command {
 	case "request_sent":
-		f.history = append(f.history, RequestSent{ID: id, Entry: "e", Path: c.Args["path"], Body: c.Args["body"], Idempotent: c.Bool("idempotent")})
+		f.history = append(f.history, RequestSent{ID: id, Entry: "e", Path: c.Args["path"], Body: c.Args["body"], Idempotent: c.Bool("idempotent"), Version: uint64(c.Int("version", 0)), At: at})
 	case "request_executed":
 		f.history = append(f.history, RequestExecuted{ID: id, Upstream: c.Args["upstream"], Path: c.Args["path"], Body: c.Args["body"], Cold: c.Bool("cold"), At: at})
 	case "answer_received":
@@ -78,6 +78,8 @@
 		f.history = append(f.history, ConfigurationRead{Version: uint64(c.Int("version", 0)), Began: at})
 	case "fault_injected":
 		f.history = append(f.history, FaultInjected{Name: c.Args["name"], At: at})
+	case "faults_ended":
+		f.history = append(f.history, FaultsEnded{At: at})
 	case "failure":
 		f.history = append(f.history, Failure{Name: c.Args["name"], Reason: "killed"})
 	case "judge":
--- a/faultsoak/history.go
+++ b/faultsoak/history.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -16,6 +19,10 @@
 type RequestSent struct {
 	ID, Entry, Path, Body string
 	Idempotent            bool
+	// Version is the only version of the configuration that has the request's
+	// route. It is 0 for a route of all versions.
+	Version uint64
+	At      time.Duration
 }
 
 // RequestExecuted reports that an upstream begins to execute a request.
@@ -62,6 +69,9 @@
 	At          time.Duration
 }
 
+// FaultsEnded reports that all links are restored and all processes run.
+type FaultsEnded struct{ At time.Duration }
+
 // Failure reports something that no injected fault explains: a process that exited
 // although it was not stopped, one that did not exit within stopTimeout, or an
 // error in a simulated client or upstream.
@@ -74,6 +84,7 @@
 func (OrderAcknowledged) event() {}
 func (ConfigurationRead) event() {}
 func (FaultInjected) event()     {}
+func (FaultsEnded) event()       {}
 func (Failure) event()           {}
 
 // Bounds are the limits that [Judge] checks.
@@ -85,7 +96,9 @@
 	// that still returns an older version.
 	Apply time.Duration
 	// FaultGrace is how long after the begin or end of a fault an entry or
-	// upstream is exempt from the Drain limit.
+	// upstream is exempt from the Drain limit. After all faults have ended,
+	// entries must serve by a configuration once FaultGrace and Apply have passed
+	// since then and since its acknowledgment.
 	FaultGrace time.Duration
 	// ColdPerSecond is the number of requests that a cold upstream may get within
 	// one second.
@@ -114,6 +127,9 @@
 	// StaleRead counts reads that returned an older version than one acknowledged
 	// more than Bounds.Apply before the read was sent.
 	StaleRead int `json:"stale_read"`
+	// StaleEntry counts entries that serve by an older configuration than the
+	// newest acknowledged one, or by none, although no fault explains it any more.
+	StaleEntry int `json:"stale_entry"`
 	// OverCold counts requests to a cold upstream beyond Bounds.ColdPerSecond.
 	OverCold int `json:"over_cold"`
 	// Exits counts Failure events.
@@ -126,7 +142,7 @@
 
 // Broken reports whether any guarantee was violated.
 func (v Verdict) Broken() bool {
-	return v.RanTwice+v.FalseNotRun+v.WrongAnswer+v.Denied+v.NotAsked+v.AfterLeave+v.StaleRead+v.OverCold+v.Exits+v.NotRecovered > 0
+	return v.RanTwice+v.FalseNotRun+v.WrongAnswer+v.Denied+v.NotAsked+v.AfterLeave+v.StaleRead+v.StaleEntry+v.OverCold+v.Exits+v.NotRecovered > 0
 }
 
 // maxExamples is the maximum number of violations that a verdict describes.
@@ -151,17 +167,30 @@
 	lastFaultAt  map[string]time.Duration
 	coldArrivals map[string][]time.Duration
 	acknowledged []OrderAcknowledged
+	// newest is the first acknowledgment of the highest version.
+	newest OrderAcknowledged
+	// faultsEnded is nil until the faults have ended.
+	faultsEnded *FaultsEnded
+	// served holds, for each entry that got a request that only the newest version
+	// allows, when every entry had to know it, whether one such request was served.
+	served map[string]bool
 }
 
 // Judge checks a history for violated guarantees.
 func Judge(history []Event, b Bounds) Verdict {
 	j := &judge{
 		bounds: b, requests: map[string]RequestSent{}, executions: map[string]int{}, refused: map[string]bool{},
-		leftAt: map[string]time.Duration{}, lastFaultAt: map[string]time.Duration{}, coldArrivals: map[string][]time.Duration{},
+		leftAt: map[string]time.Duration{}, lastFaultAt: map[string]time.Duration{}, coldArrivals: map[string][]time.Duration{}, served: map[string]bool{},
 	}
 	for _, e := range history {
 		j.handleEvent(e)
 	}
+	for _, entry := range slices.Sorted(maps.Keys(j.served)) {
+		if !j.served[entry] {
+			v := &j.verdict
+			v.add(&v.StaleEntry, "%s served no request that version %d allows, which was acknowledged at %v", entry, j.newest.Version, j.newest.At)
+		}
+	}
 	return j.verdict
 }
 
@@ -170,6 +199,9 @@
 	switch e := event.(type) {
 	case RequestSent:
 		j.requests[e.ID] = e
+		if _, asked := j.served[e.Entry]; !asked && e.Version == j.newest.Version && j.newestDue(e) {
+			j.served[e.Entry] = false
+		}
 	case RequestExecuted:
 		j.checkExecution(e)
 	case ResponseReceived:
@@ -180,6 +212,9 @@
 		}
 	case OrderAcknowledged:
 		j.acknowledged = append(j.acknowledged, e)
+		if e.Version > j.newest.Version {
+			j.newest = e
+		}
 	case ConfigurationRead:
 		for _, a := range j.acknowledged {
 			if a.At+j.bounds.Apply < e.Began && e.Version < a.Version {
@@ -189,6 +224,8 @@
 		}
 	case FaultInjected:
 		j.lastFaultAt[e.Name] = e.At
+	case FaultsEnded:
+		j.faultsEnded = &e
 	case Failure:
 		v.add(&v.Exits, "%s: %s", e.Name, e.Reason)
 	}
@@ -241,6 +278,9 @@
 func (j *judge) checkAnswer(e ResponseReceived) {
 	v := &j.verdict
 	sent, known := j.requests[e.ID]
+	if sent.Version != 0 {
+		j.checkVersion(sent, e)
+	}
 	switch {
 	case !known:
 		v.add(&v.NotAsked, "response to request %s, which no caller sent", e.ID)
@@ -255,11 +295,32 @@
 		}
 	case e.Signature != "":
 		v.add(&v.WrongAnswer, "request %s got status %d with signature %q", e.ID, e.Status, e.Signature)
-	case e.Status < 500 && e.Status != 408 && e.Status != 421:
+	case e.Status < 500 && e.Status != 408 && e.Status != 421 && sent.Version == 0:
 		v.add(&v.Denied, "request %s %s to %s got status %d", e.ID, sent.Path, sent.Entry, e.Status)
 	}
 }
 
+// newestDue reports whether every entry had to serve by the newest acknowledged
+// configuration when a request was sent.
+func (j *judge) newestDue(sent RequestSent) bool {
+	limit := j.bounds.Apply + j.bounds.FaultGrace
+	return j.faultsEnded != nil && sent.At > max(j.newest.At, j.faultsEnded.At)+limit
+}
+
+// checkVersion checks the response to a request that only one version of the
+// configuration allows.
+func (j *judge) checkVersion(sent RequestSent, e ResponseReceived) {
+	v := &j.verdict
+	switch {
+	case !j.newestDue(sent):
+	case sent.Version == j.newest.Version && e.Status < 300:
+		j.served[sent.Entry] = true
+	case sent.Version == j.newest.Version && e.Status == http.StatusNotFound, sent.Version < j.newest.Version && e.Status < 300:
+		v.add(&v.StaleEntry, "request %s %s to %s, sent at %v, got status %d, but version %d was acknowledged at %v",
+			e.ID, sent.Path, sent.Entry, sent.At, e.Status, j.newest.Version, j.newest.At)
+	}
+}
+
 // signature and answerBody are the signature header and the body of the response
 // of an upstream. Both depend on the request, so that a response to another
 // request is recognized. The length of the body depends on the length of the id.
--- a/faultsoak/process.go
+++ b/faultsoak/process.go
@@ -19,8 +19,9 @@
 type message interface{ message() }
 
 // startMessage starts the process unless it is running. If the process has been
-// told to stop, the task first waits for its exit.
-type startMessage struct{}
+// told to stop, the task first waits for its exit. It closes running, unless that is
+// nil, when the process runs.
+type startMessage struct{ running chan struct{} }
 
 // signalMessage sends a signal to the process. The task does not start a stopped
 // process by itself: after SIGTERM or SIGKILL the sender also sends a startMessage.
@@ -95,6 +96,9 @@
 	switch m := m.(type) {
 	case startMessage:
 		p.start()
+		if m.running != nil {
+			close(m.running)
+		}
 	case signalMessage:
 		p.signal(m.signal)
 	case wipeMessage:
