faultsoak: the seeds leave the voter group, and entries restart

Cause: entries and control instances look for the leader among the seeds only; the soak never took all of them out of the group. Evidence: in the incident no entry connected again after all three had left. Change: fault `seeds_replaced`, with five control instances or more. With three control instances the faults that a seed draws are the same as before.

--- a/faultsoak/faultsoak_test.go
+++ b/faultsoak/faultsoak_test.go
@@ -29,15 +29,32 @@
 
 // Runs the program with each seed of a file. Seeds that once failed stay in it.
 var _ = script.Describe("guarantees hold while separate processes have faults", "testdata/seeds.txt", func() script.Handler {
-	folder, err := os.MkdirTemp("", "oriolepost-faultsoak-program-")
+	return runSeed(ginkgo.GinkgoT().TempDir())
+})
+
+// No entry finds the leader again after all seeds have left the voter group.
+func TestSeedsReplaced(t *testing.T) {
+	gomega.RegisterTestingT(t)
+	data, err := os.ReadFile("testdata/seeds_replaced.txt")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	ginkgo.DeferCleanup(func() error { return os.RemoveAll(folder) })
+	cases, err := script.Parse(string(data))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	run := runSeed(t.TempDir())
+	for _, c := range cases {
+		gomega.Expect(run(c)).To(gomega.Equal(c.Expected), c.Line)
+	}
+}
+
+// runSeed builds the program into a folder and returns a handler that runs it with the
+// seed of a case.
+func runSeed(folder string) script.Handler {
 	program := filepath.Join(folder, "oriolepost")
 	out, err := exec.Command("go", "build", "-o", program, "../cmd/oriolepost").CombinedOutput()
 	gomega.Expect(err).NotTo(gomega.HaveOccurred(), string(out))
 	return func(c script.Case) string {
 		cfg := Defaults()
-		cfg.Program, cfg.Seed, cfg.Duration = program, uint64(c.Int("seed", 1)), *duration
+		cfg.Program, cfg.Seed, cfg.Control = program, uint64(c.Int("seed", 1)), c.Int("control", cfg.Control)
+		cfg.Duration = max(*duration, time.Duration(c.Int("seconds", 0))*time.Second)
 		if *seed != 0 {
 			cfg.Seed = *seed
 		}
@@ -46,7 +63,7 @@
 		gomega.Expect(r.Broken()).To(gomega.Succeed())
 		return fmt.Sprintf("no guarantee violated, more than half served: %v", r.Served > r.Asked/2)
 	}
-})
+}
 
 // fixture collects the events of a test file and judges them.
 type fixture struct{ history []Event }
--- a/faultsoak/inject.go
+++ b/faultsoak/inject.go
@@ -23,6 +23,10 @@
 	// instance that returns still counts as lost for this long, and only one may
 	// be lost at a time.
 	faultFreeBeforeWipe = 8 * time.Second
+	// seedAbsence is how long a seed is away before the next one leaves: enough for
+	// an election, the 2.5 s after which another control instance replaces a lost
+	// voter, and the changes of the voter group.
+	seedAbsence = 6 * time.Second
 )
 
 // faultInjector is the task that injects faults. The seed determines the faults
@@ -35,6 +39,9 @@
 	// controlFaultAt is the time when a control instance was last paused, killed,
 	// stopped or wiped. At first it is the start of the injector.
 	controlFaultAt time.Time
+	// seedsReplaced is closed at the end of the last replaceSeeds. It is nil if there
+	// was none.
+	seedsReplaced chan struct{}
 	// upstreamNumber plus one is the number of the next upstream.
 	upstreamNumber int
 }
@@ -43,46 +50,58 @@
 type fault struct {
 	name   string
 	weight int
-	inject func(fi *faultInjector, ctx context.Context)
+	// onControl marks the faults of control instances, which are skipped while
+	// replaceSeeds is in progress.
+	onControl bool
+	// minControl is the number of control instances that the fault requires.
+	minControl int
+	inject     func(fi *faultInjector, ctx context.Context)
 }
 
 // faults lists all kinds of faults.
 var faults = []fault{
-	{"pause_entry", 3, func(fi *faultInjector, ctx context.Context) { fi.pause(ctx, pick(fi, fi.system.entries)) }},
-	{"pause_control", 2, func(fi *faultInjector, ctx context.Context) { fi.pause(ctx, pick(fi, fi.system.control)) }},
-	{"kill_entry", 3, func(fi *faultInjector, ctx context.Context) { fi.kill(ctx, pick(fi, fi.system.entries)) }},
-	{"kill_control", 2, func(fi *faultInjector, ctx context.Context) { fi.kill(ctx, pick(fi, fi.system.control)) }},
-	{"kill_all_control", 1, (*faultInjector).killAllControl},
-	{"stop_entry", 3, func(fi *faultInjector, _ context.Context) { fi.stop(pick(fi, fi.system.entries)) }},
-	{"stop_control", 2, func(fi *faultInjector, _ context.Context) { fi.stop(pick(fi, fi.system.control)) }},
-	{"wipe_control", 1, (*faultInjector).wipeControl},
-	{"reload", 1, (*faultInjector).changeSeeds},
-	{"way_to_entry", 3, (*faultInjector).impairEntryLink},
-	{"way_to_control", 2, func(fi *faultInjector, ctx context.Context) {
+	{name: "pause_entry", weight: 3, inject: func(fi *faultInjector, ctx context.Context) { fi.pause(ctx, pick(fi, fi.system.entries)) }},
+	{name: "pause_control", weight: 2, onControl: true, inject: func(fi *faultInjector, ctx context.Context) { fi.pause(ctx, pick(fi, fi.system.control)) }},
+	{name: "kill_entry", weight: 3, inject: func(fi *faultInjector, ctx context.Context) { fi.kill(ctx, pick(fi, fi.system.entries)) }},
+	{name: "kill_control", weight: 2, onControl: true, inject: func(fi *faultInjector, ctx context.Context) { fi.kill(ctx, pick(fi, fi.system.control)) }},
+	{name: "kill_all_control", weight: 1, onControl: true, inject: (*faultInjector).killAllControl},
+	{name: "stop_entry", weight: 3, inject: func(fi *faultInjector, _ context.Context) { fi.stop(pick(fi, fi.system.entries)) }},
+	{name: "stop_control", weight: 2, onControl: true, inject: func(fi *faultInjector, _ context.Context) { fi.stop(pick(fi, fi.system.control)) }},
+	{name: "wipe_control", weight: 1, onControl: true, inject: (*faultInjector).wipeControl},
+	{name: "reload", weight: 1, inject: (*faultInjector).changeSeeds},
+	{name: "way_to_entry", weight: 3, inject: (*faultInjector).impairEntryLink},
+	{name: "way_to_control", weight: 2, inject: func(fi *faultInjector, ctx context.Context) {
 		fi.impairLink(ctx, "operators", pick(fi, fi.system.controlRelays))
 	}},
-	{"way_to_upstream", 4, (*faultInjector).impairUpstreamLink},
-	{"upstream_behaves", 4, (*faultInjector).changeBehaviour},
-	{"upstream_replaced", 3, (*faultInjector).replaceUpstream},
-	{"upstream_crashes", 2, (*faultInjector).crashUpstream},
+	{name: "way_to_upstream", weight: 4, inject: (*faultInjector).impairUpstreamLink},
+	{name: "upstream_behaves", weight: 4, inject: (*faultInjector).changeBehaviour},
+	{name: "upstream_replaced", weight: 3, inject: (*faultInjector).replaceUpstream},
+	{name: "upstream_crashes", weight: 2, inject: (*faultInjector).crashUpstream},
+	{name: "seeds_replaced", weight: 2, onControl: true, minControl: seedCount + 2, inject: (*faultInjector).replaceSeeds},
 }
 
 func pick[T any](fi *faultInjector, list []T) T { return list[fi.random.IntN(len(list))] }
 
 // run injects faults until the context ends. Their durations may overlap.
 func (fi *faultInjector) run(ctx context.Context, every time.Duration) {
+	possible := slices.DeleteFunc(slices.Clone(faults), func(f fault) bool { return len(fi.system.control) < f.minControl })
 	total := 0
-	for _, f := range faults {
+	for _, f := range possible {
 		total += f.weight
 	}
 	for timer.Pause(ctx, time.Duration(fi.random.Float64()*2*float64(every))) {
 		n := fi.random.IntN(total)
-		i := slices.IndexFunc(faults, func(f fault) bool {
+		i := slices.IndexFunc(possible, func(f fault) bool {
 			n -= f.weight
 			return n < 0
 		})
-		fi.counts[faults[i].name]++
-		faults[i].inject(fi, ctx)
+		fi.counts[possible[i].name]++
+		if away := fi.seedsAway(); !away || !possible[i].onControl {
+			possible[i].inject(fi, ctx)
+		}
+	}
+	if fi.seedsReplaced != nil {
+		<-fi.seedsReplaced
 	}
 }
 
@@ -155,6 +174,66 @@
 	fi.endLater(ctx, fi.faultDuration()/3, p.settings.Instance, "wiped", func() { p.mailbox <- startMessage{} })
 }
 
+// seedsAway reports whether replaceSeeds is in progress. It then counts as a fault of
+// a control instance.
+func (fi *faultInjector) seedsAway() bool {
+	if fi.seedsReplaced == nil {
+		return false
+	}
+	select {
+	case <-fi.seedsReplaced:
+		return false
+	default:
+		fi.controlFaultAt = time.Now()
+		return true
+	}
+}
+
+// replaceSeeds waits until no control instance has a fault, and then lets those that
+// the settings name as seeds leave the voter group one after the other: two are killed
+// or paused until they have been replaced as voters, and the third one loses its data
+// folder. Then all entries restart, while the first two are still away. Only one data
+// folder is lost, and only one voter at a time.
+func (fi *faultInjector) replaceSeeds(ctx context.Context) {
+	seeds := slices.Clone(fi.system.control[:seedCount])
+	fi.random.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	away, emptied := seeds[:seedCount-1], seeds[seedCount-1]
+	signal := []syscall.Signal{syscall.SIGKILL, syscall.SIGSTOP}[fi.random.IntN(2)]
+	beforeRestart, beforeReturn := fi.faultDuration()/3, fi.faultDuration()
+	fi.controlFaultAt = time.Now()
+	replaced := make(chan struct{})
+	fi.seedsReplaced = replaced
+	go func() {
+		defer close(replaced)
+		defer func() {
+			for _, p := range away {
+				p.mailbox <- signalMessage{syscall.SIGCONT}
+				p.mailbox <- startMessage{}
+			}
+		}()
+		if !timer.Pause(ctx, maxFaultDuration) {
+			return
+		}
+		for _, p := range away {
+			fi.recordFault(p.settings.Instance, "replaced")
+			p.mailbox <- signalMessage{signal}
+			if !timer.Pause(ctx, seedAbsence) {
+				return
+			}
+		}
+		fi.recordFault(emptied.settings.Instance, "wiped")
+		emptied.mailbox <- wipeMessage{}
+		timer.Pause(ctx, beforeRestart)
+		emptied.mailbox <- startMessage{}
+		for _, p := range fi.system.entries {
+			fi.recordFault(p.settings.Instance, "killed")
+			p.mailbox <- signalMessage{syscall.SIGKILL}
+			p.mailbox <- startMessage{}
+		}
+		timer.Pause(ctx, beforeReturn)
+	}()
+}
+
 // changeSeeds rewrites the settings file of an instance with a random selection
 // of the seeds. In half of the cases it sends SIGHUP; otherwise the instance has
 // to notice the change itself.
