faultsoak: upstreams that say in responses that they leave or want rest

Guards against: entries that go on sending to an upstream after a response with Server-Leaving (DRAIN), or during the time of a 503's Retry-After (BUDGET). Change: an upstream that leaves marks all its responses at once, and in half of the cases announces it only 3 s later; a misbehaving one may refuse a tenth of its requests with a Retry-After of 0.6 to 2 s. The kind of misbehaviour is drawn among four instead of three, so a seed draws another one than before. SOAK.md said that after_leave counts from the latest acknowledgment; the code counts from the first, and did so before.

--- a/faultsoak/clients.go
+++ b/faultsoak/clients.go
@@ -115,7 +115,10 @@
 	if err != nil {
 		return false
 	}
-	c.observer.record(ResponseReceived{ID: sent.ID, Status: response.StatusCode, Body: string(body), Signature: response.Header.Get(names.Signature)})
+	c.observer.record(ResponseReceived{
+		ID: sent.ID, Status: response.StatusCode, Body: string(body), Signature: response.Header.Get(names.Signature),
+		Upstream: response.Header.Get(names.Upstream), At: c.observer.now(),
+	})
 	return response.StatusCode < 300
 }
 
--- a/faultsoak/faultsoak.go
+++ b/faultsoak/faultsoak.go
@@ -426,7 +426,7 @@
 			r.Changes++
 		case ConfigurationRead:
 			r.Reads++
-		case RequestExecuted, LeaveAcknowledged, FaultInjected, FaultsEnded, Failure:
+		case RequestExecuted, RequestRefused, ProcessStarted, LeaveAcknowledged, FaultInjected, FaultsEnded, Failure:
 		}
 	}
 	return r
--- a/faultsoak/faultsoak_test.go
+++ b/faultsoak/faultsoak_test.go
@@ -1,6 +1,7 @@
 package faultsoak
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -78,11 +79,13 @@
 	id := c.Args["id"]
 	switch c.Command {
 	case "request_sent":
-		f.history = append(f.history, RequestSent{ID: id, Entry: "e", Path: c.Args["path"], Body: c.Args["body"], Idempotent: c.Bool("idempotent"), Version: uint64(c.Int("version", 0)), At: at})
+		f.history = append(f.history, RequestSent{ID: id, Entry: cmp.Or(c.Args["entry"], "e"), Path: c.Args["path"], Body: c.Args["body"], Idempotent: c.Bool("idempotent"), Version: uint64(c.Int("version", 0)), At: at})
 	case "request_executed":
-		f.history = append(f.history, RequestExecuted{ID: id, Upstream: c.Args["upstream"], Path: c.Args["path"], Body: c.Args["body"], Cold: c.Bool("cold"), At: at})
+		f.history = append(f.history, RequestExecuted{ID: id, Upstream: c.Args["upstream"], Path: c.Args["path"], Body: c.Args["body"], Cold: c.Bool("cold"), Leaving: c.Bool("leaving"), At: at})
+	case "request_refused":
+		f.history = append(f.history, RequestRefused{ID: id, Upstream: c.Args["upstream"], RetryAfter: time.Duration(c.Int("retry_after_ms", 0)) * time.Millisecond, Leaving: c.Bool("leaving"), At: at})
 	case "answer_received":
-		answer := ResponseReceived{ID: id, Status: c.Int("status", 200)}
+		answer := ResponseReceived{ID: id, Status: c.Int("status", 200), Upstream: c.Args["upstream"], At: at}
 		if of, ok := c.Args["answer_of"]; ok {
 			answer.Signature, answer.Body = signature(of), answerBody(of, c.Args["path"])
 		}
@@ -94,7 +97,9 @@
 	case "configuration_read":
 		f.history = append(f.history, ConfigurationRead{Version: uint64(c.Int("version", 0)), Began: at})
 	case "fault_injected":
-		f.history = append(f.history, FaultInjected{Name: c.Args["name"], At: at})
+		f.history = append(f.history, FaultInjected{Name: c.Args["name"], Fault: c.Args["fault"], At: at})
+	case "process_started":
+		f.history = append(f.history, ProcessStarted{Name: c.Args["name"], At: at})
 	case "faults_ended":
 		f.history = append(f.history, FaultsEnded{At: at})
 	case "failure":
--- a/faultsoak/history.go
+++ b/faultsoak/history.go
@@ -28,16 +28,36 @@
 // RequestExecuted reports that an upstream begins to execute a request.
 type RequestExecuted struct {
 	ID, Upstream, Path, Body string
-	// Cold is true if the upstream is cold.
-	Cold bool
-	At   time.Duration
+	// Cold is true if the upstream is cold, and Leaving if its response announces
+	// that it leaves.
+	Cold, Leaving bool
+	At            time.Duration
 }
 
 // ResponseReceived reports that a caller has received a complete response.
-// Signature is the value of the signature header, empty if there is none.
+// Signature is the value of the signature header, and Upstream the ID of the upstream
+// that produced the response. Either is empty if the response has no such header.
 type ResponseReceived struct {
-	ID, Body, Signature string
-	Status              int
+	ID, Body, Signature, Upstream string
+	Status                        int
+	At                            time.Duration
+}
+
+// RequestRefused reports that an upstream refuses a request with 503.
+type RequestRefused struct {
+	ID, Upstream string
+	// RetryAfter is how long the upstream wants no requests from the entry that sent
+	// this one. It is 0 if the response does not say so.
+	RetryAfter time.Duration
+	// Leaving is true if the response announces that the upstream leaves.
+	Leaving bool
+	At      time.Duration
+}
+
+// ProcessStarted reports that the process of an instance has been started.
+type ProcessStarted struct {
+	Name string
+	At   time.Duration
 }
 
 // LeaveAcknowledged reports that a control instance acknowledged an announcement
@@ -79,6 +99,8 @@
 
 func (RequestSent) event()       {}
 func (RequestExecuted) event()   {}
+func (RequestRefused) event()    {}
+func (ProcessStarted) event()    {}
 func (ResponseReceived) event()  {}
 func (LeaveAcknowledged) event() {}
 func (OrderAcknowledged) event() {}
@@ -90,7 +112,8 @@
 // Bounds are the limits that [Judge] checks.
 type Bounds struct {
 	// Drain is how long an upstream may still get requests after the first
-	// acknowledgment of its deregistration.
+	// acknowledgment of its deregistration, and from an entry that has passed on a
+	// response in which the upstream announced that it leaves.
 	Drain time.Duration
 	// Apply is how long after a configuration was acknowledged a read may be sent
 	// that still returns an older version.
@@ -124,6 +147,13 @@
 	// AfterLeave counts requests to an upstream later than Bounds.Drain after the
 	// first acknowledgment of its deregistration.
 	AfterLeave int `json:"after_leave"`
+	// AfterNotice counts requests from an entry to an upstream that their callers
+	// sent later than Bounds.Drain after the entry had passed on a response in which
+	// the upstream announced that it leaves.
+	AfterNotice int `json:"after_notice"`
+	// WhileResting counts the requests from an entry to an upstream, beyond the first
+	// two, between restGrace after the upstream sent a Retry-After and its end.
+	WhileResting int `json:"while_resting"`
 	// StaleRead counts reads that returned an older version than one acknowledged
 	// more than Bounds.Apply before the read was sent.
 	StaleRead int `json:"stale_read"`
@@ -142,7 +172,7 @@
 
 // Broken reports whether any guarantee was violated.
 func (v Verdict) Broken() bool {
-	return v.RanTwice+v.FalseNotRun+v.WrongAnswer+v.Denied+v.NotAsked+v.AfterLeave+v.StaleRead+v.StaleEntry+v.OverCold+v.Exits+v.NotRecovered > 0
+	return v.RanTwice+v.FalseNotRun+v.WrongAnswer+v.Denied+v.NotAsked+v.AfterLeave+v.AfterNotice+v.WhileResting+v.StaleRead+v.StaleEntry+v.OverCold+v.Exits+v.NotRecovered > 0
 }
 
 // maxExamples is the maximum number of violations that a verdict describes.
@@ -166,6 +196,7 @@
 	leftAt       map[string]time.Duration
 	lastFaultAt  map[string]time.Duration
 	coldArrivals map[string][]time.Duration
+	notices      notices
 	acknowledged []OrderAcknowledged
 	// newest is the first acknowledgment of the highest version.
 	newest OrderAcknowledged
@@ -180,7 +211,7 @@
 func Judge(history []Event, b Bounds) Verdict {
 	j := &judge{
 		bounds: b, requests: map[string]RequestSent{}, executions: map[string]int{}, refused: map[string]bool{},
-		leftAt: map[string]time.Duration{}, lastFaultAt: map[string]time.Duration{}, coldArrivals: map[string][]time.Duration{}, served: map[string]bool{},
+		leftAt: map[string]time.Duration{}, lastFaultAt: map[string]time.Duration{}, coldArrivals: map[string][]time.Duration{}, served: map[string]bool{}, notices: newNotices(),
 	}
 	for _, e := range history {
 		j.handleEvent(e)
@@ -204,8 +235,13 @@
 		}
 	case RequestExecuted:
 		j.checkExecution(e)
+		j.checkArrival(arrival{e.ID, e.Upstream, e.Leaving, e.At})
+	case RequestRefused:
+		j.checkArrival(arrival{e.ID, e.Upstream, e.Leaving, e.At})
+		j.noteRest(e)
 	case ResponseReceived:
 		j.checkAnswer(e)
+		j.notePassedOn(e)
 	case LeaveAcknowledged:
 		if _, acknowledged := j.leftAt[e.Upstream]; !acknowledged {
 			j.leftAt[e.Upstream] = e.At
@@ -224,6 +260,9 @@
 		}
 	case FaultInjected:
 		j.lastFaultAt[e.Name] = e.At
+		j.notices.noteFault(e)
+	case ProcessStarted:
+		j.notices.interruptedAt[e.Name] = e.At
 	case FaultsEnded:
 		j.faultsEnded = &e
 	case Failure:
--- a/faultsoak/inject.go
+++ b/faultsoak/inject.go
@@ -268,30 +268,37 @@
 		{holdFromTarget: true},
 		{holdToTarget: true, holdFromTarget: true},
 	}
-	fi.recordFault(name, "way")
+	fi.recordFault(name, linkFault)
 	r.setLink(pick(fi, links))
-	fi.endLater(ctx, fi.faultDuration(), name, "way", func() { r.setLink(link{}) })
+	fi.endLater(ctx, fi.faultDuration(), name, linkFault, func() { r.setLink(link{}) })
 }
 
-// changeBehaviour makes an upstream slow, or lets it lose responses or shed
-// requests. Only the end of this fault is recorded.
+// changeBehaviour makes an upstream slow, or lets it lose responses, shed
+// requests or ask for rest. Only the end of this fault is recorded.
 func (fi *faultInjector) changeBehaviour(ctx context.Context) {
 	u := pick(fi, fi.system.upstreams)
-	u.behaviour.Store(&[]behaviour{{slowdown: 8}, {slowdown: 1, lostResponseShare: 0.3}, {slowdown: 1, shedShare: 0.5}}[fi.random.IntN(3)])
-	fi.endLater(ctx, fi.faultDuration(), u.info.ID, "behaviour", func() { u.behaviour.Store(&behaviour{slowdown: 1}) })
+	u.behaviour.Store(&[]behaviour{{slowdown: 8}, {slowdown: 1, lostResponseShare: 0.3}, {slowdown: 1, shedShare: 0.5}, {slowdown: 1, restShare: 0.1}}[fi.random.IntN(4)])
+	fi.endLater(ctx, fi.faultDuration(), u.info.ID, behaviourFault, func() { u.behaviour.Store(&behaviour{slowdown: 1}) })
 }
 
 // replaceUpstream starts a new upstream and lets an old one deregister. The old
-// one serves for servingAfterLeave longer.
+// one serves for servingAfterLeave longer. Its responses announce that it leaves, and
+// so does its task, in half of the cases only announceLeaveAfter later.
 func (fi *faultInjector) replaceUpstream(ctx context.Context) {
 	i := fi.random.IntN(len(fi.system.upstreams))
 	old := fi.system.upstreams[i]
 	if !fi.startReplacement(i) {
 		return
 	}
-	old.leave <- struct{}{}
+	announceAfter := time.Duration(0)
+	if fi.upstreamNumber%2 == 0 {
+		announceAfter = announceLeaveAfter
+	}
+	old.leaving.Store(true)
 	go func() {
-		timer.Pause(ctx, servingAfterLeave)
+		timer.Pause(ctx, announceAfter)
+		old.leave <- struct{}{}
+		timer.Pause(ctx, servingAfterLeave-announceAfter)
 		old.stop()
 	}()
 }
--- a/faultsoak/process.go
+++ b/faultsoak/process.go
@@ -177,6 +177,7 @@
 	exited := make(chan error, 1)
 	go func() { exited <- command.Wait() }()
 	p.command, p.exited = command, exited
+	p.observer.record(ProcessStarted{Name: p.settings.Instance, At: p.observer.now()})
 	p.settings.FirstStart = false
 }
 
--- a/faultsoak/upstream.go
+++ b/faultsoak/upstream.go
@@ -28,6 +28,11 @@
 	// servingAfterLeave is how long an upstream that deregisters still serves. It
 	// exceeds drainLimit, so that requests that come too late are recorded.
 	servingAfterLeave = 4 * time.Second
+	// announceLeaveAfter is how late some of them announce it, which only their
+	// responses tell until then.
+	announceLeaveAfter = 3 * time.Second
+	minRest            = 600 * time.Millisecond
+	maxRest            = 2 * time.Second
 )
 
 // behaviour is how an upstream treats requests. A value is never modified; the
@@ -38,6 +43,9 @@
 	// shedShare is the share of requests, from 0 to 1, that are refused with 503.
 	// lostResponseShare is the share of the executed requests that get no response.
 	lostResponseShare, shedShare float64
+	// restShare is the share of requests that are refused with 503 and a Retry-After
+	// from minRest to maxRest.
+	restShare float64
 }
 
 // upstream is one incarnation of an upstream: an HTTP server, and a task that
@@ -47,6 +55,8 @@
 	relay     *relay
 	behaviour atomic.Pointer[behaviour]
 	coldUntil time.Time
+	// leaving is true once the responses announce that the upstream leaves.
+	leaving atomic.Bool
 	// busy holds one element for each request in progress.
 	busy             chan struct{}
 	observer         *observer
@@ -91,6 +101,10 @@
 	header.Set(names.Upstream, u.info.ID)
 	// The load report: busy slots, queued requests, slots, and slowdown in percent.
 	header.Set(names.Load, fmt.Sprintf("%d,0,%d,100", len(u.busy), slots))
+	leaving := u.leaving.Load()
+	if leaving {
+		header.Set(names.Leaving, "1")
+	}
 	cold := time.Until(u.coldUntil)
 	if r.URL.Path == healthPath {
 		if cold > 0 {
@@ -111,7 +125,13 @@
 	default:
 		b = &behaviour{shedShare: 1}
 	}
-	if rand.Float64() < b.shedShare {
+	if resting := rand.Float64() < b.restShare; resting || rand.Float64() < b.shedShare {
+		refused := RequestRefused{ID: id, Upstream: u.info.ID, Leaving: leaving, At: u.observer.now()}
+		if resting {
+			refused.RetryAfter = minRest + time.Duration(rand.Float64()*float64(maxRest-minRest)).Truncate(time.Millisecond)
+			header.Set("Retry-After", strconv.FormatFloat(refused.RetryAfter.Seconds(), 'f', 3, 64))
+		}
+		u.observer.record(refused)
 		header.Set(names.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -120,7 +140,7 @@
 	if err != nil {
 		return
 	}
-	u.observer.record(RequestExecuted{ID: id, Upstream: u.info.ID, Path: r.URL.Path, Body: string(body), Cold: cold > 0, At: u.observer.now()})
+	u.observer.record(RequestExecuted{ID: id, Upstream: u.info.ID, Path: r.URL.Path, Body: string(body), Cold: cold > 0, Leaving: leaving, At: u.observer.now()})
 	u.respond(w, r, id, b)
 }
 
--- a/header/header.go
+++ b/header/header.go
@@ -40,6 +40,8 @@
 	Cold string
 	// Upstream holds the ID of the upstream that produced the response.
 	Upstream string
+	// Leaving is present in a response when the upstream that produced it leaves.
+	Leaving string
 }
 
 // hopByHopHeaders are not forwarded. Besides the headers that concern a single
