--- a/faultsoak/faultsoak_test.go
+++ b/faultsoak/faultsoak_test.go
@@ -1,6 +1,7 @@
 package faultsoak
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -29,15 +30,32 @@
 
 // Runs the program with each seed of a file. Seeds that once failed stay in it.
 var _ = script.Describe("guarantees hold while separate processes have faults", "testdata/seeds.txt", func() script.Handler {
-	folder, err := os.MkdirTemp("", "oriolepost-faultsoak-program-")
+	return runSeed(ginkgo.GinkgoT().TempDir())
+})
+
+// No entry finds the leader again after all seeds have left the voter group.
+func TestSeedsReplaced(t *testing.T) {
+	gomega.RegisterTestingT(t)
+	data, err := os.ReadFile("testdata/seeds_replaced.txt")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	ginkgo.DeferCleanup(func() error { return os.RemoveAll(folder) })
+	cases, err := script.Parse(string(data))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	run := runSeed(t.TempDir())
+	for _, c := range cases {
+		gomega.Expect(run(c)).To(gomega.Equal(c.Expected), c.Line)
+	}
+}
+
+// runSeed builds the program into a folder and returns a handler that runs it with the
+// seed of a case.
+func runSeed(folder string) script.Handler {
 	program := filepath.Join(folder, "oriolepost")
 	out, err := exec.Command("go", "build", "-o", program, "../cmd/oriolepost").CombinedOutput()
 	gomega.Expect(err).NotTo(gomega.HaveOccurred(), string(out))
 	return func(c script.Case) string {
 		cfg := Defaults()
-		cfg.Program, cfg.Seed, cfg.Duration = program, uint64(c.Int("seed", 1)), *duration
+		cfg.Program, cfg.Seed, cfg.Control = program, uint64(c.Int("seed", 1)), c.Int("control", cfg.Control)
+		cfg.Duration = max(*duration, time.Duration(c.Int("seconds", 0))*time.Second)
 		if *seed != 0 {
 			cfg.Seed = *seed
 		}
@@ -46,7 +64,7 @@
 		gomega.Expect(r.Broken()).To(gomega.Succeed())
 		return fmt.Sprintf("no guarantee violated, more than half served: %v", r.Served > r.Asked/2)
 	}
-})
+}
 
 // fixture collects the events of a test file and judges them.
 type fixture struct{ history []Event }
@@ -61,11 +79,13 @@
 	id := c.Args["id"]
 	switch c.Command {
 	case "request_sent":
-		f.history = append(f.history, RequestSent{ID: id, Entry: "e", Path: c.Args["path"], Body: c.Args["body"], Idempotent: c.Bool("idempotent")})
+		f.history = append(f.history, RequestSent{ID: id, Entry: cmp.Or(c.Args["entry"], "e"), Path: c.Args["path"], Body: c.Args["body"], Idempotent: c.Bool("idempotent"), Version: uint64(c.Int("version", 0)), At: at})
 	case "request_executed":
-		f.history = append(f.history, RequestExecuted{ID: id, Upstream: c.Args["upstream"], Path: c.Args["path"], Body: c.Args["body"], Cold: c.Bool("cold"), At: at})
+		f.history = append(f.history, RequestExecuted{ID: id, Upstream: c.Args["upstream"], Path: c.Args["path"], Body: c.Args["body"], Cold: c.Bool("cold"), Leaving: c.Bool("leaving"), At: at})
+	case "request_refused":
+		f.history = append(f.history, RequestRefused{ID: id, Upstream: c.Args["upstream"], RetryAfter: time.Duration(c.Int("retry_after_ms", 0)) * time.Millisecond, Leaving: c.Bool("leaving"), At: at})
 	case "answer_received":
-		answer := ResponseReceived{ID: id, Status: c.Int("status", 200)}
+		answer := ResponseReceived{ID: id, Status: c.Int("status", 200), Upstream: c.Args["upstream"], At: at}
 		if of, ok := c.Args["answer_of"]; ok {
 			answer.Signature, answer.Body = signature(of), answerBody(of, c.Args["path"])
 		}
@@ -77,7 +97,11 @@
 	case "configuration_read":
 		f.history = append(f.history, ConfigurationRead{Version: uint64(c.Int("version", 0)), Began: at})
 	case "fault_injected":
-		f.history = append(f.history, FaultInjected{Name: c.Args["name"], At: at})
+		f.history = append(f.history, FaultInjected{Name: c.Args["name"], Fault: c.Args["fault"], At: at})
+	case "process_started":
+		f.history = append(f.history, ProcessStarted{Name: c.Args["name"], At: at})
+	case "faults_ended":
+		f.history = append(f.history, FaultsEnded{At: at})
 	case "failure":
 		f.history = append(f.history, Failure{Name: c.Args["name"], Reason: "killed"})
 	case "judge":
--- a/faultsoak/history.go
+++ b/faultsoak/history.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -16,21 +19,45 @@
 type RequestSent struct {
 	ID, Entry, Path, Body string
 	Idempotent            bool
+	// Version is the only version of the configuration that has the request's
+	// route. It is 0 for a route of all versions.
+	Version uint64
+	At      time.Duration
 }
 
 // RequestExecuted reports that an upstream begins to execute a request.
 type RequestExecuted struct {
 	ID, Upstream, Path, Body string
-	// Cold is true if the upstream is cold.
-	Cold bool
-	At   time.Duration
+	// Cold is true if the upstream is cold, and Leaving if its response announces
+	// that it leaves.
+	Cold, Leaving bool
+	At            time.Duration
 }
 
 // ResponseReceived reports that a caller has received a complete response.
-// Signature is the value of the signature header, empty if there is none.
+// Signature is the value of the signature header, and Upstream the ID of the upstream
+// that produced the response. Either is empty if the response has no such header.
 type ResponseReceived struct {
-	ID, Body, Signature string
-	Status              int
+	ID, Body, Signature, Upstream string
+	Status                        int
+	At                            time.Duration
+}
+
+// RequestRefused reports that an upstream refuses a request with 503.
+type RequestRefused struct {
+	ID, Upstream string
+	// RetryAfter is how long the upstream wants no requests from the entry that sent
+	// this one. It is 0 if the response does not say so.
+	RetryAfter time.Duration
+	// Leaving is true if the response announces that the upstream leaves.
+	Leaving bool
+	At      time.Duration
+}
+
+// ProcessStarted reports that the process of an instance has been started.
+type ProcessStarted struct {
+	Name string
+	At   time.Duration
 }
 
 // LeaveAcknowledged reports that a control instance acknowledged an announcement
@@ -62,6 +89,9 @@
 	At          time.Duration
 }
 
+// FaultsEnded reports that all links are restored and all processes run.
+type FaultsEnded struct{ At time.Duration }
+
 // Failure reports something that no injected fault explains: a process that exited
 // although it was not stopped, one that did not exit within stopTimeout, or an
 // error in a simulated client or upstream.
@@ -69,23 +99,29 @@
 
 func (RequestSent) event()       {}
 func (RequestExecuted) event()   {}
+func (RequestRefused) event()    {}
+func (ProcessStarted) event()    {}
 func (ResponseReceived) event()  {}
 func (LeaveAcknowledged) event() {}
 func (OrderAcknowledged) event() {}
 func (ConfigurationRead) event() {}
 func (FaultInjected) event()     {}
+func (FaultsEnded) event()       {}
 func (Failure) event()           {}
 
 // Bounds are the limits that [Judge] checks.
 type Bounds struct {
 	// Drain is how long an upstream may still get requests after the first
-	// acknowledgment of its deregistration.
+	// acknowledgment of its deregistration, and from an entry that has passed on a
+	// response in which the upstream announced that it leaves.
 	Drain time.Duration
 	// Apply is how long after a configuration was acknowledged a read may be sent
 	// that still returns an older version.
 	Apply time.Duration
 	// FaultGrace is how long after the begin or end of a fault an entry or
-	// upstream is exempt from the Drain limit.
+	// upstream is exempt from the Drain limit. After all faults have ended,
+	// entries must serve by a configuration once FaultGrace and Apply have passed
+	// since then and since its acknowledgment.
 	FaultGrace time.Duration
 	// ColdPerSecond is the number of requests that a cold upstream may get within
 	// one second.
@@ -103,14 +139,27 @@
 	// request, and error responses other than 429 and 503 with the signature of an
 	// upstream.
 	WrongAnswer int `json:"wrong_answer"`
+	// Denied counts proper requests, on routes of all configurations, that an
+	// entry itself ended with a status from 300 to 499 other than 408, 421 and 429.
+	Denied int `json:"denied"`
 	// NotAsked counts executions and responses that match no sent request.
 	NotAsked int `json:"not_asked"`
 	// AfterLeave counts requests to an upstream later than Bounds.Drain after the
 	// first acknowledgment of its deregistration.
 	AfterLeave int `json:"after_leave"`
+	// AfterNotice counts requests from an entry to an upstream that their callers
+	// sent later than Bounds.Drain after the entry had passed on a response in which
+	// the upstream announced that it leaves.
+	AfterNotice int `json:"after_notice"`
+	// WhileResting counts the requests from an entry to an upstream, beyond the first
+	// two, between restGrace after the upstream sent a Retry-After and its end.
+	WhileResting int `json:"while_resting"`
 	// StaleRead counts reads that returned an older version than one acknowledged
 	// more than Bounds.Apply before the read was sent.
 	StaleRead int `json:"stale_read"`
+	// StaleEntry counts entries that serve by an older configuration than the
+	// newest acknowledged one, or by none, although no fault explains it any more.
+	StaleEntry int `json:"stale_entry"`
 	// OverCold counts requests to a cold upstream beyond Bounds.ColdPerSecond.
 	OverCold int `json:"over_cold"`
 	// Exits counts Failure events.
@@ -123,7 +172,7 @@
 
 // Broken reports whether any guarantee was violated.
 func (v Verdict) Broken() bool {
-	return v.RanTwice+v.FalseNotRun+v.WrongAnswer+v.NotAsked+v.AfterLeave+v.StaleRead+v.OverCold+v.Exits+v.NotRecovered > 0
+	return v.RanTwice+v.FalseNotRun+v.WrongAnswer+v.Denied+v.NotAsked+v.AfterLeave+v.AfterNotice+v.WhileResting+v.StaleRead+v.StaleEntry+v.OverCold+v.Exits+v.NotRecovered > 0
 }
 
 // maxExamples is the maximum number of violations that a verdict describes.
@@ -147,18 +196,32 @@
 	leftAt       map[string]time.Duration
 	lastFaultAt  map[string]time.Duration
 	coldArrivals map[string][]time.Duration
+	notices      notices
 	acknowledged []OrderAcknowledged
+	// newest is the first acknowledgment of the highest version.
+	newest OrderAcknowledged
+	// faultsEnded is nil until the faults have ended.
+	faultsEnded *FaultsEnded
+	// served holds, for each entry that got a request that only the newest version
+	// allows, when every entry had to know it, whether one such request was served.
+	served map[string]bool
 }
 
 // Judge checks a history for violated guarantees.
 func Judge(history []Event, b Bounds) Verdict {
 	j := &judge{
 		bounds: b, requests: map[string]RequestSent{}, executions: map[string]int{}, refused: map[string]bool{},
-		leftAt: map[string]time.Duration{}, lastFaultAt: map[string]time.Duration{}, coldArrivals: map[string][]time.Duration{},
+		leftAt: map[string]time.Duration{}, lastFaultAt: map[string]time.Duration{}, coldArrivals: map[string][]time.Duration{}, served: map[string]bool{}, notices: newNotices(),
 	}
 	for _, e := range history {
 		j.handleEvent(e)
 	}
+	for _, entry := range slices.Sorted(maps.Keys(j.served)) {
+		if !j.served[entry] {
+			v := &j.verdict
+			v.add(&v.StaleEntry, "%s served no request that version %d allows, which was acknowledged at %v", entry, j.newest.Version, j.newest.At)
+		}
+	}
 	return j.verdict
 }
 
@@ -167,16 +230,27 @@
 	switch e := event.(type) {
 	case RequestSent:
 		j.requests[e.ID] = e
+		if _, asked := j.served[e.Entry]; !asked && e.Version == j.newest.Version && j.newestDue(e) {
+			j.served[e.Entry] = false
+		}
 	case RequestExecuted:
 		j.checkExecution(e)
+		j.checkArrival(arrival{e.ID, e.Upstream, e.Leaving, e.At})
+	case RequestRefused:
+		j.checkArrival(arrival{e.ID, e.Upstream, e.Leaving, e.At})
+		j.noteRest(e)
 	case ResponseReceived:
 		j.checkAnswer(e)
+		j.notePassedOn(e)
 	case LeaveAcknowledged:
 		if _, acknowledged := j.leftAt[e.Upstream]; !acknowledged {
 			j.leftAt[e.Upstream] = e.At
 		}
 	case OrderAcknowledged:
 		j.acknowledged = append(j.acknowledged, e)
+		if e.Version > j.newest.Version {
+			j.newest = e
+		}
 	case ConfigurationRead:
 		for _, a := range j.acknowledged {
 			if a.At+j.bounds.Apply < e.Began && e.Version < a.Version {
@@ -186,6 +260,11 @@
 		}
 	case FaultInjected:
 		j.lastFaultAt[e.Name] = e.At
+		j.notices.noteFault(e)
+	case ProcessStarted:
+		j.notices.interruptedAt[e.Name] = e.At
+	case FaultsEnded:
+		j.faultsEnded = &e
 	case Failure:
 		v.add(&v.Exits, "%s: %s", e.Name, e.Reason)
 	}
@@ -238,6 +317,9 @@
 func (j *judge) checkAnswer(e ResponseReceived) {
 	v := &j.verdict
 	sent, known := j.requests[e.ID]
+	if sent.Version != 0 {
+		j.checkVersion(sent, e)
+	}
 	switch {
 	case !known:
 		v.add(&v.NotAsked, "response to request %s, which no caller sent", e.ID)
@@ -252,6 +334,29 @@
 		}
 	case e.Signature != "":
 		v.add(&v.WrongAnswer, "request %s got status %d with signature %q", e.ID, e.Status, e.Signature)
+	case e.Status < 500 && e.Status != 408 && e.Status != 421 && sent.Version == 0:
+		v.add(&v.Denied, "request %s %s to %s got status %d", e.ID, sent.Path, sent.Entry, e.Status)
+	}
+}
+
+// newestDue reports whether every entry had to serve by the newest acknowledged
+// configuration when a request was sent.
+func (j *judge) newestDue(sent RequestSent) bool {
+	limit := j.bounds.Apply + j.bounds.FaultGrace
+	return j.faultsEnded != nil && sent.At > max(j.newest.At, j.faultsEnded.At)+limit
+}
+
+// checkVersion checks the response to a request that only one version of the
+// configuration allows.
+func (j *judge) checkVersion(sent RequestSent, e ResponseReceived) {
+	v := &j.verdict
+	switch {
+	case !j.newestDue(sent):
+	case sent.Version == j.newest.Version && e.Status < 300:
+		j.served[sent.Entry] = true
+	case sent.Version == j.newest.Version && e.Status == http.StatusNotFound, sent.Version < j.newest.Version && e.Status < 300:
+		v.add(&v.StaleEntry, "request %s %s to %s, sent at %v, got status %d, but version %d was acknowledged at %v",
+			e.ID, sent.Path, sent.Entry, sent.At, e.Status, j.newest.Version, j.newest.At)
 	}
 }
 
