terminal, ingress: settings that are being written, and limits that changed while a connection was idle

Causes: the settings were read once at the start, while the platform may be writing the file, and a reload that failed was not tried again; the limits were taken before the wait for the request.

Change: the start reads the settings up to ten times in half a second; a reload that failed is tried again at the next check. The limits are taken after the wait.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -244,17 +244,14 @@
 // [os.ErrDeadlineExceeded] when the connection was idle for too long or the
 // entry drains.
 func (c *conn) readRequest() (*Exchange, error) {
-	table := c.server.options.Table()
-	limits := limitsWithDefaults(route.Limits{})
-	if table != nil {
-		limits = limitsWithDefaults(table.Configuration.Limits)
-	}
-	if !c.awaitRequest(limits.IdleTimeout + idleMargin) {
+	if !c.awaitRequest(c.limits().IdleTimeout + idleMargin) {
 		return nil, os.ErrDeadlineExceeded
 	}
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, err
 	}
+	// The configuration may have changed while the connection was idle.
+	limits := c.limits()
 	if err := c.source.setDeadline(time.Now().Add(limits.HeaderTimeout)); err != nil {
 		return nil, err
 	}
@@ -268,7 +265,7 @@
 	if err != nil {
 		return nil, refusal(identify(head.bytes, names), err)
 	}
-	if err := c.readBody(r, limits, bodyTimeout(r, table, limits)); err != nil {
+	if err := c.readBody(r, limits, bodyTimeout(r, c.server.options.Table(), limits)); err != nil {
 		return nil, refusal(r, err)
 	}
 	if err := c.source.setDeadline(time.Time{}); err != nil {
@@ -277,6 +274,14 @@
 	return c.dispatch(r), nil
 }
 
+// limits returns the limits of the newest configuration.
+func (c *conn) limits() route.Limits {
+	if table := c.server.options.Table(); table != nil {
+		return limitsWithDefaults(table.Configuration.Limits)
+	}
+	return limitsWithDefaults(route.Limits{})
+}
+
 // awaitRequest waits for the first byte of a request. It returns false when no
 // further request is to be read: the connection was idle for too long with all
 // requests answered, or the entry drains. While the entry drains, a connection on
--- a/terminal/serve.go
+++ b/terminal/serve.go
@@ -19,6 +19,7 @@
 	"github.com/oriolepost/oriolepost/platform"
 	"github.com/oriolepost/oriolepost/settings"
 	"github.com/oriolepost/oriolepost/telemetry"
+	"github.com/oriolepost/oriolepost/timer"
 )
 
 var serveVerb = verb{
@@ -77,7 +78,7 @@
 	if err := checkArguments(args); err != nil {
 		return nil, err
 	}
-	if s.settings, err = platform.LoadSettings(); err != nil {
+	if s.settings, err = loadSettings(ctx); err != nil {
 		return nil, err
 	}
 	debug.SetGCPercent(gcPercent)
@@ -98,6 +99,23 @@
 	return nil, err
 }
 
+const (
+	// settingsAttempts and settingsRetryInterval bound the reading of the settings at
+	// the start: the platform may be writing the file.
+	settingsAttempts      = 10
+	settingsRetryInterval = 50 * time.Millisecond
+)
+
+// loadSettings reads the settings. While the file can't be read in whole, it tries again.
+func loadSettings(ctx context.Context) (deployment settings.Deployment, err error) {
+	for range settingsAttempts {
+		if deployment, err = platform.LoadSettings(); err == nil || !timer.Pause(ctx, settingsRetryInterval) {
+			break
+		}
+	}
+	return deployment, err
+}
+
 // closeLogWriter writes the remaining log lines, for at most [logFlushTimeout].
 func closeLogWriter(o *telemetry.LogWriter) {
 	ctx, cancel := context.WithTimeout(context.Background(), logFlushTimeout)
@@ -173,12 +191,10 @@
 		case err := <-failed:
 			return fmt.Errorf("control instance failed: %w", err)
 		case <-hangup.Received:
-			loaded = platform.SettingsModTime()
-			s.reload("signal")
+			loaded = s.reload("signal", loaded)
 		case <-settingsPoll.C:
-			if changed := platform.SettingsModTime(); !changed.Equal(loaded) {
-				loaded = changed
-				s.reload("file")
+			if !platform.SettingsModTime().Equal(loaded) {
+				loaded = s.reload("file", loaded)
 			}
 		}
 	}
@@ -190,8 +206,11 @@
 const settingsPollInterval = 5 * time.Second
 
 // reload reads the settings file again and replaces the seeds. Addresses and
-// identity stay the same for the lifetime of the process.
-func (s *serveWork) reload(cause string) {
+// identity stay the same for the lifetime of the process. It returns the modification
+// time of the file that was taken over: the former one if that failed, so that the next
+// check tries again.
+func (s *serveWork) reload(cause string, loaded time.Time) time.Time {
+	changed := platform.SettingsModTime()
 	deployment, err := platform.LoadSettings()
 	if err == nil && s.gateway != nil {
 		err = s.gateway.UpdateSeeds(deployment)
@@ -200,11 +219,12 @@
 		err = s.control.UpdateSeeds(deployment)
 	}
 	if err != nil {
-		s.log.WithError(err).WithField("cause", cause).Warn("could not reload the settings; send SIGHUP to try again")
-		return
+		s.log.WithError(err).WithField("cause", cause).Warn("could not reload the settings; the next check tries again")
+		return loaded
 	}
 	s.log.WithFields(log.Fields{"change": "settings", "cause": cause, "seeds": deployment.Seeds, "from": s.settings.Seeds}).Info("settings reloaded")
 	s.settings.Seeds = deployment.Seeds
+	return changed
 }
 
 // stop stops the instance gracefully: first the gateway, then the control
