--- /dev/null
+++ b/ingress/await.go
@@ -0,0 +1,112 @@
+package ingress
+
+import (
+	"errors"
+	"os"
+	"time"
+)
+
+// awaitRequest waits for the first byte of a request. It returns false when no
+// further request is to be read: the connection was idle for too long with all
+// requests answered, or the entry drains. While the entry drains, a connection on
+// which no request was read yet may still send one. After a read error
+// awaitRequest returns true, and the next read returns the error.
+func (c *conn) awaitRequest(idle time.Duration) bool {
+	if c.skipEmptyLines(); c.reader.Buffered() > 0 {
+		return true
+	}
+	idleEnd := time.Now().Add(idle)
+	drainSeen := false
+	for {
+		if c.server.draining.Load() && !drainSeen {
+			if c.receivedRequest {
+				return false
+			}
+			drainSeen = true
+			if end := time.Now().Add(firstRequestTimeout); end.Before(idleEnd) {
+				idleEnd = end
+			}
+		}
+		if err := c.source.setInterruptibleDeadline(idleEnd); err != nil {
+			return true
+		}
+		// A drain that began before the deadline was set has not interrupted the wait.
+		if c.server.draining.Load() && !drainSeen {
+			continue
+		}
+		if err := c.peekRequest(); !errors.Is(err, os.ErrDeadlineExceeded) {
+			return true
+		}
+		if time.Now().Before(idleEnd) {
+			continue
+		}
+		// The idle time begins with the last response.
+		idleEnd = c.idleSince().Add(idle)
+		if !time.Now().Before(idleEnd) {
+			return false
+		}
+	}
+}
+
+// peekRequest waits for a byte that is not part of an empty line. Empty lines do not
+// begin a request, and so do not start its header timeout.
+func (c *conn) peekRequest() error {
+	for {
+		if _, err := c.reader.Peek(1); err != nil {
+			return err
+		}
+		if c.skipEmptyLines(); c.reader.Buffered() > 0 {
+			return nil
+		}
+	}
+}
+
+// skipEmptyLines discards empty lines that were received before a request.
+func (c *conn) skipEmptyLines() {
+	for c.reader.Buffered() >= 2 {
+		if line, err := c.reader.Peek(2); err != nil || string(line) != "\r\n" {
+			return
+		}
+		if _, err := c.reader.Discard(2); err != nil {
+			return
+		}
+	}
+}
+
+// idleSince returns the time of the last response: now while a request is unanswered,
+// and zero when no request was read.
+func (c *conn) idleSince() time.Time {
+	if len(c.unanswered()) > 0 {
+		return time.Now()
+	}
+	var last time.Time
+	for _, e := range c.pending {
+		if e.writtenAt.After(last) {
+			last = e.writtenAt
+		}
+	}
+	return last
+}
+
+// unanswered returns the requests whose response is not written yet.
+func (c *conn) unanswered() []*Exchange {
+	var unwritten []*Exchange
+	for _, e := range c.pending {
+		select {
+		case <-e.written:
+		default:
+			unwritten = append(unwritten, e)
+		}
+	}
+	return unwritten
+}
+
+// awaitResponses waits until all requests that were read are answered.
+func (c *conn) awaitResponses() {
+	for _, e := range c.unanswered() {
+		select {
+		case <-e.written:
+		case <-c.writerDone:
+		}
+	}
+}
