peer: the address of the presumed leader is read before the state is handed back

Cause: since package search, the state is a pointer, and Address read it after it had sent it back, while a join request changed it.

Change: the address is read first. The other methods read and change the state only while they hold it.

--- a/peer/leader.go
+++ b/peer/leader.go
@@ -65,8 +65,9 @@
 // Address returns the address of the presumed leader.
 func (l *LeaderClient) Address() string {
 	s := <-l.search
+	address := s.Presumed
 	l.search <- s
-	return s.Presumed
+	return address
 }
 
 // Instances returns the addresses among which the leader is searched for.
