control: how long messages wait for the task, and why a voter stands for election

Cause: the logs could not tell a leader that is late from one that is not heard. Change: a histogram of the time that messages wait in the mailbox; a line, once a second at most, when one waited for 200 ms or more, with the kinds of the messages; the age of the last contact on each change of role.

--- a/control/members.go
+++ b/control/members.go
@@ -161,7 +161,7 @@
 		}
 		accepted, _ := response.(peer.JoinResponse)
 		select {
-		case t.mailbox <- joinEndedMessage{accepted: err == nil, group: accepted.Group}:
+		case t.mailbox <- postedMessage{joinEndedMessage{accepted: err == nil, group: accepted.Group}, time.Now()}:
 		case <-t.ctx.Done():
 		}
 	}()
@@ -218,7 +218,7 @@
 		}
 	}
 	select {
-	case t.mailbox <- bootstrapMessage{voters: voters}:
+	case t.mailbox <- postedMessage{bootstrapMessage{voters: voters}, time.Now()}:
 	case <-t.ctx.Done():
 	}
 }
--- a/control/message.go
+++ b/control/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/record"
@@ -84,7 +85,7 @@
 // post sends the task a message, or returns an error when the mailbox is full.
 func (t *task) post(m message) error {
 	select {
-	case t.mailbox <- m:
+	case t.mailbox <- postedMessage{m, time.Now()}:
 		return nil
 	default:
 		t.metrics.GetOrCreateCounter("oriolepost_control_mailbox_full_total").Inc()
--- a/control/task.go
+++ b/control/task.go
@@ -62,7 +62,8 @@
 	replica      *replica.Replica
 	state        *state.State
 	fleet        *fleet.Table
-	mailbox      chan message
+	mailbox      chan postedMessage
+	backlog      backlog
 	pool         *peer.Pool
 	leaderClient *peer.LeaderClient
 	// seeds are the instances that the settings name now, and initialSeeds those that
@@ -141,7 +142,8 @@
 	t := &task{
 		settings: deployment, folder: folder, pool: pool, leaderClient: leader, seeds: seeds, initialSeeds: seeds, ctx: ctx,
 		metrics: options.Metrics, log: options.Log, fleet: fleet.New(),
-		mailbox:   make(chan message, mailboxSize),
+		mailbox:   make(chan postedMessage, mailboxSize),
+		backlog:   backlog{handled: map[string]int{}},
 		random:    rand.New(rand.NewPCG(rand.Uint64(), ipHash(deployment.IP))),
 		proposals: proposal.NewProposals[pendingProposal](),
 		fullViews: map[bool]encodedView{}, comparisons: map[comparison]encodedView{}, watchers: map[string]*watcher{}, standbys: map[string]replica.Identity{},
@@ -218,7 +220,7 @@
 			// heartbeats, count before the timers.
 			effects = t.stepWaiting()
 		case m := <-t.mailbox:
-			effects = append(t.step(time.Now(), m), t.stepWaiting()...)
+			effects = append(t.stepPosted(time.Now(), m), t.stepWaiting()...)
 		}
 		now := time.Now()
 		effects = append(effects, t.replica.Step(now, replica.Tick{})...)
@@ -235,6 +237,7 @@
 		t.releaseHeldWatches(now)
 		t.releaseHeldCopies(now)
 		t.answerWatches(time.Now())
+		t.logLateness(now)
 		wake.Reset(max(time.Millisecond, time.Until(t.nextWake())))
 	}
 }
@@ -269,7 +272,7 @@
 	for range maxMessagesPerSync {
 		select {
 		case m := <-t.mailbox:
-			effects = append(effects, t.step(now, m)...)
+			effects = append(effects, t.stepPosted(now, m)...)
 		default:
 			return effects
 		}
@@ -277,6 +280,11 @@
 	return effects
 }
 
+func (t *task) stepPosted(now time.Time, m postedMessage) []replica.Effect {
+	t.recordWait(now, m)
+	return t.step(now, m.message)
+}
+
 func (t *task) step(now time.Time, message message) []replica.Effect {
 	switch message := message.(type) {
 	case replicaMessage:
@@ -393,6 +401,7 @@
 	t.log.WithFields(log.Fields{
 		"change": "role", "from": string(t.role.Role), "to": string(change.Role),
 		"term": change.Term, "leader": replica.InstanceOf(change.Leader),
+		"leader_contact_age_ms": t.replica.LeaderContactAge(time.Now()).Milliseconds(), "longest_wait_ms": t.backlog.longestWait.Milliseconds(),
 	}).Info("replica role changed")
 	t.role = change
 	clear(t.fullViews)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -275,6 +275,19 @@
 // the zero time if it never was.
 func (r *Replica) LeadingSince() time.Time { return r.leaderSince }
 
+// LeaderContactAge returns the time since the last message of a leader; of a leader, the
+// time since a quorum has confirmed it. It is zero if there was none since the start.
+func (r *Replica) LeaderContactAge(now time.Time) time.Duration {
+	contact := r.lastLeaderContact
+	if r.Role == RoleLeader {
+		contact = laterOf(r.quorumAckedAt(now), r.leaderSince)
+	}
+	if contact.IsZero() {
+		return 0
+	}
+	return now.Sub(contact)
+}
+
 // UnresponsiveVoters returns the voters that have not answered this leader for
 // longer than after. It returns nil if this replica is not the leader.
 func (r *Replica) UnresponsiveVoters(now time.Time, after time.Duration) []string {
