control: entries above 64 follow relays instead of the leader

Cause: one leader of 0.24 of a core answered the watches of all 449 entries. At a start, and after each election, it connected and compared all of them, was late with its heartbeats, and was voted out; the next leader began with the same work. The class: work that grows with the fleet, in one place, and that a failure multiplies. Change: the other control instances follow the leader as relays and answer the watches of the entries above 64. A change of the leader leaves their entries where they are. Why it works: each instance has a tenth of the entries, so neither a start nor an election puts more than that on one core.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -52,6 +52,8 @@
 	watches map[string]peer.WatchRequest
 	// mirrors holds, by entry, what it knows of the leader's fleet.
 	mirrors map[string]*fleet.Mirror
+	// followers are entries that watch in the background.
+	followers []*follower
 }
 
 type instance struct {
@@ -136,6 +138,11 @@
 		return b.refusedWatch(name)
 	case "connect_entries":
 		return b.connectEntries(testCase, name)
+	case "follow":
+		b.follow(testCase.Int("entries", 1))
+		return ""
+	case "followers":
+		return b.awaitFollowers(testCase)
 	case "answered_in_time":
 		return b.answeredInTime(testCase, name)
 	}
--- a/control/members.go
+++ b/control/members.go
@@ -48,7 +48,7 @@
 	}
 	t.metrics.GetOrCreateCounter("oriolepost_replica_commit_index").Set(t.replica.CommitIndex)
 	t.logMembership()
-	t.watchers.Prune(now)
+	t.pruneFollowers(now)
 	t.notifySeeds(now)
 	t.joinOrBootstrap(now)
 	return t.replaceVoters(now)
--- a/control/message.go
+++ b/control/message.go
@@ -106,7 +106,7 @@
 	switch message.(type) {
 	case replicaMessage, renewMessage, groupMessage:
 		return peer.Nothing{}, nil
-	case proposeMessage, readMessage, announceMessage, watchMessage, copyMessage, joinMessage, joinEndedMessage, seedsMessage, identifyMessage, bootstrapMessage, transferMessage:
+	case proposeMessage, readMessage, announceMessage, watchMessage, copyMessage, joinMessage, joinEndedMessage, relayAnswerMessage, seedsMessage, identifyMessage, bootstrapMessage, transferMessage:
 	}
 	select {
 	case a := <-reply:
--- a/control/task.go
+++ b/control/task.go
@@ -83,6 +83,16 @@
 	// unanswered ones by entry.
 	watchers *watcher.Table
 	watches  map[string]watchMessage
+	// roster numbers the entries that follow this leader or its relays, and relaysSeen
+	// holds the relays by instance.
+	roster     *watcher.Roster
+	relaysSeen map[string]relaySeen
+	// relay is what this instance passes on to entries while it does not lead, and
+	// relayPool has its connections to the leader. relaying is whether it did when that
+	// was last logged.
+	relay     *relay
+	relayPool *peer.Pool
+	relaying  bool
 	// watched is the state as of which the watchers were last told of a change.
 	watched watchedVersion
 	// heldWatches are the watches that wait for a leader, until heldUntil.
@@ -91,9 +101,8 @@
 	// heldCopies are the requests for a copy that wait for a leader, in the order in
 	// which they came.
 	heldCopies []heldCopy
-	// fullViews caches the newest encoded full views. The key is true for the
-	// view without the configuration, for entries that already have it.
-	fullViews map[bool]encodedView
+	// fullViews caches the newest encoded full views.
+	fullViews map[fullViewKey]encodedView
 	// comparisons caches the newest encoded answers to watches with a digest.
 	comparisons map[comparison]encodedView
 	// differences caches the newest encoded answers to watches that lack some changes.
@@ -152,13 +161,15 @@
 		backlog:   backlog{handled: map[string]int{}},
 		random:    rand.New(rand.NewPCG(rand.Uint64(), ipHash(deployment.IP))),
 		proposals: proposal.NewProposals[pendingProposal](),
-		fullViews: map[bool]encodedView{}, comparisons: map[comparison]encodedView{}, watchers: watcher.New(), watches: map[string]watchMessage{}, differences: map[peer.WatchRequest]encodedView{}, standbys: map[string]replica.Identity{},
+		fullViews: map[fullViewKey]encodedView{}, comparisons: map[comparison]encodedView{}, watchers: watcher.New(), roster: watcher.NewRoster(), relaysSeen: map[string]relaySeen{}, watches: map[string]watchMessage{}, differences: map[peer.WatchRequest]encodedView{}, standbys: map[string]replica.Identity{},
 	}
 	t.plan = replica.MembershipPlan{Target: deployment.Voters(), ReplaceAfter: replaceVoterAfter, Domains: map[string]string{}}
 	if err := t.restore(folder.Saved.Snapshot); err != nil {
 		return nil, err
 	}
 	t.replica = replica.New(replicaConfig(t.id()), folder.Saved, t.random, time.Now())
+	t.relay = newRelay(deployment.IP, t.id()+"/"+randomID())
+	t.relayPool = peer.NewPool(ctx, peer.Options{Metrics: options.Metrics, Dial: options.Dial})
 	return t, nil
 }
 
@@ -240,6 +251,7 @@
 			return err
 		}
 		t.forwardPending(now)
+		t.followLeader(now)
 		t.releaseHeldWatches(now)
 		t.releaseHeldCopies(now)
 		t.answerWatches(time.Now())
@@ -263,6 +275,9 @@
 	if t.leads() && !t.enrolling && t.recordAt.Before(next) {
 		next = t.recordAt
 	}
+	if !t.leads() && !t.relay.watching && t.relay.watchAt.Before(next) && t.leaderAddress() != "" {
+		next = t.relay.watchAt
+	}
 	for _, due := range []time.Time{t.nextWatchAnswer(time.Now()), t.forwardAt} {
 		if !due.IsZero() && due.Before(next) {
 			next = due
@@ -314,6 +329,8 @@
 		t.learnGroup(message.group)
 	case groupMessage:
 		t.learnGroup(message.group)
+	case relayAnswerMessage:
+		t.takeRelayAnswer(now, message)
 	case seedsMessage:
 		t.replaceSeeds(message.seeds)
 	case identifyMessage:
@@ -404,6 +421,7 @@
 	if change == t.role {
 		return
 	}
+	formerRole := t.role.Role
 	t.log.WithFields(log.Fields{
 		"change": "role", "from": string(t.role.Role), "to": string(change.Role),
 		"term": change.Term, "leader": replica.InstanceOf(change.Leader),
@@ -411,6 +429,9 @@
 	}).Info("replica role changed")
 	t.role = change
 	t.discardViews()
+	if (formerRole == replica.RoleLeader) != (change.Role == replica.RoleLeader) {
+		t.refuseWatches()
+	}
 	if change.Role == replica.RoleLeader {
 		t.fleet.RenewAll(time.Now())
 		return
@@ -418,5 +439,4 @@
 	for _, p := range t.proposals.Abandon() {
 		t.completeProposal(p, t.lostError(), nil)
 	}
-	t.refuseWatches()
 }
--- a/control/view.go
+++ b/control/view.go
@@ -1,13 +1,11 @@
 package control
 
 import (
-	"maps"
 	"slices"
 	"time"
 
 	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/peer"
-	"github.com/oriolepost/oriolepost/replica"
 )
 
 // encodedView is a full view or the changes up to a revision, as sent to
@@ -39,24 +37,24 @@
 
 // viewFor returns what an entry lacks, encoded once for all entries that lack
 // the same.
-func (t *task) viewFor(now time.Time, request peer.WatchRequest) encodedView {
-	if !t.viewOutdated(now, request) {
-		return encodedView{revision: t.revision()}
+func (t *task) viewFor(now time.Time, p published, request peer.WatchRequest) encodedView {
+	if !p.outdated(request) {
+		return encodedView{revision: p.revision}
 	}
-	if t.needsComparison(now, request) {
-		return t.compare(now, request)
+	if p.needsComparison(request) {
+		return t.compare(now, p, request)
 	}
 	key := request
-	key.Entry, key.Index, key.Count, key.Followers = "", 0, 0, 0
+	key.Entry, key.Index, key.Count, key.Followers, key.Relay = "", 0, 0, 0, nil
 	if known, ok := t.differences[key]; ok && now.Sub(known.encodedAt) <= fullViewLifetime {
 		return known
 	}
-	view := t.view(now, request.Version)
-	view.Upstreams, view.Removed = t.fleet.ChangesSince(now, request.FleetRevision)
+	view := p.view(request.Version)
+	view.Upstreams, view.Removed = p.fleet.ChangesSince(now, request.FleetRevision)
 	if len(t.differences) >= maxDifferences {
 		clear(t.differences)
 	}
-	t.differences[key] = t.encodeView(now, view)
+	t.differences[key] = t.encodeView(now, p, view)
 	return t.differences[key]
 }
 
@@ -66,18 +64,37 @@
 
 // fullViewFor returns the full view, without a configuration that the entry has
 // already.
-func (t *task) fullViewFor(now time.Time, version uint64) encodedView {
-	c := t.state.Catalog.Configuration
-	known := c == nil || c.Version <= version
-	if cached := t.fullViews[known]; cached.data != nil && now.Sub(cached.encodedAt) <= fullViewLifetime {
+func (t *task) fullViewFor(now time.Time, p published, version uint64) encodedView {
+	known := p.configuration == nil || p.configuration.Version <= version
+	key := fullViewKey{source: p.source, known: known}
+	if cached := t.fullViews[key]; cached.data != nil && now.Sub(cached.encodedAt) <= fullViewLifetime {
 		return cached
 	}
 	t.metrics.GetOrCreateCounter("oriolepost_whole_views_total").Inc()
-	view := t.view(now, version)
+	view := p.view(version)
 	view.Full = true
-	view.Upstreams, _ = t.fleet.ChangesSince(now, 0)
-	t.fullViews[known] = t.encodeView(now, view)
-	return t.fullViews[known]
+	view.Upstreams, _ = p.fleet.ChangesSince(now, 0)
+	t.fullViews[key] = t.encodeView(now, p, view)
+	return t.fullViews[key]
+}
+
+// fullViewKey identifies an encoded full view: its source, and whether it lacks the
+// configuration, for entries that have that already.
+type fullViewKey struct {
+	source string
+	known  bool
+}
+
+// copySource is the source of copies of the view from an instance that does not lead.
+const copySource = "copy"
+
+// copiedView returns the view of which entries that start take a copy.
+func (t *task) copiedView(now time.Time) published {
+	p := t.ownView(now)
+	if !t.leads() {
+		p.source, p.complete = copySource, false
+	}
+	return p
 }
 
 // maxCopyWait is how long a request for a copy waits for a leader. It is shorter than
@@ -123,7 +140,7 @@
 	for _, h := range held {
 		switch {
 		case t.isCopyCurrent(now):
-			view := t.fullViewFor(now, 0)
+			view := t.fullViewFor(now, t.copiedView(now), 0)
 			h.message.answer <- answer{response: peer.CopyResponse{View: view.data}, err: view.err}
 		case now.Before(h.until):
 			t.heldCopies = append(t.heldCopies, h)
@@ -133,65 +150,65 @@
 	}
 }
 
-func (t *task) encodeView(now time.Time, v peer.View) encodedView {
+func (t *task) encodeView(now time.Time, p published, v peer.View) encodedView {
 	data, err := peer.EncodeView(v)
 	if err != nil {
-		t.log.WithError(err).WithField("revision", t.revision()).Error("could not encode the view for entries")
+		t.log.WithError(err).WithField("revision", p.revision).Error("could not encode the view for entries")
 	}
-	return encodedView{data: data, revision: t.revision(), encodedAt: now, err: err}
+	return encodedView{data: data, revision: p.revision, encodedAt: now, err: err}
 }
 
 // needsComparison reports whether the revisions do not tell what an entry lacks.
-// This is so when the entry follows another leader, when the entry's revision is
+// This is so when the entry follows another instance, when the entry's revision is
 // ahead, or when it lacks removals that the table no longer knows. It is also so when
 // the fleet has become complete and the entry does not keep a mirror, from which it
 // then drops what this leader does not know.
-func (t *task) needsComparison(now time.Time, r peer.WatchRequest) bool {
-	return r.Epoch != t.replica.Term || !r.Compares && r.FleetComplete != t.fleetComplete(now) ||
-		r.Revision > t.revision() || !t.fleet.KnowsRemovalsSince(r.FleetRevision)
+func (p published) needsComparison(r peer.WatchRequest) bool {
+	return !p.isSource(r) || !r.Compares && r.FleetComplete != p.complete ||
+		r.Revision > p.revision || !p.fleet.KnowsRemovalsSince(r.FleetRevision)
 }
 
 // compare returns the full view for an entry that has none yet, or that can't send
 // a digest. Any other entry gets the buckets in which its digest differs. After a
 // change of the leader nearly all of them agree, whereas hundreds of full views would
 // keep a small control instance busy for seconds.
-func (t *task) compare(now time.Time, request peer.WatchRequest) encodedView {
+func (t *task) compare(now time.Time, p published, request peer.WatchRequest) encodedView {
 	switch {
 	case request.Digest == "" && (request.Epoch == 0 || !request.Compares):
-		return t.fullViewFor(now, request.Version)
+		return t.fullViewFor(now, p, request.Version)
 	case request.Digest == "":
 		return encodedView{digestWanted: true}
 	}
 	digest, err := peer.DecodeDigest(request.Digest)
 	if err != nil {
 		t.log.WithError(err).WithField("entry", request.Entry).Error("could not decode the digest of an entry; it gets the full view")
-		return t.fullViewFor(now, request.Version)
+		return t.fullViewFor(now, p, request.Version)
 	}
 	key := comparison{digest: request.Digest, version: request.Version}
-	if known, ok := t.comparisons[key]; ok && known.revision == t.revision() && now.Sub(known.encodedAt) <= fullViewLifetime {
+	if known, ok := t.comparisons[key]; ok && known.revision == p.revision && now.Sub(known.encodedAt) <= fullViewLifetime {
 		return known
 	}
-	buckets := t.fleet.Digest.Differing(digest)
+	buckets := p.fleet.Digest.Differing(digest)
 	if len(buckets) > maxComparedBuckets {
-		return t.fullViewFor(now, request.Version)
+		return t.fullViewFor(now, p, request.Version)
 	}
-	view := t.view(now, request.Version)
-	view.Buckets, view.Upstreams = buckets, t.fleet.Bucketed(now, buckets)
-	view.Removed = t.retiredIn(buckets)
+	view := p.view(request.Version)
+	view.Buckets, view.Upstreams = buckets, p.fleet.Bucketed(now, buckets)
+	view.Removed = retiredIn(p.fleet, buckets)
 	if len(t.comparisons) >= maxComparisons {
 		clear(t.comparisons)
 	}
-	t.comparisons[key] = t.encodeView(now, view)
+	t.comparisons[key] = t.encodeView(now, p, view)
 	return t.comparisons[key]
 }
 
 // retiredIn returns the sorted ids, in the given buckets, of upstreams that have
 // left and are no longer in the fleet. Until the fleet is complete, an entry keeps
 // those that the leader does not list, and must not keep these.
-func (t *task) retiredIn(buckets []int) []string {
+func retiredIn(table *fleet.Table, buckets []int) []string {
 	var retired []string
-	for id := range t.fleet.Retired {
-		if t.fleet.Members[id] == nil && slices.Contains(buckets, fleet.BucketOf(id)) {
+	for id := range table.Retired {
+		if table.Members[id] == nil && slices.Contains(buckets, fleet.BucketOf(id)) {
 			retired = append(retired, id)
 		}
 	}
@@ -216,16 +233,10 @@
 
 // view returns a view without upstreams, and with the configuration if it is newer
 // than the entry's.
-func (t *task) view(now time.Time, version uint64) peer.View {
-	view := peer.View{
-		FleetRevision: t.fleet.Revision, FleetComplete: t.fleetComplete(now),
-		OutDomains: slices.Sorted(maps.Keys(t.state.Catalog.OutDomains)),
-	}
-	for _, id := range append(slices.Clone(t.replica.Members.Voters), t.replica.Members.Learners...) {
-		view.Control = append(view.Control, replica.InstanceOf(id))
-	}
-	if c := t.state.Catalog.Configuration; c != nil && c.Version > version {
-		view.Configuration = c
+func (p published) view(version uint64) peer.View {
+	view := peer.View{FleetRevision: p.fleet.Revision, FleetComplete: p.complete, OutDomains: p.outDomains, Control: p.control}
+	if p.configuration != nil && p.configuration.Version > version {
+		view.Configuration = p.configuration
 	}
 	return view
 }
--- a/control/watch.go
+++ b/control/watch.go
@@ -24,10 +24,12 @@
 // the watch is held, so that an entry that looks for the leader learns of it
 // immediately and does not retry again and again. An instance outside the voter
 // group, as after the loss of its disk, can't know when there is a leader, so
-// it refuses the watch.
+// it refuses the watch. A relay answers it from what the leader has told it.
 func (t *task) watch(now time.Time, message watchMessage) {
 	switch {
 	case t.leads() && !t.replica.LeadingSince().IsZero():
+		t.watchLeader(now, message)
+	case t.relays(now) && message.request.Relay == nil && message.request.Epoch <= t.relay.following.Request.Epoch:
 		t.registerWatch(now, message)
 	case t.leads() || t.replica.Leader == "" && t.isMember():
 		if len(t.heldWatches) == 0 {
@@ -39,6 +41,22 @@
 	}
 }
 
+// watchLeader takes a watch that comes to the leader: that of a relay, or of an entry,
+// which it may send to a relay.
+func (t *task) watchLeader(now time.Time, message watchMessage) {
+	request := message.request
+	if request.Relay != nil {
+		t.registerRelay(now, request)
+	} else {
+		t.roster.See(now, request.Entry, watcher.Lifetime)
+		if instance := t.relayFor(now, request.Entry); instance != "" {
+			t.sendToRelay(message, instance)
+			return
+		}
+	}
+	t.registerWatch(now, message)
+}
+
 // releaseHeldWatches handles the held watches again once there is a leader, and
 // refuses them when there is none at heldUntil.
 func (t *task) releaseHeldWatches(now time.Time) {
@@ -57,23 +75,22 @@
 	}
 }
 
-// registerWatch keeps a watch at the leader and refuses an earlier one of the
-// same entry.
+// registerWatch keeps a watch and refuses an earlier one of the same entry.
 func (t *task) registerWatch(now time.Time, message watchMessage) {
 	name := message.request.Entry
-	replaced := t.watchers.Put(now, name, t.standingOf(now, message.request), peer.WatchTimeout(message.request.Followers))
+	replaced := t.watchers.Put(now, name, t.published(now).standing(message.request), peer.WatchTimeout(message.request.Followers))
 	if replaced {
 		t.watches[name].answer <- answer{err: &peer.RefusedError{Code: peer.CodeBusy, Reason: "a newer watch came"}}
 	}
 	t.watches[name] = message
 }
 
-// standingOf returns what the view of an entry lacks.
-func (t *task) standingOf(now time.Time, r peer.WatchRequest) watcher.Standing {
+// standing returns what the view of an entry lacks.
+func (p published) standing(r peer.WatchRequest) watcher.Standing {
 	switch {
-	case !t.viewOutdated(now, r):
+	case !p.outdated(r):
 		return watcher.Current
-	case r.Epoch != t.replica.Term:
+	case !p.isSource(r):
 		return watcher.Unusable
 	}
 	return watcher.Outdated
@@ -87,7 +104,7 @@
 // therefore discard the answer of a leader whose term is lower than that of their
 // view.
 func (t *task) nextWatchAnswer(now time.Time) time.Time {
-	if t.replica.LeaseEnd(now).IsZero() {
+	if t.leads() && t.replica.LeaseEnd(now).IsZero() {
 		return time.Time{}
 	}
 	t.outdateWatches(now)
@@ -96,49 +113,73 @@
 
 // outdateWatches tells the watchers of changes since the last call.
 func (t *task) outdateWatches(now time.Time) {
-	version := watchedVersion{revision: t.revision(), complete: t.fleetComplete(now)}
+	version := watchedVersion{epoch: t.relay.following.Request.Epoch, revision: t.relay.fleet.Revision + t.relay.changes}
+	if t.leads() {
+		version = watchedVersion{epoch: t.replica.Term, revision: t.revision(), complete: t.fleetComplete(now)}
+	}
 	if version != t.watched {
 		t.watched = version
 		t.watchers.Outdate()
 	}
 }
 
-// watchedVersion identifies what a view without an outdated part contains.
+// watchedVersion identifies the content of a view.
 type watchedVersion struct {
-	revision uint64
-	complete bool
+	epoch, revision uint64
+	complete        bool
 }
 
 // answerWatches answers one batch of the watches for which there is a change or whose
 // deadline has passed. Until a leader has committed an entry of its own term,
-// it may not know everything that was acknowledged, so it answers no watch.
+// it may not know everything that was acknowledged, so it answers no watch. A relay that
+// has lost the leader refuses them.
 func (t *task) answerWatches(now time.Time) {
-	if !t.leads() {
-		return
+	if !t.leads() && len(t.watches) > 0 && !t.relays(now) {
+		t.refuseWatches()
 	}
 	if due := t.nextWatchAnswer(now); due.IsZero() || now.Before(due) {
 		return
 	}
+	p := t.published(now)
 	for _, name := range t.watchers.Take(now) {
-		view := t.viewFor(now, t.watches[name].request)
-		index, count := t.watchers.Position(name)
-		t.watches[name].answer <- t.watchAnswer(view, index, count)
+		message := t.watches[name]
+		message.answer <- t.watchAnswer(p, t.viewFor(now, p, message.request), message.request)
 		delete(t.watches, name)
 	}
 }
 
-// watchAnswer returns the answer to the watch of the entry at an index among count
-// entries.
-func (t *task) watchAnswer(view encodedView, index, count int) answer {
+// watchAnswer returns the answer to the watch of an entry or a relay.
+func (t *task) watchAnswer(p published, view encodedView, request peer.WatchRequest) answer {
 	if view.err != nil {
 		return answer{err: &peer.RefusedError{Code: peer.CodeBusy, Reason: "could not encode the view: " + view.err.Error()}}
 	}
+	response := peer.WatchResponse{Epoch: p.epoch, Source: p.source}
 	if view.digestWanted {
-		return answer{response: peer.WatchResponse{Epoch: t.replica.Term, DigestWanted: true}}
+		response.DigestWanted = true
+		return answer{response: response}
+	}
+	response.Revision, response.View, response.Followers = view.revision, view.data, t.watchers.Len()
+	switch {
+	case !t.leads():
+		response.AgeMS = t.relay.age().Milliseconds()
+		// Without an index the entry keeps the one that it has.
+		if index, known := t.relay.positions[request.Entry]; known && index >= 0 {
+			response.Index, response.Count = index, t.relay.following.Request.Count
+		}
+	case request.Relay != nil:
+		_, response.Count = t.roster.Position("")
+		if seen := t.relaysSeen[request.Entry]; response.Count > maxDirectEntries {
+			seen.told = true
+			t.relaysSeen[request.Entry] = seen
+		}
+		for _, name := range request.Relay.Entries {
+			index, _ := t.roster.Position(name)
+			response.Indexes = append(response.Indexes, index)
+		}
+	default:
+		response.Index, response.Count = t.roster.Position(request.Entry)
 	}
-	return answer{response: peer.WatchResponse{
-		Epoch: t.replica.Term, Revision: view.revision, Index: index, Count: count, Followers: count, View: view.data,
-	}}
+	return answer{response: response}
 }
 
 func (t *task) fleetComplete(now time.Time) bool {
@@ -148,17 +189,13 @@
 // revision counts the changes of everything that entries follow.
 func (t *task) revision() uint64 { return t.fleet.Revision + t.committedChanges }
 
-// viewOutdated reports whether an entry's view differs from the current one.
-func (t *task) viewOutdated(now time.Time, r peer.WatchRequest) bool {
-	return r.Epoch != t.replica.Term || r.Revision != t.revision() || r.FleetComplete != t.fleetComplete(now)
-}
-
 // refuseWatches refuses all pending watches, so that the entries look for the
-// new leader, and forgets all entries.
+// new leader, and forgets those that follow this instance.
 func (t *task) refuseWatches() {
 	for _, name := range slices.Sorted(maps.Keys(t.watches)) {
 		t.watches[name].answer <- answer{err: t.notLeaderError()}
 	}
 	clear(t.watches)
 	t.watchers.Clear()
+	clear(t.relaysSeen)
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -289,6 +289,14 @@
 	t.put(&Member{Upstream: u, LastContact: now, ColdUntil: now})
 }
 
+// Adopt takes over changes of another table, whatever this one has.
+func (t *Table) Adopt(now time.Time, changed []Upstream, removed []string) {
+	t.Remove(removed)
+	for _, u := range changed {
+		t.put(&Member{Upstream: u, LastContact: now, ColdUntil: now.Add(time.Duration(u.ColdMS) * time.Millisecond)})
+	}
+}
+
 // Renew extends the lifetime of upstreams, as an announcement received now
 // does.
 func (t *Table) Renew(now time.Time, ids []string) {
--- a/gateway/copy.go
+++ b/gateway/copy.go
@@ -53,8 +53,8 @@
 		return
 	}
 	w.copied = true
-	w.mirror.Put(view.Upstreams)
-	w.request.Version, w.request.Digest = view.Configuration.Version, peer.EncodeDigest(w.mirror.Digest)
+	w.following.Mirror.Put(view.Upstreams)
+	w.following.Request.Version, w.following.Request.Digest = view.Configuration.Version, peer.EncodeDigest(w.following.Mirror.Digest)
 	view.FleetComplete = false
 	select {
 	case w.gateway.task.mailbox <- viewMessage{view: &view}:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,7 +35,6 @@
 	"github.com/apex/log"
 
 	"github.com/oriolepost/oriolepost/control"
-	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/header"
 	"github.com/oriolepost/oriolepost/ingress"
 	"github.com/oriolepost/oriolepost/peer"
@@ -117,7 +116,7 @@
 	pool := peer.NewPool(ctx, peer.Options{Metrics: options.Metrics, Dial: options.Dial})
 	watch := &watchTask{
 		gateway: gateway, ctx: ctx, leader: control.NewLeaderClient(pool, seeds, deployment.PeerPort), seeds: seeds, seedUpdates: make(chan []search.Instance, 1),
-		mirror: fleet.NewMirror(), pool: pool, copyDelay: minCopyRetryDelay,
+		following: peer.NewFollowing(deployment.Instance), pool: pool, copyDelay: minCopyRetryDelay,
 	}
 	gateway.seedUpdates = watch.seedUpdates
 	go watch.run()
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -9,7 +9,6 @@
 	"github.com/apex/log"
 
 	"github.com/oriolepost/oriolepost/control"
-	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/placement"
 	"github.com/oriolepost/oriolepost/search"
@@ -27,12 +26,9 @@
 	controlInstances []string
 	// seedUpdates receives the seeds of changed settings.
 	seedUpdates chan []search.Instance
-	// request is the next watch. It reports to the leader which view the entry
-	// has.
-	request peer.WatchRequest
-	// mirror is what the entry knows of the leader's fleet.
-	mirror *fleet.Mirror
-	pool   *peer.Pool
+	// following is what the entry has of the view, and its next watch.
+	following *peer.Following
+	pool      *peer.Pool
 	// copied is true once the entry has taken a copy of the view from a control
 	// instance.
 	copied bool
@@ -52,14 +48,13 @@
 const watchRetryBackoff = 50 * time.Millisecond
 
 func (w *watchTask) run() {
-	w.request.Entry, w.request.Compares = w.gateway.settings.Instance, true
 	for w.ctx.Err() == nil {
 		select {
 		case w.seeds = <-w.seedUpdates:
 			w.updateLeaderSearch()
 		default:
 		}
-		if now := time.Now(); w.request.Epoch == 0 && !w.copied && !now.Before(w.copyAt) {
+		if now := time.Now(); w.following.Request.Epoch == 0 && !w.copied && !now.Before(w.copyAt) {
 			w.copyAt = now.Add(w.copyDelay/2 + rand.N(w.copyDelay))
 			w.copyDelay = min(2*w.copyDelay, maxCopyRetryDelay)
 			w.takeCopy()
@@ -81,12 +76,12 @@
 func (w *watchTask) watch() (peer.WatchResponse, error) {
 	ctx, cancel := context.WithTimeout(w.ctx, w.watchDuration())
 	defer cancel()
-	response, err := w.leader.Call(ctx, w.request)
+	response, err := w.leader.Call(ctx, w.following.Request)
 	if err != nil {
 		return peer.WatchResponse{}, err
 	}
 	update, ok := response.(peer.WatchResponse)
-	if !ok || update.Epoch < w.request.Epoch {
+	if !ok || update.Epoch < w.following.Request.Epoch {
 		return peer.WatchResponse{}, &peer.RefusedError{Code: peer.CodeNotLeader, Reason: "an older leader answered"}
 	}
 	return update, nil
@@ -95,10 +90,10 @@
 // watchDuration returns the limit for a watch. Before the first view it is short, so
 // that the search for a copy soon follows.
 func (w *watchTask) watchDuration() time.Duration {
-	if w.request.Epoch == 0 && !w.copied {
+	if w.following.Request.Epoch == 0 && !w.copied {
 		return firstWatchDuration
 	}
-	return peer.WatchDuration(w.request.Followers)
+	return peer.WatchDuration(w.following.Request.Followers)
 }
 
 // searchLogInterval limits the log lines about a search for the leader that goes on.
@@ -118,7 +113,7 @@
 		w.connected = false
 		w.searchLogAt = now
 		w.gateway.options.Log.WithError(err).WithFields(log.Fields{
-			"change": "control", "from": "connected", "to": "disconnected", "epoch": w.request.Epoch, "revision": w.request.Revision,
+			"change": "control", "from": "connected", "to": "disconnected", "epoch": w.following.Request.Epoch, "revision": w.following.Request.Revision,
 		}).Warn("lost contact with the control instances")
 	}
 	if now.Before(w.searchLogAt) {
@@ -127,73 +122,48 @@
 	w.searchLogAt = now.Add(searchLogInterval)
 	w.gateway.options.Log.WithError(err).WithFields(log.Fields{
 		"change": "control", "asked": w.leader.Address(), "instances": w.leader.Instances(), "control_contact_age_ms": age.Milliseconds(),
-		"version": w.gateway.configurationVersion(), "epoch": w.request.Epoch,
+		"version": w.gateway.configurationVersion(), "epoch": w.following.Request.Epoch,
 	}).Warn("searching for the leader")
 }
 
 // handle passes the answer to a watch that was sent at a time on to the entry task.
 func (w *watchTask) handle(response peer.WatchResponse, sent timer.Stamp) {
+	gateway := w.gateway
+	view, err := w.following.Take(response)
+	if err != nil {
+		gateway.options.Log.WithError(err).WithField("epoch", response.Epoch).Error("could not decode the view from the leader")
+		return
+	}
 	if response.DigestWanted {
-		w.request.Digest = peer.EncodeDigest(w.mirror.Digest)
 		return
 	}
-	gateway := w.gateway
 	message := viewMessage{position: placement.PositionReported{Index: response.Index, Count: response.Count}}
-	if len(response.View) > 0 {
-		view, err := peer.DecodeView(response.View)
-		if err != nil {
-			gateway.options.Log.WithError(err).WithField("epoch", response.Epoch).Error("could not decode the view from the leader")
-			return
-		}
-		w.updateMirror(&view)
-		message.view, message.epoch, message.revision = &view, response.Epoch, response.Revision
-		w.adoptView(response, view)
+	if view != nil {
+		message.view, message.epoch, message.revision = view, response.Epoch, response.Revision
+		w.learnControlInstances(*view)
 	}
 	received := timer.Now()
-	message.contact = &controlContact{at: received, confirms: peer.Confirms(sent, received, response.Followers)}
+	age := time.Duration(response.AgeMS) * time.Millisecond
+	message.contact = &controlContact{at: received.Before(age), confirms: peer.ConfirmsRelayed(sent, received, response.Followers, age)}
 	if !w.connected {
 		w.connected = true
 		gateway.options.Log.WithFields(log.Fields{
 			"change": "control", "from": "disconnected", "to": "connected", "epoch": response.Epoch, "revision": response.Revision,
 		}).Info("connected to the control instances")
 	}
-	w.request.Index, w.request.Count, w.request.Followers = response.Index, response.Count, response.Followers
 	select {
 	case gateway.task.mailbox <- message:
 	case <-w.ctx.Done():
 	}
 }
 
-// updateMirror applies a view to the mirror. When the leader's fleet is complete, it
-// adds the upstreams that the leader does not know to the removals of the view.
-func (w *watchTask) updateMirror(view *peer.View) {
-	switch {
-	case view.Full:
-		w.mirror.Compare(nil, view.Upstreams)
-	case w.request.Digest != "":
-		w.mirror.Compare(append([]int{}, view.Buckets...), view.Upstreams)
-	}
-	w.mirror.Remove(view.Removed)
-	w.mirror.Put(view.Upstreams)
-	if view.FleetComplete {
-		unconfirmed := w.mirror.Unconfirmed()
-		w.mirror.Remove(unconfirmed)
-		view.Removed = append(view.Removed, unconfirmed...)
-	}
-}
-
-// adoptView records in the next watch which view the entry has.
-func (w *watchTask) adoptView(response peer.WatchResponse, view peer.View) {
+// learnControlInstances takes the control instances of a view into the search for the
+// leader.
+func (w *watchTask) learnControlInstances(view peer.View) {
 	if len(view.Control) > 0 && !slices.Equal(view.Control, w.controlInstances) {
 		w.controlInstances = view.Control
 		w.updateLeaderSearch()
 	}
-	if view.Configuration != nil {
-		w.request.Version = max(w.request.Version, view.Configuration.Version)
-	}
-	w.request.Epoch, w.request.Revision = response.Epoch, response.Revision
-	w.request.FleetRevision, w.request.FleetComplete = view.FleetRevision, view.FleetComplete
-	w.request.Digest = ""
 }
 
 // updateLeaderSearch sets the instances among which the leader is searched: the
--- a/peer/message.go
+++ b/peer/message.go
@@ -119,6 +119,9 @@
 	// Epoch and Revision identify the view that the entry has.
 	Epoch    uint64 `json:"epoch"`
 	Revision uint64 `json:"revision"`
+	// Source identifies the relay whose revisions the view has. It is empty if they are
+	// those of a leader.
+	Source string `json:"source,omitempty"`
 	// FleetRevision is the revision of the upstreams in the entry's view.
 	FleetRevision uint64 `json:"fleet_revision"`
 	// Version is the version of the configuration that the entry follows.
@@ -138,6 +141,15 @@
 	// Digest is the encoded [fleet.Digest] of the upstreams that the entry knows. It
 	// is set after the leader asked for it, until the entry gets a view.
 	Digest string `json:"digest,omitempty"`
+	// Relay is set if a relay sends the watch, which then is not an entry.
+	Relay *Relay `json:"relay,omitempty"`
+}
+
+// Relay is what a relay reports to the leader: a control instance that passes the leader's
+// view on to entries.
+type Relay struct {
+	// Entries are the names of the entries that follow the relay.
+	Entries []string `json:"entries,omitempty"`
 }
 
 // CopyRequest asks any control instance for its copy of the view. The copy may be
@@ -252,6 +264,14 @@
 	Count int `json:"count"`
 	// Followers is the number of entries that follow the instance that answers.
 	Followers int `json:"followers,omitempty"`
+	// Source identifies the relay that answers. It is empty if the leader does.
+	Source string `json:"source,omitempty"`
+	// AgeMS is the time, in milliseconds, since the leader confirmed to a relay what the
+	// relay knows.
+	AgeMS int64 `json:"age_ms,omitempty"`
+	// Indexes are the positions of the entries that a relay has reported, in the same
+	// order, and -1 for those that are not counted yet.
+	Indexes []int `json:"indexes,omitempty"`
 	// View is an encoded [View]. It is empty when the entry has the newest one.
 	// It is encoded once for all entries that lack the same changes.
 	View []byte `json:"view,omitempty"`
--- a/peer/watch_test.go
+++ b/peer/watch_test.go
@@ -27,6 +27,7 @@
 			Steady: sent.Steady.Add(time.Duration(c.Int("steady_ms", 0)) * time.Millisecond),
 			Boot:   sent.Boot + time.Duration(c.Int("boot_ms", 0))*time.Millisecond,
 		}
-		return "confirms for " + peer.Confirms(sent, received, c.Int("entries", 1)).String()
+		age := time.Duration(c.Int("age_ms", 0)) * time.Millisecond
+		return "confirms for " + peer.ConfirmsRelayed(sent, received, c.Int("entries", 1), age).String()
 	}
 })
--- a/peer/watchtimeout.go
+++ b/peer/watchtimeout.go
@@ -38,3 +38,14 @@
 	}
 	return lasts
 }
+
+// ConfirmsRelayed returns the same, counted from the leader's answer to a relay, if that
+// had come an age before the relay's answer. It is never longer than the leader of many
+// entries takes itself.
+func ConfirmsRelayed(sent, received timer.Stamp, entries int, age time.Duration) time.Duration {
+	confirms := Confirms(sent, received, entries)
+	if confirms == 0 || age == 0 {
+		return confirms
+	}
+	return min(confirms+age, maxWatchTimeout+2*watchAnswerMargin)
+}
--- a/timer/stamp.go
+++ b/timer/stamp.go
@@ -28,3 +28,8 @@
 func (s Stamp) Since(earlier Stamp) time.Duration {
 	return max(s.Steady.Sub(earlier.Steady), s.Boot-earlier.Boot)
 }
+
+// Before returns the moment a duration before this one.
+func (s Stamp) Before(d time.Duration) Stamp {
+	return Stamp{Steady: s.Steady.Add(-d), Boot: s.Boot - d}
+}
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -1,5 +1,8 @@
-// Package watcher decides when a leader answers the watches (long polls) of the entries
-// that follow it. The package is part of the core.
+// Package watcher decides when an instance answers the watches (long polls) of the entries
+// that follow it, and numbers the entries of a system. The package is part of the core.
+//
+// Entries follow the leader, or a relay: another control instance, which follows the
+// leader itself. A [Table] holds those that follow one instance, a [Roster] all of them.
 //
 // A watch without a change is answered after a timeout, so that each side learns that the
 // other is alive. After a change all watches are due at the same time, and the entries
@@ -19,6 +22,7 @@
 package watcher
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -77,9 +81,6 @@
 // Table holds the entries that follow a leader. It is owned by one task.
 type Table struct {
 	entries map[string]*entry
-	// names holds the names of all entries, sorted. The index of an entry is its index
-	// here.
-	names []string
 	// due are the pending watches that are answered as soon as possible, outdated those
 	// that are answered in the next round, and current those without a change, in the
 	// order of their deadlines.
@@ -101,8 +102,6 @@
 	if e == nil {
 		e = &entry{name: name}
 		t.entries[name] = e
-		index, _ := slices.BinarySearch(t.names, name)
-		t.names = slices.Insert(t.names, index, name)
 	}
 	replaced = e.pending
 	t.lastSerial++
@@ -182,26 +181,26 @@
 	return queue
 }
 
-// Position returns the index of an entry among all entries, in the order of their names,
-// and their number.
-func (t *Table) Position(name string) (index, count int) {
-	index, _ = slices.BinarySearch(t.names, name)
-	return index, len(t.names)
-}
+// Has reports whether an entry follows this instance.
+func (t *Table) Has(name string) bool { return t.entries[name] != nil }
 
 // Len returns the number of entries.
-func (t *Table) Len() int { return len(t.names) }
+func (t *Table) Len() int { return len(t.entries) }
+
+// Names returns the sorted names of the entries.
+func (t *Table) Names() []string { return slices.Sorted(maps.Keys(t.entries)) }
+
+// Remove removes an entry, which then follows another instance.
+func (t *Table) Remove(name string) {
+	if e := t.entries[name]; e != nil {
+		e.pending = false
+		delete(t.entries, name)
+	}
+}
 
 // Prune removes the entries that have no pending watch and were last seen a lifetime ago.
 func (t *Table) Prune(now time.Time) {
-	t.names = slices.DeleteFunc(t.names, func(name string) bool {
-		e := t.entries[name]
-		if e.pending || now.Sub(e.lastSeen) < Lifetime {
-			return false
-		}
-		delete(t.entries, name)
-		return true
-	})
+	maps.DeleteFunc(t.entries, func(_ string, e *entry) bool { return !e.pending && now.Sub(e.lastSeen) >= Lifetime })
 }
 
 // Clear removes all entries.
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -21,12 +21,15 @@
 var start = time.Unix(1000, 0)
 
 var _ = script.Describe("watchers", "testdata/*.txt", func() script.Handler {
-	h := &harness{table: watcher.New()}
+	h := &harness{table: watcher.New(), roster: watcher.NewRoster()}
 	return h.run
 })
 
-// harness runs one table. Times are in milliseconds after the start.
-type harness struct{ table *watcher.Table }
+// harness runs one table and one roster. Times are in milliseconds after the start.
+type harness struct {
+	table  *watcher.Table
+	roster *watcher.Roster
+}
 
 func at(c script.Case) time.Time {
 	return start.Add(time.Duration(c.Int("ms", 0)) * time.Millisecond)
@@ -60,9 +63,20 @@
 		return strings.Join(h.table.Take(at(c)), " ")
 	case "drain":
 		return h.drain(at(c))
+	case "remove":
+		h.table.Remove(c.Args["name"])
+		return strings.Join(h.table.Names(), " ")
+	case "see":
+		for _, name := range names(c) {
+			h.roster.See(at(c), name, time.Duration(c.Int("lifetime", 2000))*time.Millisecond)
+		}
+		return ""
 	case "position":
-		index, count := h.table.Position(c.Args["name"])
+		index, count := h.roster.Position(c.Args["name"])
 		return fmt.Sprintf("%d of %d", index, count)
+	case "prune_roster":
+		h.roster.Prune(at(c))
+		return ""
 	case "prune":
 		h.table.Prune(at(c))
 		return fmt.Sprint(h.table.Len())
