replica: a new leader keeps the learner that it inherits

What callers saw: nothing by itself. Cause: a learner was dropped unless it was among the standbys. A new leader has received no join request yet, so each change of the leader dropped the learner of the former one. Change: a learner is dropped when it has not answered for as long as a voter may be silent, counted from the election or from its addition, or when its instance comes with another folder. It is promoted only while it answers.

--- a/replica/plan.go
+++ b/replica/plan.go
@@ -64,8 +64,7 @@
 }
 
 // Next returns the next membership, and true if a change is due. Each call makes
-// at most one step: it adds a learner, removes a learner that is no longer among
-// the standbys, removes a lost voter, or promotes a learner that has caught up. A
+// at most one step: it adds a learner, removes a learner that no longer answers, removes a lost voter, or promotes a learner that has caught up. A
 // voter is removed only when a learner is ready to replace it. The learner is
 // promoted by the first call after the removal is committed; until then the group
 // is one voter short.
@@ -78,11 +77,11 @@
 	if len(lost) == 0 && len(members.Voters) >= p.Target {
 		return members, false
 	}
-	learner, ready := caughtUpLearner(replica)
+	learner, ready := p.readyLearner(replica, now)
 	switch {
 	case len(members.Learners) == 0:
 		return p.addLearner(members, lost, standbys)
-	case p.learnerUnavailable(members.Learners[0], standbys):
+	case p.learnerUnavailable(replica, members.Learners[0], standbys, now):
 		members.Learners = members.Learners[1:]
 		return members, true
 	case !ready:
@@ -103,27 +102,34 @@
 func (p MembershipPlan) lostVoters(replica *Replica, standbys []Identity, now time.Time) []string {
 	lost := replica.UnresponsiveVoters(now, p.ReplaceAfter)
 	for _, id := range replica.Members.Voters {
-		folderReplaced := slices.ContainsFunc(standbys, func(s Identity) bool {
-			return s.Instance == InstanceOf(id) && s.ReplicaID != id
-		})
-		if folderReplaced && id != replica.Config.ID && !slices.Contains(lost, id) {
+		if hasNewFolder(id, standbys) && id != replica.Config.ID && !slices.Contains(lost, id) {
 			lost = append(lost, id)
 		}
 	}
 	return lost
 }
 
-func caughtUpLearner(r *Replica) (string, bool) {
+// readyLearner returns a learner that can be promoted: it has every committed entry, and
+// answers.
+func (p MembershipPlan) readyLearner(r *Replica, now time.Time) (string, bool) {
 	for _, id := range r.Members.Learners {
-		if r.CaughtUp(id) {
+		if r.CaughtUp(id) && !r.Unresponsive(now, id, 2*r.Config.ElectionTimeout) {
 			return id, true
 		}
 	}
 	return "", false
 }
 
-func (p MembershipPlan) learnerUnavailable(learner string, standbys []Identity) bool {
-	return !slices.ContainsFunc(standbys, func(s Identity) bool { return s.ReplicaID == learner })
+// learnerUnavailable reports whether a learner has not answered for too long, or has lost
+// its folder. Its join requests don't tell: a new leader has not received any yet.
+func (p MembershipPlan) learnerUnavailable(r *Replica, learner string, standbys []Identity, now time.Time) bool {
+	return r.Unresponsive(now, learner, p.ReplaceAfter) || hasNewFolder(learner, standbys)
+}
+
+// hasNewFolder reports whether the instance of a replica now sends join requests with
+// another data folder.
+func hasNewFolder(id string, standbys []Identity) bool {
+	return slices.ContainsFunc(standbys, func(s Identity) bool { return s.Instance == InstanceOf(id) && s.ReplicaID != id })
 }
 
 // addLearner adds the standby with the highest rank as a learner, so that the
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -126,6 +126,8 @@
 	// ackedSendTime is the send time of the newest message that the peer has
 	// answered. The leader lease is computed from it.
 	ackedSendTime time.Time
+	// addedAt is when this leader added the peer, or zero if it was elected with it.
+	addedAt time.Time
 	// snapshotSentAt is the time at which the last snapshot was sent.
 	snapshotSentAt time.Time
 }
@@ -296,14 +298,20 @@
 	}
 	var silent []string
 	for _, id := range r.Members.Voters {
-		p := r.progress[id]
-		if id != r.Config.ID && p != nil && now.Sub(laterOf(p.ackedSendTime, r.leaderSince)) > after {
+		if r.Unresponsive(now, id, after) {
 			silent = append(silent, id)
 		}
 	}
 	return silent
 }
 
+// Unresponsive reports whether another replica has not answered this leader for longer
+// than after, counted from the election or from when it was added.
+func (r *Replica) Unresponsive(now time.Time, id string, after time.Duration) bool {
+	p := r.progress[id]
+	return r.Role == RoleLeader && id != r.Config.ID && p != nil && now.Sub(laterOf(laterOf(p.ackedSendTime, p.addedAt), r.leaderSince)) > after
+}
+
 func laterOf(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/replica/replication.go
+++ b/replica/replication.go
@@ -51,7 +51,7 @@
 func (r *Replica) replicate(now time.Time, id string) {
 	peer := r.progress[id]
 	if peer == nil {
-		peer = &progress{nextIndex: r.log.lastIndex() + 1}
+		peer = &progress{nextIndex: r.log.lastIndex() + 1, addedAt: now}
 		r.progress[id] = peer
 	}
 	sentNS := now.Sub(r.createdAt).Nanoseconds()
