retry: the fraction of an entry's retry limit is rounded once, not drawn at each attempt

What callers saw: on the large deployment repeats piled up beyond what is allowed (BUDGET). Cause: the limit of one entry is a few retries, and its fraction was granted by a random number for each attempt. An entry whose upstreams shed tries many times in a window, so the number that allows one retry more comes sooner or later: every entry rounds up, and 449 entries together exceed the sum of their limits. The class: a probability that is drawn again after each failure is a certainty. Change: each entry has one number, a hash of its name and the service, for good. That the users' BUDGET had this cause is likely, and not shown: their record of it shows a CONFIG.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -367,13 +367,22 @@
 }
 
 func (s *State) hashRank(u *Upstream) uint64 {
+	return s.hash(u.Info.ID)
+}
+
+// hash returns a number that differs from entry to entry for the same key.
+func (s *State) hash(key string) uint64 {
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(s.Config.Name + "/" + u.Info.ID))
+	_, _ = h.Write([]byte(s.Config.Name + "/" + key))
 	// FNV-1a mixes the last bytes of its input too little to order by it. The
 	// multiplication spreads them over the high bits.
 	return h.Sum64() * 0x9e3779b97f4a7c15
 }
 
+// hashDraw returns a number from 0 up to 1 that differs from entry to entry for the same
+// key.
+func (s *State) hashDraw(key string) float64 { return float64(s.hash(key)>>11) / (1 << 53) }
+
 // retrySlackShare returns this entry's share of the retry slack, which is split
 // evenly over all entries. While the number of entries is not known, the share is
 // zero: hundreds of entries that start together would use a multiple of the slack.
@@ -391,7 +400,7 @@
 func (s *State) retryBudget(service string) *retry.Window {
 	w := s.retryBudgets[service]
 	if w == nil {
-		w = &retry.Window{Ratio: s.Config.RetryRatio, Length: s.Config.RetryWindow, SlackShare: s.retrySlackShare()}
+		w = &retry.Window{Ratio: s.Config.RetryRatio, Length: s.Config.RetryWindow, SlackShare: s.retrySlackShare(), Draw: s.hashDraw(service)}
 		s.retryBudgets[service] = w
 	}
 	return w
--- a/retry/window.go
+++ b/retry/window.go
@@ -18,11 +18,15 @@
 //
 // With hundreds of entries, the limit of one is a few retries, and its fraction
 // matters: rounded down, the entries together would leave a sixth of the limit
-// unused while upstreams shed. The fraction is therefore granted at random, so that the
-// sum over all entries follows the sum of the limits.
+// unused while upstreams shed. The fraction is therefore rounded by a number of
+// the entry's own, so that the sum over all entries follows the sum of the limits.
 type Window struct {
 	Ratio  float64
 	Length time.Duration
+	// Draw is a number from 0 up to 1, evenly spread over the entries: the limit is rounded up when its
+	// fraction is above it. With a number for each attempt, an entry that tries often
+	// enough would always round up.
+	Draw float64
 	// SlackShare is this entry's share in the slack of all entries: the number of
 	// retries and hedges that the limit allows besides the ratio.
 	SlackShare float64
@@ -47,12 +51,11 @@
 func (w *Window) CountRequest(now time.Time) { w.part(now).requests++ }
 
 // Spend counts one retry or hedge and returns true, or returns false if the given
-// share of the budget, from 0 to 1, is used up. draw is a random number from 0 up to 1
-// that decides on the fraction of the limit.
-func (w *Window) Spend(now time.Time, share, draw float64) bool {
+// share of the budget, from 0 to 1, is used up.
+func (w *Window) Spend(now time.Time, share float64) bool {
 	requests, retries := w.totals(now)
 	limit := share * budgetSafetyFactor * (w.Ratio*float64(requests) + w.SlackShare)
-	if float64(retries)+draw >= limit {
+	if float64(retries)+w.Draw >= limit {
 		return false
 	}
 	w.part(now).retries++
