retry: the limit of an entry does not follow the peaks of its own requests

Cause: a retry that a peak of an entry's requests has allowed counts for the length of a window, longer than the peak. The peaks of hundreds of entries do not coincide, so each spent up to its own peak, and the sum was above the limit of the sum. Change: the number of requests is taken less what an ordinary peak adds, 0.56 times its root.

--- a/retry/window.go
+++ b/retry/window.go
@@ -1,6 +1,9 @@
 package retry
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// partsPerWindow is the number of parts into which a window is divided. The
@@ -10,6 +13,9 @@
 	// limit. The limit is checked on arrivals at the upstreams, which may bunch up
 	// on the network.
 	budgetSafetyFactor = 0.92
+	// peakDeviations is by how many deviations the highest number of requests within a
+	// window's length lies above the mean, on average.
+	peakDeviations = 0.56
 )
 
 // Window is a retry budget for one service in one entry. Within any period of
@@ -54,7 +60,7 @@
 // share of the budget, from 0 to 1, is used up.
 func (w *Window) Spend(now time.Time, share float64) bool {
 	requests, retries := w.totals(now)
-	limit := share * budgetSafetyFactor * (w.Ratio*float64(requests) + w.SlackShare)
+	limit := share * budgetSafetyFactor * (w.Ratio*withoutPeak(requests) + w.SlackShare)
 	if float64(retries)+w.Draw >= limit {
 		return false
 	}
@@ -62,6 +68,14 @@
 	return true
 }
 
+// withoutPeak returns a number of requests without what an ordinary peak adds to it. A retry
+// that a peak has allowed counts for longer than the requests of the peak, and the peaks of
+// hundreds of entries do not coincide. Requests that arrive independently of each other
+// vary by the root of their number.
+func withoutPeak(requests int) float64 {
+	return max(0, float64(requests)-peakDeviations*math.Sqrt(float64(requests)))
+}
+
 func (w *Window) partNumber(now time.Time) int64 {
 	if w.origin.IsZero() {
 		w.origin = now.Add(-2 * w.Length)
