placement: the requests to an upstream that names a limit are shared by all entries

What callers saw: nothing. An upstream that had named a limit of 2.2 requests a second got 34 in four seconds, 18 allowed (LIMIT). Cause: the header was not read. Each entry on its own is not enough either: with more entries than the limit allows requests in four seconds, one request of each is too much. Change: a response's limit reaches the placement. The share of an entry, 0.65 of the limit by the largest number of entries that it was told within ten seconds, is rounded by a hash of the entry and the upstream, so that the sum over all entries follows the limit and most entries send nothing; without a number of entries the share is none. What can't be sent is refused at once (upstreams_limited). An entry without a share learns of the end by probes. Why it works: the sum needs no message between entries, so it holds for those that are out of contact, and it does not jump when entries come and go, since the hash is of names.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -50,7 +50,7 @@
 
 var names = header.Names{
 	RequestID: "Request-Id", Deadline: "Deadline", Target: "Target", Signature: "Signature",
-	NotRun: "Not-Run", Load: "Load", Cold: "Cold", Upstream: "Upstream", Leaving: "Leaving",
+	NotRun: "Not-Run", Load: "Load", Cold: "Cold", Upstream: "Upstream", Leaving: "Leaving", Limit: "Limit",
 }
 
 // fixture runs an entry, a control instance and upstreams on loopback addresses.
@@ -92,7 +92,7 @@
 	// leaving (announce it in each response), answer_leaving (in each but those to
 	// health checks), trickle_leaving (the same, with a pause of 700 ms before the
 	// body), rest (refuse each request and ask for 3 s of rest) or signed_rest (the
-	// same, as a response of its own).
+	// same, as a response of its own) or limited (name a limit of no request a second).
 	mode    atomic.Value
 	delayMS atomic.Int64
 	// connections counts the open connections.
@@ -334,6 +334,9 @@
 	w.Header().Set("Upstream", u.id)
 	w.Header().Set("Load", fmt.Sprintf("%d,0,6,100", u.running.Load()))
 	mode := u.mode.Load().(string)
+	if mode == "limited" {
+		w.Header().Set("Limit", "0.0")
+	}
 	if mode == "leaving" || strings.HasSuffix(mode, "_leaving") && r.URL.Path != "/health" {
 		w.Header().Set("Leaving", "1")
 	}
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -46,7 +46,7 @@
 		"version": gateway.configurationVersion(), "status": status, "outcome": outcomeName(finish.Outcome), "reason": reason,
 		"took_ms": took.Milliseconds(), "caller_timeout_ms": active.exchange.Request.CallerTimeout.Milliseconds(), "remaining_ms": time.Until(active.request.Deadline).Milliseconds(), "attempts": finish.AttemptsStarted,
 		"upstream": active.upstream, "upstream_domain": active.domain, "load_age_ms": active.basis.LoadAge.Milliseconds(), "cost": active.basis.Cost,
-		"known_upstreams": active.basis.Candidates, "eligible_upstreams": finish.EligibleUpstreams, "resting_upstreams": finish.RestingUpstreams, "leaving_upstreams": finish.LeavingUpstreams, "queue_length": finish.QueueLength, "load": active.basis.Load, "queue_time_ms": active.basis.Waited.Milliseconds(),
+		"known_upstreams": active.basis.Candidates, "eligible_upstreams": finish.EligibleUpstreams, "resting_upstreams": finish.RestingUpstreams, "leaving_upstreams": finish.LeavingUpstreams, "limited_upstreams": finish.LimitedUpstreams, "queue_length": finish.QueueLength, "load": active.basis.Load, "queue_time_ms": active.basis.Waited.Milliseconds(),
 		"tries": strings.Join(active.attemptSummaries, "; "), "control_contact_age_ms": gateway.controlContactAge().Milliseconds(),
 	}
 	if stop := t.placement.Stop; !stop.EndsAt.IsZero() {
@@ -105,6 +105,32 @@
 	t.gateway.options.Metrics.GetOrCreateGauge(fmt.Sprintf("oriolepost_resting_upstreams_ratio{service=%q}", service), nil).Set(float64(resting) / float64(max(1, known)))
 }
 
+// logLimitStarted counts an upstream that has named a limit, and logs the change.
+func (t *task) logLimitStarted(effect placement.LimitStarted) {
+	t.gateway.options.Metrics.GetOrCreateCounter("oriolepost_upstream_limits_total").Inc()
+	t.setLimitedRatio(effect.Service, effect.Limited, effect.Known)
+	t.gateway.options.Log.WithFields(log.Fields{
+		"change": "upstream_limit", "to": "limited", "upstream": effect.Upstream.ID, "service": effect.Service, "per_second": effect.PerSecond,
+		"quota": effect.Quota, "entries": effect.Entries, "limited_upstreams": effect.Limited, "known_upstreams": effect.Known,
+	}).Info("upstream named a limit")
+}
+
+func (t *task) logLimitEnded(effect placement.LimitEnded) {
+	t.setLimitedRatio(effect.Service, effect.Limited, effect.Known)
+	t.gateway.options.Log.WithFields(log.Fields{
+		"change": "upstream_limit", "to": "unlimited", "upstream": effect.Upstream.ID, "service": effect.Service,
+		"limited_upstreams": effect.Limited, "known_upstreams": effect.Known,
+	}).Info("limit of upstream ended")
+}
+
+// setLimitedRatio sets the ratio of a service's upstreams that have named a limit.
+func (t *task) setLimitedRatio(service string, limited, known int) {
+	if service == "" {
+		return
+	}
+	t.gateway.options.Metrics.GetOrCreateGauge(fmt.Sprintf("oriolepost_limited_upstreams_ratio{service=%q}", service), nil).Set(float64(limited) / float64(max(1, known)))
+}
+
 func (t *task) logDisconnected(active *activeRequest) {
 	if active == nil {
 		return
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -270,6 +270,10 @@
 		t.logRestStarted(e)
 	case placement.RestEnded:
 		t.logRestEnded(e)
+	case placement.LimitStarted:
+		t.logLimitStarted(e)
+	case placement.LimitEnded:
+		t.logLimitEnded(e)
 	}
 }
 
@@ -282,7 +286,7 @@
 	}
 	t.responses[ended.attempt] = ended.response
 	t.recordAttempt(ended)
-	t.step(placement.AttemptEnded{Attempt: ended.attempt, Outcome: ended.outcome, Load: ended.response.Load})
+	t.step(placement.AttemptEnded{Attempt: ended.attempt, Outcome: ended.outcome, Load: ended.response.Load, Limit: ended.response.Limit})
 	if response, unused := t.responses[ended.attempt]; unused {
 		if response.Rest != nil {
 			_ = response.Rest.Close()
--- a/header/header.go
+++ b/header/header.go
@@ -44,6 +44,9 @@
 	Upstream string
 	// Leaving is present in a response when the upstream that produced it leaves.
 	Leaving string
+	// Limit holds the number of requests a second that the upstream takes from all entries
+	// together, while it limits them; see [Names.ParseLimit].
+	Limit string
 }
 
 // retryAfter is the header in which a response with status 503 states, in seconds with
@@ -57,29 +60,45 @@
 // Any value marks it as leaving, except an empty one and 0.
 func (n Names) ParseNotice(response *http.Response) placement.Notice {
 	value := textproto.TrimString(response.Header.Get(n.Leaving))
-	notice := placement.Notice{Leaving: value != "" && value != "0"}
+	notice := placement.Notice{Leaving: value != "" && value != "0", Limit: n.ParseLimit(response.Header)}
 	if lines := response.Header[retryAfter]; response.StatusCode == http.StatusServiceUnavailable && len(lines) > 0 {
 		text := textproto.TrimString(lines[0])
-		notice.RestAsked, notice.RestSeconds = true, parseSeconds(text)
+		notice.RestAsked, notice.RestSeconds = true, parseNumber(text)
 		notice.RestText = text[:min(len(text), maxRestTextBytes)]
 	}
 	return notice
 }
 
-// parseSeconds returns NaN if the text is not a number, and an infinite number if it is
+// parseNumber returns NaN if the text is not a number, and an infinite number if it is
 // too large.
-func parseSeconds(text string) float64 {
-	seconds, err := strconv.ParseFloat(text, 64)
+func parseNumber(text string) float64 {
+	number, err := strconv.ParseFloat(text, 64)
 	if err != nil && !errors.Is(err, strconv.ErrRange) {
 		return math.NaN()
 	}
-	return seconds
+	return number
 }
 
-// RemoveNotice removes the announcement that an upstream leaves. It concerns this entry
-// and one upstream, and says nothing about the service that the caller sees. A response
-// that asks for rest is not forwarded.
-func (n Names) RemoveNotice(h http.Header) { h.Del(n.Leaving) }
+// ParseLimit returns the limit that a response names. A value that is not a number of zero
+// or more is ignored.
+func (n Names) ParseLimit(h http.Header) placement.RateLimit {
+	if n.Limit == "" {
+		return placement.RateLimit{}
+	}
+	perSecond := parseNumber(textproto.TrimString(h.Get(n.Limit)))
+	if math.IsNaN(perSecond) || perSecond < 0 {
+		return placement.RateLimit{}
+	}
+	return placement.RateLimit{Stated: true, PerSecond: perSecond}
+}
+
+// RemoveNotice removes what an upstream says about itself: that it leaves, and its limit.
+// It concerns this entry and one upstream, and says nothing about the service that the
+// caller sees. A response that asks for rest is not forwarded.
+func (n Names) RemoveNotice(h http.Header) {
+	h.Del(n.Leaving)
+	h.Del(n.Limit)
+}
 
 // hopByHopHeaders are not forwarded. Besides the headers that concern a single
 // connection, these are Content-Length, which an entry sets again, and Expect,
--- a/placement/attempt.go
+++ b/placement/attempt.go
@@ -200,6 +200,7 @@
 func (s *State) updateUpstreamStats(now time.Time, u *Upstream, a *attempt, pending *pendingRequest, e AttemptEnded) {
 	switch o := e.Outcome.(type) {
 	case Answered:
+		s.recordLimit(now, a.upstream, e.Limit)
 		if e.Load.Known {
 			s.recordLoad(now, u, e.Load)
 		}
@@ -297,7 +298,7 @@
 	s.emit(Finish{
 		Request: pending.request.ID, Outcome: pending.outcome, Attempt: answer, AttemptsStarted: pending.attemptsStarted,
 		EligibleUpstreams: s.countEligible(now, pending.request.Service), QueueLength: len(s.queue(pending.request.Service).waiting),
-		RestingUpstreams: resting, LeavingUpstreams: leaving,
+		RestingUpstreams: resting, LeavingUpstreams: leaving, LimitedUpstreams: s.countLimited(pending.request.Service),
 		ResponseTime: s.responseTime(pending.request),
 	})
 }
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -122,5 +122,8 @@
 	if now.Before(u.BackoffUntil) {
 		return false
 	}
+	if !s.maySendLimited(now, u) {
+		return false
+	}
 	return !now.Before(u.ColdUntil) || s.maySendToCold(now, u)
 }
--- a/placement/event.go
+++ b/placement/event.go
@@ -52,6 +52,9 @@
 	RestAsked   bool
 	RestSeconds float64
 	RestText    string
+	// Limit is the limit that the response names, if any. That a response names none is
+	// reported with its end.
+	Limit RateLimit
 }
 
 // Event is an input to [State.Step].
@@ -75,6 +78,8 @@
 	Cold time.Duration
 	// Failed is true when there was no response, or one from another upstream.
 	Failed bool
+	// Limit is what the response says about the upstream's limit.
+	Limit RateLimit
 }
 
 // NoticeReceived reports what an upstream said about itself, before the attempt or the
@@ -89,8 +94,10 @@
 type AttemptEnded struct {
 	Attempt AttemptID
 	Outcome Outcome
-	// Load is the load report in the response, if there was one.
-	Load Load
+	// Load is the load report in the response, if there was one, and Limit what the
+	// response says about the upstream's limit.
+	Load  Load
+	Limit RateLimit
 }
 
 // ViewReceived reports a change of the view from the leader of the control
@@ -186,6 +193,9 @@
 	// ReasonResting means that the upstreams of the service that could be used have
 	// all asked for rest.
 	ReasonResting Reason = "upstreams_resting"
+	// ReasonLimited means that this entry may send no more requests now to the upstreams of
+	// the service that could be used, because of the limits that they have named.
+	ReasonLimited Reason = "upstreams_limited"
 	// ReasonOverload means that no upstream was eligible or could respond in time.
 	ReasonOverload Reason = "overload"
 	// ReasonBudget means that the service's retry budget is used up.
@@ -257,6 +267,8 @@
 	// this entry at present, and LeavingUpstreams the number of those that have
 	// announced in a response that they leave.
 	RestingUpstreams, LeavingUpstreams int
+	// LimitedUpstreams is the number of the service's upstreams that have named a limit.
+	LimitedUpstreams int
 	// ResponseTime holds the response times of the request's route.
 	ResponseTime ResponseTime
 }
@@ -295,6 +307,29 @@
 	Resting, Known int
 }
 
+// LimitStarted reports that an upstream has named a limit to this entry.
+type LimitStarted struct {
+	Upstream Key
+	Service  string
+	// PerSecond is the limit for all entries, Quota the number of requests that this entry
+	// may send within a window of four seconds, and Entries the number of entries on which
+	// that is based.
+	PerSecond      float64
+	Quota, Entries int
+	// Limited is the number of the service's upstreams that are limited now, and Known the
+	// number of all.
+	Limited, Known int
+}
+
+// LimitEnded reports that an upstream no longer names a limit.
+type LimitEnded struct {
+	Upstream       Key
+	Service        string
+	Limited, Known int
+}
+
+func (LimitStarted) effect()    {}
+func (LimitEnded) effect()      {}
 func (StartProbe) effect()      {}
 func (StartAttempt) effect()    {}
 func (CancelAttempt) effect()   {}
--- a/placement/leaving.go
+++ b/placement/leaving.go
@@ -45,6 +45,9 @@
 // handleNotice applies what an upstream said about itself in a response. An
 // incarnation that the view does not list, or no longer lists, is marked as well.
 func (s *State) handleNotice(now time.Time, k Key, n Notice) {
+	if n.Limit.Stated {
+		s.recordLimit(now, k, n.Limit)
+	}
 	if !n.Leaving {
 		s.startRest(now, k, n)
 		return
--- a/placement/place.go
+++ b/placement/place.go
@@ -61,6 +61,7 @@
 		s.refuse(now, pending, NotRun{Reason: ReasonTimeout})
 		return
 	}
+	s.probeLimited(now, r.Service)
 	s.place(now, pending)
 }
 
@@ -106,6 +107,8 @@
 		return NotRun{Reason: ReasonLeaving}
 	case s.onlyResting(now, service):
 		return NotRun{Reason: ReasonResting}
+	case s.onlyLimited(now, service):
+		return NotRun{Reason: ReasonLimited}
 	}
 	return NotRun{Reason: ReasonOverload}
 }
@@ -317,6 +320,9 @@
 	s.requestOf[id] = pending.request.ID
 	u.InFlight[id] = now
 	u.SentSinceLoad++
+	if u.limit != nil {
+		u.limit.Sent = append(u.limit.Sent, now)
+	}
 	if now.Before(u.ColdUntil) {
 		u.coldSent = append(u.coldSent, now)
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -111,6 +111,8 @@
 	leaving bool
 	// rest is the upstream's last rest; nil if it did not ask for one lately.
 	rest *Rest
+	// limit is the limit that the upstream has named; nil if it names none.
+	limit *Limit
 	// coldSent holds the start times of the requests that were sent to the
 	// upstream while it was cold, within the last second plus coldWindowMargin.
 	coldSent []time.Time
@@ -161,7 +163,9 @@
 	leaving Leaving
 	// rests holds the rests by incarnation. Like leaving, it is kept when an upstream is
 	// removed, as an older view may list it again.
-	rests      map[Key]*Rest
+	rests map[Key]*Rest
+	// limits holds the limits by incarnation, and is kept in the same way.
+	limits     map[Key]*Limit
 	byService  map[string][]*Upstream
 	outDomains []string
 	// domainCount is the number of failure domains that have upstreams.
@@ -188,7 +192,7 @@
 // random choices are drawn from random.
 func New(cfg Config, random *rand.Rand) *State {
 	return &State{
-		Config: cfg, random: random, leaving: Leaving{Marked: map[Key]bool{}}, rests: map[Key]*Rest{},
+		Config: cfg, random: random, leaving: Leaving{Marked: map[Key]bool{}}, rests: map[Key]*Rest{}, limits: map[Key]*Limit{},
 		Upstreams: map[string]*Upstream{}, Services: map[string]route.Service{},
 		byService: map[string][]*Upstream{}, queues: map[string]*waitQueue{}, lowestPriority: map[string]int{}, highestPriority: map[string]int{}, requests: map[RequestID]*pendingRequest{},
 		requestOf: map[AttemptID]RequestID{}, retryBudgets: map[string]*retry.Window{}, retrySlack: retry.Slack{Total: cfg.RetrySlack, Length: cfg.RetryWindow},
@@ -310,7 +314,7 @@
 		}
 		s.Upstreams[u.ID] = &Upstream{
 			Info: u, ColdUntil: coldUntil, Healthy: true, InFlight: map[AttemptID]time.Time{}, MeasuredSlowdown: 1,
-			leaving: s.IsLeaving(KeyOf(u)), rest: s.rests[KeyOf(u)],
+			leaving: s.IsLeaving(KeyOf(u)), rest: s.rests[KeyOf(u)], limit: s.limits[KeyOf(u)],
 		}
 		return
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -72,14 +72,15 @@
 		key := placement.Key{ID: c.Args["upstream"], BornMS: int64(c.Int("born", 1))}
 		return s.stepAfterNotice(c, key, placement.ProbeResult{
 			Upstream: key, Failed: c.Bool("failed"), Healthy: !c.Bool("unhealthy"),
-			Cold: time.Duration(c.Int("cold", 0)) * time.Millisecond,
-			Load: placement.Load{Running: c.Int("running", 0), Slots: 6, Slowdown: c.Int("slowdown", 100), Known: !c.Bool("no_load")},
+			Cold:  time.Duration(c.Int("cold", 0)) * time.Millisecond,
+			Load:  placement.Load{Running: c.Int("running", 0), Slots: 6, Slowdown: c.Int("slowdown", 100), Known: !c.Bool("no_load")},
+			Limit: limit(c),
 		})
 	case "answer_probes":
 		return s.answerProbes(c)
 	case "attempt_end":
 		id := placement.AttemptID(c.Int("attempt", 1))
-		return s.stepAfterNotice(c, s.attempts[id], placement.AttemptEnded{Attempt: id, Outcome: attemptOutcome(c)})
+		return s.stepAfterNotice(c, s.attempts[id], placement.AttemptEnded{Attempt: id, Outcome: attemptOutcome(c), Limit: limit(c)})
 	case "notice":
 		return s.stepAfterNotice(c, placement.Key{ID: c.Args["upstream"], BornMS: 1}, nil)
 	case "stop":
@@ -155,7 +156,7 @@
 
 // notice returns what the upstream says about itself.
 func notice(c script.Case) placement.Notice {
-	n := placement.Notice{Leaving: c.Bool("leaving")}
+	n := placement.Notice{Leaving: c.Bool("leaving"), Limit: limit(c)}
 	if text, ok := c.Args["rest"]; ok {
 		n.RestAsked, n.RestText = true, text
 		var err error
@@ -166,6 +167,15 @@
 	return n
 }
 
+// limit returns what a response says about the upstream's limit.
+func limit(c script.Case) placement.RateLimit {
+	text, stated := c.Args["limit"]
+	if !stated {
+		return placement.RateLimit{}
+	}
+	return placement.RateLimit{Stated: true, PerSecond: number(text)}
+}
+
 func attemptOutcome(c script.Case) placement.Outcome {
 	reason := placement.Reason(c.Args["reason"])
 	switch c.Args["outcome"] {
@@ -207,6 +217,10 @@
 		return fmt.Sprintf("upstream_leaving %s born=%d", e.Upstream.ID, e.Upstream.BornMS)
 	case placement.RestStarted:
 		return fmt.Sprintf("rest_started %s length=%s valid=%v resting=%d/%d", e.Upstream.ID, e.Length, e.Valid, e.Resting, e.Known)
+	case placement.LimitStarted:
+		return fmt.Sprintf("limit_started %s per_second=%g quota=%d entries=%d limited=%d/%d", e.Upstream.ID, e.PerSecond, e.Quota, e.Entries, e.Limited, e.Known)
+	case placement.LimitEnded:
+		return fmt.Sprintf("limit_ended %s limited=%d/%d", e.Upstream.ID, e.Limited, e.Known)
 	case placement.RestEnded:
 		return fmt.Sprintf("rest_ended %s resting=%d/%d", e.Upstream.ID, e.Resting, e.Known)
 	}
--- a/placement/probe.go
+++ b/placement/probe.go
@@ -185,6 +185,9 @@
 		return
 	}
 	u.ProbeSentAt = time.Time{}
+	if !e.Failed {
+		s.recordLimit(now, e.Upstream, e.Limit)
+	}
 	switch {
 	case e.Failed:
 		s.backOff(now, u, 1)
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -82,6 +82,7 @@
 	restArrivals int
 	restLate     int
 	returns      int
+	limit        limitedMachine
 	// coldUntil is the time until which the machine is cold: it runs at half speed.
 	coldUntil time.Time
 	// coldStarts holds when requests arrived while it was cold.
@@ -155,6 +156,8 @@
 	entryOf        map[placement.RequestID]int
 	// restIgnored is true while the entries do not learn that they are asked for rest.
 	restIgnored bool
+	// limitsIgnored is true while the entries do not learn of limits.
+	limitsIgnored bool
 }
 
 var _ = script.Describe("replay", "testdata/replay/*.txt", func() script.Handler {
@@ -185,6 +188,9 @@
 	case "rest":
 		r.restMachines(c)
 		return ""
+	case "limit":
+		r.limitMachines(c)
+		return ""
 	case "refuse":
 		for _, m := range r.machineList {
 			m.refusalRatio = number(c.Args["ratio"])
@@ -415,6 +421,7 @@
 	if arrivals, late, returns := r.restCounts(); arrivals > 0 {
 		fmt.Fprintf(&b, "rest turned_away=%d late=%d returns=%d\n", arrivals, late, returns)
 	}
+	b.WriteString(r.limitText())
 	if target, ok := c.Args["target"]; ok {
 		fmt.Fprintf(&b, "target met: %v\n", valueRatio >= number(target))
 	}
@@ -477,7 +484,7 @@
 			r.cancel(entry, e.Attempt)
 		case placement.Finish:
 			r.finish(e)
-		case placement.UpstreamRemoved, placement.UpstreamLeaving, placement.RestStarted, placement.RestEnded:
+		case placement.UpstreamRemoved, placement.UpstreamLeaving, placement.RestStarted, placement.RestEnded, placement.LimitStarted, placement.LimitEnded:
 		}
 	}
 }
@@ -508,8 +515,9 @@
 			return
 		}
 		load, cold := m.load(), max(0, m.coldUntil.Sub(r.now))
+		limit := r.stateLimit(m, entry)
 		r.schedule(delay, func() {
-			r.perform(entry, r.entries[entry].Step(r.now, placement.ProbeResult{Upstream: key, Load: load, Healthy: true, Cold: cold}))
+			r.perform(entry, r.entries[entry].Step(r.now, placement.ProbeResult{Upstream: key, Load: load, Healthy: true, Cold: cold, Limit: limit}))
 		})
 	})
 }
@@ -530,6 +538,7 @@
 	}
 	r.jobs[attemptKey(entry, e.Attempt)] = j
 	r.schedule(dispatchDelay+r.networkDelay(entry, m), func() {
+		r.countLimited(m, entry)
 		if r.now.Before(m.coldUntil) {
 			m.coldStarts = append(m.coldStarts, r.now)
 		}
@@ -623,6 +632,7 @@
 
 func (r *replay) endJobWith(m *machine, j *job, o placement.Outcome, n placement.Notice) {
 	load := m.load()
+	limit := r.stateLimit(m, j.entry)
 	r.schedule(r.networkDelay(j.entry, m), func() {
 		if j.dropped {
 			return
@@ -632,7 +642,7 @@
 		if n != (placement.Notice{}) {
 			r.perform(j.entry, r.entries[j.entry].Step(r.now, placement.NoticeReceived{Upstream: key, Notice: n}))
 		}
-		r.perform(j.entry, r.entries[j.entry].Step(r.now, placement.AttemptEnded{Attempt: j.attempt, Outcome: o, Load: load}))
+		r.perform(j.entry, r.entries[j.entry].Step(r.now, placement.AttemptEnded{Attempt: j.attempt, Outcome: o, Load: load, Limit: limit}))
 	})
 }
 
--- a/retry/slack.go
+++ b/retry/slack.go
@@ -51,9 +51,18 @@
 	if s.knownSince.IsZero() || now.Sub(s.knownSince) < s.Length {
 		return 0
 	}
+	return s.Total / float64(s.Entries())
+}
+
+// Entries returns the largest number of entries that was reported within the last window,
+// and zero before the first report.
+func (s *Slack) Entries() int {
+	if s.knownSince.IsZero() {
+		return 0
+	}
 	largest := minAssumedEntries
 	for _, c := range s.counts {
 		largest = max(largest, c.count)
 	}
-	return s.Total / float64(largest)
+	return largest
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -66,6 +66,8 @@
 	Length int64
 	// Load is the upstream's load report that came with the response.
 	Load placement.Load
+	// Limit is what the response says about the upstream's limit.
+	Limit placement.RateLimit
 }
 
 // Exchange sends a request and waits for its response until the deadline of the
@@ -202,6 +204,7 @@
 	}
 	c.markIdle(received.Header.Get("Keep-Alive"))
 	response.Load = header.ParseLoad(received.Header.Get(names.Load))
+	response.Limit = names.ParseLimit(received.Header)
 	claim := Claim{
 		Status: received.StatusCode, Signed: received.Header.Get(names.Signature) != "",
 		NotRun: received.Header.Get(names.NotRun) != "",
--- a/upstream/probe.go
+++ b/upstream/probe.go
@@ -55,6 +55,7 @@
 	}
 	return placement.ProbeResult{
 		Load:    header.ParseLoad(response.Header.Get(names.Load)),
+		Limit:   names.ParseLimit(response.Header),
 		Healthy: response.StatusCode == http.StatusOK,
 		Cold:    time.Duration(cold * float64(time.Millisecond)),
 	}
