--- a/disk/disk_test.go
+++ b/disk/disk_test.go
@@ -54,6 +54,7 @@
 		b.faults.writes = c.Bool("write")
 		b.faults.syncs = c.Bool("sync")
 		b.faults.full = c.Bool("full")
+		b.faults.open = c.Bool("open")
 		b.faults.only = c.Args["only"]
 		return ""
 	case "damage":
@@ -137,6 +138,8 @@
 // before it fails with ENOSPC. It affects only files whose name begins with only.
 type diskFaults struct {
 	writes, syncs, full bool
+	// open makes the journal fail to open, as on a disk that fills up just then.
+	open bool
 	only                string
 }
 
@@ -148,6 +151,9 @@
 )
 
 func (f *diskFaults) create(path string) (disk.File, error) {
+	if f.open && filepath.Base(path) == "journal" {
+		return nil, syscall.ENOSPC
+	}
 	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	return &faultyFile{File: file, faults: f}, err
 }
--- a/disk/journal.go
+++ b/disk/journal.go
@@ -259,15 +259,16 @@
 	if err := f.replaceFile(journalFile, data); err != nil {
 		return fmt.Errorf("rewrite journal: %w", err)
 	}
+	journal, err := f.Create(f.filePath(journalFile))
+	if err != nil {
+		// The old journal is no longer in the folder. Without the cause, a full disk does
+		// not count as one on which the old journal can be used further.
+		return errors.New("open the new journal: " + err.Error())
+	}
 	if f.journal != nil {
 		if err := f.journal.Close(); err != nil {
-			return err
+			return errors.Join(err, journal.Close())
 		}
-		f.journal = nil
-	}
-	journal, err := f.Create(f.filePath(journalFile))
-	if err != nil {
-		return err
 	}
 	f.journal = journal
 	f.length = int64(len(data))
