control: disks that are full one after another, as a test

What callers saw: other operators report that changes stayed unanswered long after the last of several full disks had room again. Options.CreateFile lets tests give the data folder a disk that fails.

--- a/control/control.go
+++ b/control/control.go
@@ -48,6 +48,9 @@
 	Metrics *metrics.Set
 	// Dial replaces TCP between instances. Tests use it to cut connections.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// CreateFile replaces the opening of the files in the data folder, after that was read.
+	// Tests use it for disks that fail.
+	CreateFile func(path string) (disk.File, error)
 }
 
 // Control is a running control instance.
@@ -103,6 +106,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if options.CreateFile != nil {
+		folder.Create = options.CreateFile
+	}
 	pool := peer.NewPool(ctx, peer.Options{Metrics: options.Metrics, Dial: options.Dial})
 	leader := NewLeaderClient(pool, seeds, deployment.PeerPort)
 	c = &Control{folder: folder, leaderClient: leader, Done: make(chan error, 1)}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -23,6 +24,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/oriolepost/oriolepost/control"
+	"github.com/oriolepost/oriolepost/disk"
 	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/record"
@@ -48,7 +50,9 @@
 	instances map[string]*instance
 	// cut holds the addresses of the instances that are cut off from the
 	// others.
-	cut     atomic.Pointer[map[string]bool]
+	cut atomic.Pointer[map[string]bool]
+	// full holds the names of the instances whose disks are full.
+	full    atomic.Pointer[map[string]bool]
 	watches map[string]peer.WatchRequest
 	// mirrors holds, by entry, what it knows of the leader's fleet.
 	mirrors map[string]*fleet.Mirror
@@ -76,6 +80,7 @@
 	}
 	gomega.Expect(l.Close()).To(gomega.Succeed())
 	b.cut.Store(&map[string]bool{})
+	b.setFull(nil)
 	ginkgo.DeferCleanup(func() {
 		for name := range b.instances {
 			b.stop(name)
@@ -108,6 +113,9 @@
 		}
 		b.cut.Store(&cut)
 		return ""
+	case "disk_full":
+		b.setFull(testCase.List("names"))
+		return ""
 	case "wait":
 		timer.Pause(context.Background(), time.Duration(testCase.Int("ms", 0))*time.Millisecond)
 		return ""
@@ -166,12 +174,45 @@
 		DataFolder: filepath.Join(b.folder, name), FirstStart: first, LostInstances: lost,
 	}, control.Options{
 		Log: &log.Logger{Handler: discard.Default, Level: log.ErrorLevel}, Metrics: set,
-		Dial: func(ctx context.Context, address string) (net.Conn, error) { return b.dial(ctx, name, address) },
+		Dial:       func(ctx context.Context, address string) (net.Conn, error) { return b.dial(ctx, name, address) },
+		CreateFile: func(path string) (disk.File, error) { return b.createFile(name, path) },
 	})
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	b.instances[name] = &instance{started, set, cancel}
 }
 
+// setFull sets whose disks are full. The journals that are open when an instance starts are
+// not affected, so it must have taken a snapshot before.
+func (b *fixture) setFull(names []string) {
+	full := map[string]bool{}
+	for _, n := range names {
+		full[n] = true
+	}
+	b.full.Store(&full)
+}
+
+// createFile opens a file that fails while the disk of an instance is full.
+func (b *fixture) createFile(name, path string) (disk.File, error) {
+	isFull := func() bool { return (*b.full.Load())[name] }
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	return &fillableFile{File: file, isFull: isFull}, err
+}
+
+// fillableFile is a file on a disk that may be full.
+type fillableFile struct {
+	*os.File
+	isFull func() bool
+}
+
+// Write implements io.Writer. On a full disk it writes a part and fails.
+func (f *fillableFile) Write(p []byte) (int, error) {
+	if !f.isFull() {
+		return f.File.Write(p)
+	}
+	n, err := f.File.Write(p[:len(p)/2])
+	return n, errors.Join(err, syscall.ENOSPC)
+}
+
 var errCut = errors.New("connection cut by the test")
 
 // dial connects unless exactly one of the two ends is cut off. A cut also ends
