fleet: announcements with numbers at the ends of their types are refused

What callers saw: nothing; other operators report machines that end, or stop following the list, after one odd entry of another writer. Cause: a slow start of 1e300 ms became the largest int64 on arm64 and the smallest on x86-64, so that only one of them refused it; the end of such a cold time overflows. A number of slots or a start time at the end of its type was accepted, and a start time in the far future keeps the address or the id from its real owner for good, by a deregistration as well.

--- a/disk/disk_test.go
+++ b/disk/disk_test.go
@@ -140,7 +140,7 @@
 	writes, syncs, full bool
 	// open makes the journal fail to open, as on a disk that fills up just then.
 	open bool
-	only                string
+	only string
 }
 
 var (
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -68,21 +68,40 @@
 		return fieldError("service", `""`, "a service")
 	case u.Domain == "":
 		return fieldError("failure_domain", `""`, "a failure domain")
-	case u.Slots < 1:
-		return fieldError("slots", u.Slots, "1 or more")
-	case u.ColdMS < 0:
-		return fieldError("cold_ms", u.ColdMS, "0 or more")
+	case u.Slots < 1 || u.Slots > maxSlots:
+		return fieldError("slots", u.Slots, fmt.Sprintf("1 to %d", maxSlots))
+	case u.ColdMS < 0 || u.ColdMS > maxColdMS:
+		return fieldError("cold_ms", u.ColdMS, fmt.Sprintf("0 to %d", maxColdMS))
 	case u.StartMS <= 0:
 		return fieldError("born_ms", u.StartMS, "a Unix time in milliseconds")
 	}
+	if err := ValidateStart(u.StartMS); err != nil {
+		return err
+	}
 	if !validAddress(u.Address) {
 		return fieldError("address", fmt.Sprintf("%q", u.Address), "IP:port")
 	}
 	return nil
 }
 
-// maxPort is the highest TCP port.
-const maxPort = 65535
+// ValidateStart returns a [service.FieldError] for a start time in the far future. Such an
+// incarnation would count as newer than every other one of its id or its address.
+func ValidateStart(startMS int64) error {
+	if startMS > maxStartMS {
+		return fieldError("born_ms", startMS, fmt.Sprintf("%d at most", int64(maxStartMS)))
+	}
+	return nil
+}
+
+const (
+	// maxPort is the highest TCP port.
+	maxPort = 65535
+	// maxSlots and maxColdMS are far above what any upstream has, and low enough for sums
+	// over a fleet. maxStartMS is the end of the year 9999.
+	maxSlots   = 1_000_000
+	maxColdMS  = 24 * 60 * 60 * 1000
+	maxStartMS = 253402300799999
+)
 
 // validAddress reports whether an address is an IPv4 address with a port.
 func validAddress(address string) bool {
