--- a/faultsoak/faultsoak_test.go
+++ b/faultsoak/faultsoak_test.go
@@ -67,9 +67,9 @@
 	case "request_sent":
 		f.history = append(f.history, RequestSent{ID: id, Entry: cmp.Or(c.Args["entry"], "e"), Path: c.Args["path"], Body: c.Args["body"], Idempotent: c.Bool("idempotent"), Version: uint64(c.Int("version", 0)), At: at})
 	case "request_executed":
-		f.history = append(f.history, RequestExecuted{ID: id, Upstream: c.Args["upstream"], Path: c.Args["path"], Body: c.Args["body"], Cold: c.Bool("cold"), Leaving: c.Bool("leaving"), At: at})
+		f.history = append(f.history, RequestExecuted{ID: id, Upstream: c.Args["upstream"], Path: c.Args["path"], Body: c.Args["body"], Cold: c.Bool("cold"), Leaving: c.Bool("leaving"), Limit: float64(c.Int("limit", 0)), At: at})
 	case "request_refused":
-		f.history = append(f.history, RequestRefused{ID: id, Upstream: c.Args["upstream"], RetryAfter: time.Duration(c.Int("retry_after_ms", 0)) * time.Millisecond, Leaving: c.Bool("leaving"), At: at})
+		f.history = append(f.history, RequestRefused{ID: id, Upstream: c.Args["upstream"], RetryAfter: time.Duration(c.Int("retry_after_ms", 0)) * time.Millisecond, Leaving: c.Bool("leaving"), Limit: float64(c.Int("limit", 0)), At: at})
 	case "answer_received":
 		answer := ResponseReceived{ID: id, Status: c.Int("status", 200), Upstream: c.Args["upstream"], At: at}
 		if of, ok := c.Args["answer_of"]; ok {
--- a/faultsoak/history.go
+++ b/faultsoak/history.go
@@ -31,7 +31,9 @@
 	// Cold is true if the upstream is cold, and Leaving if its response announces
 	// that it leaves.
 	Cold, Leaving bool
-	At            time.Duration
+	// Limit is the limit that the upstream names, in requests a second; zero for none.
+	Limit float64
+	At    time.Duration
 }
 
 // ResponseReceived reports that a caller has received a complete response.
@@ -51,7 +53,9 @@
 	RetryAfter time.Duration
 	// Leaving is true if the response announces that the upstream leaves.
 	Leaving bool
-	At      time.Duration
+	// Limit is the limit that the upstream names, in requests a second; zero for none.
+	Limit float64
+	At    time.Duration
 }
 
 // ProcessStarted reports that the process of an instance has been started.
@@ -154,6 +158,9 @@
 	// WhileResting counts the requests from an entry to an upstream, beyond the first
 	// two, between restGrace after the upstream sent a Retry-After and its end.
 	WhileResting int `json:"while_resting"`
+	// OverLimit counts the requests to an upstream that names a limit, beyond the users'
+	// bound, from entries that had passed on a response with it.
+	OverLimit int `json:"over_limit"`
 	// StaleRead counts reads that returned an older version than one acknowledged
 	// more than Bounds.Apply before the read was sent.
 	StaleRead int `json:"stale_read"`
@@ -172,7 +179,7 @@
 
 // Broken reports whether any guarantee was violated.
 func (v Verdict) Broken() bool {
-	return v.RanTwice+v.FalseNotRun+v.WrongAnswer+v.Denied+v.NotAsked+v.AfterLeave+v.AfterNotice+v.WhileResting+v.StaleRead+v.StaleEntry+v.OverCold+v.Exits+v.NotRecovered > 0
+	return v.RanTwice+v.FalseNotRun+v.WrongAnswer+v.Denied+v.NotAsked+v.AfterLeave+v.AfterNotice+v.WhileResting+v.OverLimit+v.StaleRead+v.StaleEntry+v.OverCold+v.Exits+v.NotRecovered > 0
 }
 
 // maxExamples is the maximum number of violations that a verdict describes.
@@ -190,6 +197,7 @@
 type judge struct {
 	bounds       Bounds
 	verdict      Verdict
+	limits       limits
 	requests     map[string]RequestSent
 	executions   map[string]int
 	refused      map[string]bool
@@ -211,7 +219,7 @@
 func Judge(history []Event, b Bounds) Verdict {
 	j := &judge{
 		bounds: b, requests: map[string]RequestSent{}, executions: map[string]int{}, refused: map[string]bool{},
-		leftAt: map[string]time.Duration{}, lastFaultAt: map[string]time.Duration{}, coldArrivals: map[string][]time.Duration{}, served: map[string]bool{}, notices: newNotices(),
+		leftAt: map[string]time.Duration{}, lastFaultAt: map[string]time.Duration{}, coldArrivals: map[string][]time.Duration{}, served: map[string]bool{}, notices: newNotices(), limits: newLimits(),
 	}
 	for _, e := range history {
 		j.handleEvent(e)
@@ -236,12 +244,15 @@
 	case RequestExecuted:
 		j.checkExecution(e)
 		j.checkArrival(arrival{e.ID, e.Upstream, e.Leaving, e.At})
+		j.checkLimit(arrival{e.ID, e.Upstream, e.Leaving, e.At}, e.Limit)
 	case RequestRefused:
 		j.checkArrival(arrival{e.ID, e.Upstream, e.Leaving, e.At})
+		j.checkLimit(arrival{e.ID, e.Upstream, e.Leaving, e.At}, e.Limit)
 		j.noteRest(e)
 	case ResponseReceived:
 		j.checkAnswer(e)
 		j.notePassedOn(e)
+		j.noteLimitPassedOn(e)
 	case LeaveAcknowledged:
 		if _, acknowledged := j.leftAt[e.Upstream]; !acknowledged {
 			j.leftAt[e.Upstream] = e.At
--- a/faultsoak/inject.go
+++ b/faultsoak/inject.go
@@ -274,11 +274,16 @@
 }
 
 // changeBehaviour makes an upstream slow, or lets it lose responses, shed
-// requests or ask for rest. Only the end of this fault is recorded.
+// requests, ask for rest or name a limit. A limit lasts for limitTime. Only the end of this
+// fault is recorded.
 func (fi *faultInjector) changeBehaviour(ctx context.Context) {
 	u := pick(fi, fi.system.upstreams)
-	u.behaviour.Store(&[]behaviour{{slowdown: 8}, {slowdown: 1, lostResponseShare: 0.3}, {slowdown: 1, shedShare: 0.5}, {slowdown: 1, restShare: 0.1}}[fi.random.IntN(4)])
-	fi.endLater(ctx, fi.faultDuration(), u.info.ID, behaviourFault, func() { u.behaviour.Store(&behaviour{slowdown: 1}) })
+	u.behaviour.Store(&[]behaviour{{slowdown: 8}, {slowdown: 1, lostResponseShare: 0.3}, {slowdown: 1, shedShare: 0.5}, {slowdown: 1, restShare: 0.1}, {slowdown: 1, limit: 2}}[fi.random.IntN(5)])
+	duration := fi.faultDuration()
+	if u.behaviour.Load().limit > 0 {
+		duration = limitTime
+	}
+	fi.endLater(ctx, duration, u.info.ID, behaviourFault, func() { u.behaviour.Store(&behaviour{slowdown: 1}) })
 }
 
 // replaceUpstream starts a new upstream and lets an old one deregister. The old
--- a/faultsoak/upstream.go
+++ b/faultsoak/upstream.go
@@ -46,6 +46,9 @@
 	// restShare is the share of requests that are refused with 503 and a Retry-After
 	// from minRest to maxRest.
 	restShare float64
+	// limit is the number of requests a second that the responses name as the limit; zero
+	// for none.
+	limit float64
 }
 
 // upstream is one incarnation of an upstream: an HTTP server, and a task that
@@ -105,6 +108,10 @@
 	if leaving {
 		header.Set(names.Leaving, "1")
 	}
+	limit := u.behaviour.Load().limit
+	if limit > 0 {
+		header.Set(names.Limit, strconv.FormatFloat(limit, 'f', 1, 64))
+	}
 	cold := time.Until(u.coldUntil)
 	if r.URL.Path == healthPath {
 		if cold > 0 {
@@ -126,7 +133,7 @@
 		b = &behaviour{shedShare: 1}
 	}
 	if resting := rand.Float64() < b.restShare; resting || rand.Float64() < b.shedShare {
-		refused := RequestRefused{ID: id, Upstream: u.info.ID, Leaving: leaving, At: u.observer.now()}
+		refused := RequestRefused{ID: id, Upstream: u.info.ID, Leaving: leaving, Limit: limit, At: u.observer.now()}
 		if resting {
 			refused.RetryAfter = minRest + time.Duration(rand.Float64()*float64(maxRest-minRest)).Truncate(time.Millisecond)
 			header.Set("Retry-After", strconv.FormatFloat(refused.RetryAfter.Seconds(), 'f', 3, 64))
@@ -140,7 +147,7 @@
 	if err != nil {
 		return
 	}
-	u.observer.record(RequestExecuted{ID: id, Upstream: u.info.ID, Path: r.URL.Path, Body: string(body), Cold: cold > 0, Leaving: leaving, At: u.observer.now()})
+	u.observer.record(RequestExecuted{ID: id, Upstream: u.info.ID, Path: r.URL.Path, Body: string(body), Cold: cold > 0, Leaving: leaving, Limit: limit, At: u.observer.now()})
 	u.respond(w, r, id, b)
 }
 
