--- a/faultsoak/limits.go
+++ b/faultsoak/limits.go
@@ -1,6 +1,9 @@
 package faultsoak
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // The users' bound on the requests to an upstream that names a limit: from limitGrace after
 // it first did, at most limitFactor times what the limit allows within limitWindow, plus
@@ -67,10 +70,8 @@
 	if !passedOn || a.at < told+limitNotice || a.at < first+limitGrace || j.disturbedSince(h.entry, told) {
 		return
 	}
-	inWindow := append(l.arrivals[a.upstream], a.at)
-	for a.at-inWindow[0] > limitWindow {
-		inWindow = inWindow[1:]
-	}
+	l.arrivals[a.upstream] = append(l.arrivals[a.upstream], a.at)
+	inWindow := slices.DeleteFunc(l.arrivals[a.upstream], func(at time.Duration) bool { return a.at-at > limitWindow })
 	l.arrivals[a.upstream] = inWindow
 	if allowed := limitFactor*limit*limitWindow.Seconds() + limitSlack; float64(len(inWindow)) > allowed {
 		j.verdict.add(&j.verdict.OverLimit, "request %s reached %s from %s at %v, the %d. within %v from entries that had been told its limit of %g a second",
