replica: the newest join request of an instance tells its folder

An instance that has lost its disk did not become a voter again for up to 3 s, so that the loss of another one stopped the group. The join request that the instance had sent with its former folder is kept for 3 s, so the learner with the new one was dropped again and again. Change: the newest join request of the instance counts.

--- a/replica/plan.go
+++ b/replica/plan.go
@@ -126,10 +126,16 @@
 	return r.Unresponsive(now, learner, p.ReplaceAfter) || hasNewFolder(learner, standbys)
 }
 
-// hasNewFolder reports whether the instance of a replica now sends join requests with
+// hasNewFolder reports whether the newest join request of a replica's instance came with
 // another data folder.
 func hasNewFolder(id string, standbys []Identity) bool {
-	return slices.ContainsFunc(standbys, func(s Identity) bool { return s.Instance == InstanceOf(id) && s.ReplicaID != id })
+	var newest Identity
+	for _, s := range standbys {
+		if s.Instance == InstanceOf(id) && (newest.ReplicaID == "" || s.LastContact.After(newest.LastContact)) {
+			newest = s
+		}
+	}
+	return newest.ReplicaID != "" && newest.ReplicaID != id
 }
 
 // addLearner adds the standby with the highest rank as a learner, so that the
--- a/replica/plan_test.go
+++ b/replica/plan_test.go
@@ -44,6 +44,10 @@
 			return ""
 		case "next":
 			var standbys []replica.Identity
+			// The former standbys sent their last join requests a second ago.
+			for _, id := range c.List("former") {
+				standbys = append(standbys, replica.Identity{ReplicaID: id, Instance: replica.InstanceOf(id), LastContact: now.Add(-time.Second)})
+			}
 			for _, id := range c.List("standbys") {
 				standbys = append(standbys, replica.Identity{ReplicaID: id, Instance: replica.InstanceOf(id), LastContact: now})
 			}
