--- a/control/relay.go
+++ b/control/relay.go
@@ -182,8 +182,8 @@
 type relaySeen struct {
 	at      time.Time
 	entries int
-	// told is true once the relay knows that it is needed.
-	told bool
+	// ready is true once the relay knows that it is needed.
+	ready bool
 }
 
 // relayFor returns the instance of the relay that an entry is to follow instead of this
@@ -198,7 +198,7 @@
 	}
 	best, found := "", relaySeen{}
 	for instance, seen := range t.relaysSeen {
-		if !seen.told || now.Sub(seen.at) >= watcher.Lifetime {
+		if !seen.ready || now.Sub(seen.at) >= watcher.Lifetime {
 			continue
 		}
 		if best == "" || seen.entries < found.entries || seen.entries == found.entries && instance < best {
--- a/control/task.go
+++ b/control/task.go
@@ -93,7 +93,7 @@
 	relay     *relay
 	relayPool *peer.Pool
 	relaying  bool
-	// watched is the state as of which the watchers were last told of a change.
+	// watched is the state as of which the watchers last learned of a change.
 	watched watchedVersion
 	// heldWatches are the watches that wait for a leader, until heldUntil.
 	heldWatches []watchMessage
--- a/control/watch.go
+++ b/control/watch.go
@@ -24,7 +24,7 @@
 // the watch is held, so that an entry that looks for the leader learns of it
 // immediately and does not retry again and again. An instance outside the voter
 // group, as after the loss of its disk, can't know when there is a leader, so
-// it refuses the watch. A relay answers it from what the leader has told it.
+// it refuses the watch. A relay answers it from the leader's view that it has.
 func (t *task) watch(now time.Time, message watchMessage) {
 	switch {
 	case t.leads() && !t.replica.LeadingSince().IsZero():
@@ -169,7 +169,7 @@
 	case request.Relay != nil:
 		_, response.Count = t.roster.Position("")
 		if seen := t.relaysSeen[request.Entry]; response.Count > maxDirectEntries {
-			seen.told = true
+			seen.ready = true
 			t.relaysSeen[request.Entry] = seen
 		}
 		for _, name := range request.Relay.Entries {
--- a/faultsoak/limits.go
+++ b/faultsoak/limits.go
@@ -23,15 +23,15 @@
 	// named holds, by upstream, when it first named its present limit.
 	named map[string]time.Duration
 	// responses holds the requests, by id and upstream, whose response names a limit, and
-	// told when an entry first passed one on.
+	// notified when an entry first passed one on.
 	responses map[[2]string]bool
-	told      map[hop]time.Duration
+	notified  map[hop]time.Duration
 	// arrivals holds, by upstream, the requests of the last window that count.
 	arrivals map[string][]time.Duration
 }
 
 func newLimits() limits {
-	return limits{named: map[string]time.Duration{}, responses: map[[2]string]bool{}, told: map[hop]time.Duration{}, arrivals: map[string][]time.Duration{}}
+	return limits{named: map[string]time.Duration{}, responses: map[[2]string]bool{}, notified: map[hop]time.Duration{}, arrivals: map[string][]time.Duration{}}
 }
 
 // noteLimitPassedOn keeps the first response with a limit that each entry has passed on. A
@@ -41,8 +41,8 @@
 		return
 	}
 	h := hop{j.requests[e.ID].Entry, e.Upstream}
-	if at, told := j.limits.told[h]; !told || j.interruptedSince(h.entry, at) {
-		j.limits.told[h] = e.At
+	if at, notified := j.limits.notified[h]; !notified || j.interruptedSince(h.entry, at) {
+		j.limits.notified[h] = e.At
 	}
 }
 
@@ -53,9 +53,9 @@
 	if limit == 0 {
 		delete(l.named, a.upstream)
 		delete(l.arrivals, a.upstream)
-		for h := range l.told {
+		for h := range l.notified {
 			if h.upstream == a.upstream {
-				delete(l.told, h)
+				delete(l.notified, h)
 			}
 		}
 		return
@@ -66,15 +66,15 @@
 		l.named[a.upstream], first = a.at, a.at
 	}
 	h := hop{j.requests[a.id].Entry, a.upstream}
-	told, passedOn := l.told[h]
-	if !passedOn || a.at < told+limitNotice || a.at < first+limitGrace || j.disturbedSince(h.entry, told) {
+	notified, passedOn := l.notified[h]
+	if !passedOn || a.at < notified+limitNotice || a.at < first+limitGrace || j.disturbedSince(h.entry, notified) {
 		return
 	}
 	l.arrivals[a.upstream] = append(l.arrivals[a.upstream], a.at)
 	inWindow := slices.DeleteFunc(l.arrivals[a.upstream], func(at time.Duration) bool { return a.at-at > limitWindow })
 	l.arrivals[a.upstream] = inWindow
 	if allowed := limitFactor*limit*limitWindow.Seconds() + limitSlack; float64(len(inWindow)) > allowed {
-		j.verdict.add(&j.verdict.OverLimit, "request %s reached %s from %s at %v, the %d. within %v from entries that had been told its limit of %g a second",
+		j.verdict.add(&j.verdict.OverLimit, "request %s reached %s from %s at %v, the %d. within %v from entries that knew its limit of %g a second",
 			a.id, a.upstream, h.entry, a.at, len(inWindow), limitWindow, limit)
 	}
 }
--- a/placement/limited.go
+++ b/placement/limited.go
@@ -26,7 +26,7 @@
 	// of half a request that is the worst case, by less than a third of the limit's ratio
 	// that is left.
 	limitUseRatio = 0.65
-	// maxLimit is the highest limit that is told from none.
+	// maxLimit is the highest limit that is distinguished from none.
 	maxLimit = 1e6
 	// limitHold is how long a limit holds after the last response that named it, if a
 	// response without one arrives. That may be older.
@@ -105,7 +105,7 @@
 
 // limitQuota returns how many requests this entry may send to a limited upstream within a
 // window. An entry that does not know the number of entries may send none. It uses the
-// largest number that it has been told lately: a new leader does not know all entries yet.
+// largest number that was reported lately: a new leader does not know all entries yet.
 func (s *State) limitQuota(k Key, l *Limit) int {
 	entries := s.retrySlack.Entries()
 	if entries == 0 {
--- a/placement/limited_test.go
+++ b/placement/limited_test.go
@@ -10,7 +10,7 @@
 
 const (
 	// limitWindow, limitFactor and limitSlack are the users' bound: what an upstream may get
-	// within a window from the entries that it has told half a second before.
+	// within a window from the entries that it has notified half a second before.
 	limitWindow = 4 * time.Second
 	limitFactor = 1.5
 	limitSlack  = 5
@@ -24,9 +24,9 @@
 	// perSecond is the limit that the machine names until a time, first named since.
 	perSecond    float64
 	since, until time.Time
-	// told holds, by entry, when a response first named the limit.
-	told map[int]time.Time
-	// arrivals are the requests of the entries that had been told.
+	// notified holds, by entry, when a response first named the limit.
+	notified map[int]time.Time
+	// arrivals are the requests of the entries that had been notified.
 	arrivals []time.Time
 	// over counts the arrivals above the bound, and most is the most in a window.
 	over, most int
@@ -40,7 +40,7 @@
 			continue
 		}
 		m.limit = limitedMachine{
-			perSecond: number(c.Args["per_second"]), since: r.now, until: r.now.Add(time.Duration(c.Int("ms", 0)) * time.Millisecond), told: map[int]time.Time{},
+			perSecond: number(c.Args["per_second"]), since: r.now, until: r.now.Add(time.Duration(c.Int("ms", 0)) * time.Millisecond), notified: map[int]time.Time{},
 		}
 	}
 	r.limitsIgnored = c.Bool("former")
@@ -51,8 +51,8 @@
 	if !r.now.Before(m.limit.until) {
 		return placement.RateLimit{}
 	}
-	if _, told := m.limit.told[entry]; !told {
-		m.limit.told[entry] = r.now
+	if _, notified := m.limit.notified[entry]; !notified {
+		m.limit.notified[entry] = r.now
 	}
 	if r.limitsIgnored {
 		return placement.RateLimit{}
@@ -63,8 +63,8 @@
 // countLimited counts a request that arrives at a machine.
 func (r *replay) countLimited(m *machine, entry int) {
 	l := &m.limit
-	told, known := l.told[entry]
-	if !known || r.now.Sub(told) < limitNotice || r.now.Sub(l.since) < limitGrace || !r.now.Before(l.until) {
+	notified, known := l.notified[entry]
+	if !known || r.now.Sub(notified) < limitNotice || r.now.Sub(l.since) < limitGrace || !r.now.Before(l.until) {
 		return
 	}
 	l.arrivals = append(l.arrivals, r.now)
@@ -81,7 +81,7 @@
 func (r *replay) limitText() string {
 	limited, over, most := 0, 0, 0
 	for _, m := range r.machineList {
-		if m.limit.told != nil {
+		if m.limit.notified != nil {
 			limited++
 			over += m.limit.over
 			most = max(most, m.limit.most)
