control: an instance that stops answers 'lost' to the requests that wait

Cause: the wait ended with the context, which the other instance got as an internal error; LeaderClient does not repeat those. Change: the answer is that of a lost leader, which is repeated elsewhere.

--- a/control/message.go
+++ b/control/message.go
@@ -111,7 +111,13 @@
 	select {
 	case a := <-reply:
 		return a.response, a.err
+	case <-t.ctx.Done():
+		// The request may still be in force. Whoever sent it asks another instance.
+		return peer.Nothing{}, &peer.RefusedError{Code: peer.CodeLost, Reason: "the instance stops"}
 	case <-ctx.Done():
+		if t.ctx.Err() != nil {
+			return peer.Nothing{}, &peer.RefusedError{Code: peer.CodeLost, Reason: "the instance stops"}
+		}
 		return peer.Nothing{}, ctx.Err()
 	}
 }
