review: case 1, a system that loses one seed at its first start never serves

Cause: the voter group is formed only when all initial seeds have answered in the same round, and the initial seeds never change. The former cases 1 to 3 are now 2 to 4.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -2,4 +2,4 @@
 # Plays case 2: exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/oriolepost ] && [ -x target/review-standin ] || exit 2
-exec target/review-standin foreign-beat review/2/record.txt
+exec target/review-standin late-order review/2/record.txt
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -109,6 +109,12 @@
 
 // newSystem starts control instances and entries, one after the other in the zones.
 func newSystem(r *record, program string, controls, entries int) (*system, error) {
+	return newSystemWithout(r, program, controls, entries, -1)
+}
+
+// newSystemWithout does the same, and kills the control instance with an index as soon as
+// its process was started.
+func newSystemWithout(r *record, program string, controls, entries, lost int) (*system, error) {
 	folder, err := os.MkdirTemp("", "oriolepost-review-")
 	if err != nil {
 		return nil, err
@@ -166,6 +172,10 @@
 			s.stop()
 			return nil, err
 		}
+		if lost >= 0 && n == s.control[lost] {
+			r.add("platform: %s is killed as it starts", n.name)
+			s.kill(n)
+		}
 	}
 	return s, nil
 }
