--- a/faultsoak/clients.go
+++ b/faultsoak/clients.go
@@ -18,7 +18,9 @@
 const (
 	serviceName = "booking"
 	serviceHost = "booking.example"
-	healthPath  = "/health"
+	// softwareVersion is the version that all upstreams announce.
+	softwareVersion = "v1"
+	healthPath      = "/health"
 	// callerTimeout is the time after which a caller abandons a request.
 	callerTimeout = 1500 * time.Millisecond
 	// coldRate is the number of requests a second to a cold upstream that its
--- a/faultsoak/upstream.go
+++ b/faultsoak/upstream.go
@@ -75,7 +75,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	u := &upstream{
 		info: fleet.Upstream{
-			ID: id, Service: serviceName, Address: relayAddress, Domain: domain, Slots: slots, StartMS: time.Now().UnixMilli(),
+			ID: id, Service: serviceName, Version: softwareVersion, Address: relayAddress, Domain: domain, Slots: slots,
+			StartMS: time.Now().UnixMilli(),
 		},
 		coldUntil: time.Now().Add(coldTime), busy: make(chan struct{}, slots), observer: o, controlAddresses: control,
 		leave: make(chan struct{}, 1), stop: cancel,
--- a/fleet/digest.go
+++ b/fleet/digest.go
@@ -28,6 +28,11 @@
 		_, _ = h.WriteString(field)
 		_, _ = h.Write([]byte{0})
 	}
+	// Without a version the hash is that of instances that do not know versions, so that
+	// an upgrade does not make whole fleets differ.
+	if u.Version != "" {
+		_, _ = h.WriteString(u.Version)
+	}
 	return uint32(h.Sum64())
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -40,6 +40,9 @@
 type Upstream struct {
 	ID      string `json:"id"`
 	Service string `json:"service"`
+	// Version is the version of the upstream's software. It is empty in logs and
+	// snapshots written before it was recorded.
+	Version string `json:"version,omitempty"`
 	// Address is the IP:port that accepts requests.
 	Address string `json:"address"`
 	// Domain is the upstream's failure domain.
@@ -199,7 +202,7 @@
 	}
 	old.LastContact = now
 	upstream.Draining = upstream.Draining || old.Draining
-	same := old.Address == upstream.Address && old.Service == upstream.Service && old.Domain == upstream.Domain &&
+	same := old.Address == upstream.Address && old.Service == upstream.Service && old.Version == upstream.Version && old.Domain == upstream.Domain &&
 		old.Slots == upstream.Slots && old.Draining == upstream.Draining
 	colder := upstream.ColdMS > 0 && coldUntil.After(old.ColdUntil.Add(coldEndTolerance))
 	if same && !colder {
--- a/terminal/serve.go
+++ b/terminal/serve.go
@@ -132,7 +132,7 @@
 		if s.control, err = control.Start(ctx, deployment, control.Options{Log: s.log, Metrics: s.metrics}); err != nil {
 			return err
 		}
-		l, err := platform.ListenControl(deployment.Control, platform.Calls{Leader: s.control.Call, Metrics: s.metrics})
+		l, err := platform.ListenControl(deployment.Control, platform.Calls{Leader: s.control.Call, Metrics: s.metrics, Log: s.log})
 		if err != nil {
 			return err
 		}
