fleet: incarnations of services that the configuration names come first

Cause: an agent that announces a machine under its former service, in the right form and with a later start, displaced the upstream that runs there now by its id or its address, and an announcement that it drains held for the id forever. Change: fleet.Services.Outranks orders incarnations by whether the configuration in force names their service, then by start; the log records by the same order. Refused ones are counted as unnamed, logged once in 5 s, forwarded in full instead of as a renewal, and never committed as draining.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -181,9 +181,18 @@
 	return record.Done{Index: index, Version: c.Configuration.Version}
 }
 
+// Services returns the names of the services of the configuration in force.
+func (c *Catalog) Services() fleet.Services {
+	if c.Configuration == nil {
+		return nil
+	}
+	return c.Configuration.ServiceNames()
+}
+
 func (c *Catalog) enroll(e record.Enroll) {
+	services := c.Services()
 	for _, u := range e.Upstreams {
-		if known, ok := c.Upstreams[u.ID]; !ok || known.StartMS <= u.StartMS {
+		if known, ok := c.Upstreams[u.ID]; !ok || !services.Outranks(known, u) {
 			c.Upstreams[u.ID] = u
 		}
 	}
--- a/control/announce.go
+++ b/control/announce.go
@@ -54,7 +54,14 @@
 		return nil
 	}
 	if !message.request.Leaving {
+		// That an upstream drains holds for its id forever, also for earlier
+		// incarnations. With a service that the configuration does not name, the writer
+		// may not be the upstream, so it is not committed.
 		t.applyAnnouncement(now, upstream)
+		if !t.fleet.Services.Name(upstream.Service) {
+			message.answer <- answer{response: peer.Nothing{}}
+			return nil
+		}
 	}
 	if startMS, retired := t.fleet.Retired[upstream.ID]; retired && upstream.StartMS <= startMS {
 		message.answer <- answer{response: peer.Nothing{}}
@@ -73,12 +80,12 @@
 func (t *task) applyAndForward(now time.Time, request peer.AnnounceRequest) {
 	upstream := request.Upstream
 	upstream.Sequence = request.Sequence
-	changed := t.applyAnnouncement(now, upstream)
+	change := t.applyAnnouncement(now, upstream)
 	if t.leads() {
 		return
 	}
 	due := now.Add(forwardDelay)
-	if !changed && !t.mustForwardFully(upstream) {
+	if onlyRenews(change) && !t.mustForwardFully(upstream) {
 		t.pendingRenewals = append(t.pendingRenewals, upstream.ID)
 		due = now.Add(renewalForwardDelay)
 	} else if len(t.pendingAnnouncements) < maxPendingAnnouncements {
@@ -89,6 +96,19 @@
 	}
 }
 
+// onlyRenews reports whether an announcement can be forwarded as an id whose lifetime is
+// extended. One that was refused can't: the id belongs to another incarnation, which may
+// have ended.
+func onlyRenews(change fleet.Change) bool {
+	switch change.(type) {
+	case fleet.Renewed, fleet.Repeated:
+		return true
+	case fleet.Joined, fleet.Updated, fleet.Stale, fleet.Unnamed:
+		return false
+	}
+	return false
+}
+
 // mustForwardFully reports whether an announcement that changes nothing is forwarded
 // in full.
 func (t *task) mustForwardFully(u fleet.Upstream) bool {
@@ -175,26 +195,37 @@
 	}
 }
 
-// applyAnnouncement applies an announcement to the fleet and reports whether the
-// fleet changed. It logs changes and stale announcements.
-func (t *task) applyAnnouncement(now time.Time, upstream fleet.Upstream) bool {
-	change := ""
-	reason := ""
-	switch c := t.fleet.Announce(now, upstream).(type) {
+// unnamedLogInterval limits the log lines about announcements for services that the
+// configuration does not name: their writer sends one every 1.5 s for each upstream.
+const unnamedLogInterval = 5 * time.Second
+
+// applyAnnouncement applies an announcement to the fleet and returns the change. It logs
+// changes and refused announcements.
+func (t *task) applyAnnouncement(now time.Time, upstream fleet.Upstream) fleet.Change {
+	change := t.fleet.Announce(now, upstream)
+	event, reason, logged := "", "", true
+	switch change := change.(type) {
 	case fleet.Joined:
-		change = "joined"
+		event = "joined"
 		t.scheduleRecording(now)
 	case fleet.Updated:
-		change = "updated"
+		event = "updated"
 	case fleet.Stale:
-		change, reason = "stale", c.Reason
+		event, reason = "stale", change.Reason
+	case fleet.Unnamed:
+		event, reason = "unnamed", "the configuration does not name the service, and the id or the address belongs to one that it names"
+		if logged = !now.Before(t.unnamedLogAt); logged {
+			t.unnamedLogAt = now.Add(unnamedLogInterval)
+		}
 	case fleet.Repeated, fleet.Renewed:
-		return false
+		return change
+	}
+	t.metrics.GetOrCreateCounter(`oriolepost_announcements_total{change="` + event + `"}`).Inc()
+	if logged {
+		t.log.WithFields(log.Fields{
+			"change": "upstream", "event": event, "reason": reason, "upstream": upstream.ID, "service": upstream.Service, "address": upstream.Address,
+			"start_ms": upstream.StartMS, "sequence": upstream.Sequence, "draining": upstream.Draining, "cold_ms": upstream.ColdMS, "revision": t.fleet.Revision,
+		}).Info("upstream announced")
 	}
-	t.metrics.GetOrCreateCounter(`oriolepost_announcements_total{change="` + change + `"}`).Inc()
-	t.log.WithFields(log.Fields{
-		"change": "upstream", "event": change, "reason": reason, "upstream": upstream.ID, "service": upstream.Service, "address": upstream.Address,
-		"start_ms": upstream.StartMS, "sequence": upstream.Sequence, "draining": upstream.Draining, "cold_ms": upstream.ColdMS, "revision": t.fleet.Revision,
-	}).Info("upstream announced")
-	return change != "stale"
+	return change
 }
--- a/control/apply.go
+++ b/control/apply.go
@@ -63,6 +63,7 @@
 	fields := log.Fields{"index": index, "term": t.replica.Term}
 	switch command := command.(type) {
 	case record.PutConfiguration:
+		t.fleet.Services = t.state.Catalog.Services()
 		fields["change"], fields["version"] = "configuration", command.Configuration.Version
 		fields["in_force"] = t.state.Catalog.Configuration.Version
 	case record.SetDomain:
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -121,7 +121,7 @@
 		return ""
 	case "configure":
 		return b.call(testCase, name, peer.ProposeRequest{Command: record.PutConfiguration{
-			Configuration: route.Configuration{Version: uint64(testCase.Int("version", 0))},
+			Configuration: route.Configuration{Version: uint64(testCase.Int("version", 0)), Services: servicesOf(testCase)},
 			Original:      append([]byte(testCase.Args["text"]), incompressible(testCase.Int("bytes", 0))...),
 		}})
 	case "domain":
@@ -130,7 +130,7 @@
 		return b.call(testCase, name, peer.ReadRequest{})
 	case "announce":
 		u := fleet.Upstream{
-			ID: testCase.Args["id"], Service: "booking", Address: cmp.Or(testCase.Args["address"], "10.0.0.1:80"), Domain: "palermo", Slots: 6,
+			ID: testCase.Args["id"], Service: cmp.Or(testCase.Args["service"], "booking"), Address: cmp.Or(testCase.Args["address"], "10.0.0.1:80"), Domain: "palermo", Slots: 6,
 			StartMS: int64(testCase.Int("born", 1)), Draining: testCase.Bool("draining"),
 		}
 		return b.call(testCase, name, peer.AnnounceRequest{Upstream: u, Sequence: uint64(testCase.Int("sequence", 1)), Leaving: testCase.Bool("leaving")})
@@ -157,6 +157,15 @@
 	return "unknown command"
 }
 
+// servicesOf returns the services of a configuration.
+func servicesOf(testCase script.Case) []route.Service {
+	var services []route.Service
+	for _, name := range testCase.List("services") {
+		services = append(services, route.Service{Name: name})
+	}
+	return services
+}
+
 // seeds returns the seeds of the settings. Their port is not the peer port.
 func seeds() []string {
 	var list []string
--- a/control/task.go
+++ b/control/task.go
@@ -118,6 +118,9 @@
 	pendingAnnouncements []peer.AnnounceRequest
 	pendingRenewals      []string
 	forwardAt            time.Time
+	// unnamedLogAt is the earliest time of the next log line about an announcement for a
+	// service that the configuration does not name.
+	unnamedLogAt time.Time
 	// bytesSinceSnapshot is the size of the commands applied since the last
 	// snapshot.
 	bytesSinceSnapshot int
@@ -210,6 +213,7 @@
 		}
 	}
 	t.state = restored
+	t.fleet.Services = restored.Catalog.Services()
 	for _, r := range restored.Catalog.Retired {
 		t.fleet.Retire(r.Upstream, r.StartMS)
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -143,6 +143,8 @@
 	Retired map[string]int64
 	// Digest is the digest of the members.
 	Digest Digest
+	// Services are the services that the configuration in force names.
+	Services Services
 	// byAddress maps an address to the id of the member that has it. No two
 	// members have the same address.
 	byAddress map[string]string
@@ -175,11 +177,16 @@
 // has replaced, at the same id or the same address.
 type Stale struct{ Reason string }
 
+// Unnamed means that the announcement is for a service that the configuration does not
+// name, and has the id or the address of an upstream of a service that it names.
+type Unnamed struct{}
+
 func (Joined) change()   {}
 func (Updated) change()  {}
 func (Renewed) change()  {}
 func (Repeated) change() {}
 func (Stale) change()    {}
+func (Unnamed) change()  {}
 
 // Announce applies an announcement to the table.
 func (t *Table) Announce(now time.Time, upstream Upstream) Change {
@@ -187,16 +194,18 @@
 		upstream.Draining = true
 	}
 	old := t.Members[upstream.ID]
+	outranks := old == nil || t.Services.Outranks(upstream, old.Upstream)
 	switch {
-	case old != nil && upstream.StartMS < old.StartMS:
-		return Stale{Reason: "an older incarnation of this id"}
-	case old != nil && upstream.StartMS == old.StartMS && upstream.Sequence <= old.Sequence:
+	case old != nil && t.Services.Outranks(old.Upstream, upstream):
+		return t.refusal(upstream, old, "an older incarnation of this id")
+	case !outranks && upstream.Sequence <= old.Sequence:
 		return Repeated{}
-	case t.addressHeldByNewer(upstream):
-		return Stale{Reason: "the address belongs to a newer incarnation"}
+	}
+	if holder := t.outrankingHolder(upstream); holder != nil {
+		return t.refusal(upstream, holder, "the address belongs to a newer incarnation")
 	}
 	coldUntil := now.Add(time.Duration(upstream.ColdMS) * time.Millisecond)
-	if old == nil || old.StartMS != upstream.StartMS {
+	if outranks {
 		t.put(&Member{Upstream: upstream, LastContact: now, ColdUntil: coldUntil})
 		return Joined{}
 	}
@@ -239,18 +248,26 @@
 	}
 }
 
-// addressHeldByNewer reports whether a newer incarnation of another upstream
-// has the address. A member that has the address and is not newer is removed.
-func (t *Table) addressHeldByNewer(u Upstream) bool {
+// refusal returns the change for an announcement that a member outranks.
+func (t *Table) refusal(u Upstream, m *Member, reason string) Change {
+	if t.Services.Name(m.Service) && !t.Services.Name(u.Service) {
+		return Unnamed{}
+	}
+	return Stale{Reason: reason}
+}
+
+// outrankingHolder returns the other member that has the address of an upstream, if it
+// takes precedence. Otherwise that member is removed.
+func (t *Table) outrankingHolder(u Upstream) *Member {
 	id, taken := t.byAddress[u.Address]
 	if !taken || id == u.ID {
-		return false
+		return nil
 	}
-	if t.Members[id].StartMS > u.StartMS {
-		return true
+	if holder := t.Members[id]; t.Services.Outranks(holder.Upstream, u) {
+		return holder
 	}
 	t.remove(id)
-	return false
+	return nil
 }
 
 func (t *Table) remove(id string) {
@@ -299,10 +316,10 @@
 	}
 }
 
-// Restore adds an upstream from the replicated log, unless the same or a newer
-// incarnation is known, or a newer one has its address.
+// Restore adds an upstream from the replicated log, unless the same incarnation is known,
+// or one that takes precedence has its id or its address.
 func (t *Table) Restore(now time.Time, u Upstream) {
-	if old := t.Members[u.ID]; old != nil && old.StartMS >= u.StartMS || t.addressHeldByNewer(u) {
+	if old := t.Members[u.ID]; old != nil && !t.Services.Outranks(u, old.Upstream) || t.outrankingHolder(u) != nil {
 		return
 	}
 	if startMS, retired := t.Retired[u.ID]; retired && u.StartMS <= startMS {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 	"testing"
@@ -39,6 +40,12 @@
 			return err.Error()
 		}
 		return fmt.Sprintf("%s revision=%d", changeName(b.table.Announce(b.now, upstream)), b.table.Revision)
+	case "services":
+		b.table.Services = fleet.Services{}
+		for _, name := range testCase.List("names") {
+			b.table.Services[name] = true
+		}
+		return ""
 	case "retire":
 		b.table.Retire(upstream.ID, upstream.StartMS)
 		return fmt.Sprintf("revision=%d", b.table.Revision)
@@ -99,9 +106,8 @@
 		StartMS: int64(testCase.Int("born", 1)), Sequence: uint64(testCase.Int("sequence", 1)),
 		Draining: testCase.Bool("draining"), ColdMS: int64(testCase.Int("cold", 0)),
 	}
-	if a, ok := testCase.Args["address"]; ok {
-		u.Address = a
-	}
+	u.Address = cmp.Or(testCase.Args["address"], u.Address)
+	u.Service = cmp.Or(testCase.Args["service"], u.Service)
 	return u
 }
 
@@ -117,6 +123,8 @@
 		return "repeated"
 	case fleet.Stale:
 		return "stale: " + c.Reason
+	case fleet.Unnamed:
+		return "unnamed"
 	}
 	return "unknown change"
 }
--- a/route/route.go
+++ b/route/route.go
@@ -172,6 +172,15 @@
 	return strings.ToLower(host)
 }
 
+// ServiceNames returns the set of the names of the services.
+func (c Configuration) ServiceNames() map[string]bool {
+	names := map[string]bool{}
+	for _, s := range c.Services {
+		names[s.Name] = true
+	}
+	return names
+}
+
 // Table is a configuration compiled for lookups.
 type Table struct {
 	Configuration Configuration
