workspace: keys decide for which workspace a request runs

Change: package workspace looks up the digest of the key and decides between 401 and a true 'not run'; ingress removes the key and sets the name; a lease on the keys starts when a leader proved its majority and ends before the time of revocation, across relays and suspensions; the workspace's priority takes the place of the route's.

--- a/control/relay.go
+++ b/control/relay.go
@@ -51,6 +51,9 @@
 	// confirmedAt is when the leader last answered.
 	confirmedAt timer.Stamp
 	confirmed   bool
+	// proven is the moment as of which this relay has everything that was acknowledged; nil
+	// before the leader has proved it.
+	proven *timer.Stamp
 	// neededUntil is how long this relay accepts entries.
 	neededUntil time.Time
 	// watching is true while a watch is pending at the leader.
@@ -137,6 +140,9 @@
 	if m.response.Count > maxDirectEntries {
 		r.neededUntil = now.Add(relayNeededFor)
 	}
+	if proven := peer.ProvenAt(m.sent, m.response); proven != nil {
+		r.proven = proven
+	}
 	// An answer that waited while the machine was suspended confirms nothing.
 	if peer.Confirms(m.sent, m.received, m.response.Followers) > 0 {
 		r.confirmedAt, r.confirmed = m.received, true
--- a/control/task.go
+++ b/control/task.go
@@ -95,6 +95,8 @@
 	relaying  bool
 	// watched is the state as of which the watchers last learned of a change.
 	watched watchedVersion
+	// suspensions tells whether the machine was suspended, and so what the leader may prove.
+	suspensions timer.Suspensions
 	// heldWatches are the watches that wait for a leader, until heldUntil.
 	heldWatches []watchMessage
 	heldUntil   time.Time
--- a/control/watch.go
+++ b/control/watch.go
@@ -159,6 +159,7 @@
 		return answer{response: response}
 	}
 	response.Revision, response.View, response.Followers = view.revision, view.data, t.watchers.Len()
+	response.ProofAgeMS = t.proofAgeMS()
 	switch {
 	case !t.leads():
 		response.AgeMS = t.relay.age().Milliseconds()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,6 +43,7 @@
 	"github.com/oriolepost/oriolepost/search"
 	"github.com/oriolepost/oriolepost/settings"
 	"github.com/oriolepost/oriolepost/timer"
+	"github.com/oriolepost/oriolepost/workspace"
 )
 
 const (
@@ -88,6 +89,9 @@
 // controlContact is an answer of the leader to a watch.
 type controlContact struct {
 	at timer.Stamp
+	// proven is the moment as of which the configuration of that leader had everything that
+	// was acknowledged. It is nil if the answer proves nothing.
+	proven *timer.Stamp
 	// confirms is how long the entry's configuration counts as the newest after the
 	// answer: until the next answer is overdue. It is zero before the first answer.
 	confirms time.Duration
@@ -121,7 +125,7 @@
 	gateway.seedUpdates = watch.seedUpdates
 	go watch.run()
 	gateway.callers, err = ingress.Listen(ingress.Options{
-		Address: deployment.Caller, Names: options.Names, Metrics: options.Metrics, Table: gateway.table.Load, TableConfirmed: gateway.tableConfirmed,
+		Address: deployment.Caller, Names: options.Names, Metrics: options.Metrics, Table: gateway.table.Load, TableConfirmed: gateway.tableConfirmed, KeysValid: gateway.keysValid,
 		Callbacks: ingress.Callbacks{Arrived: gateway.task.requestArrived, Disconnected: gateway.task.callersDisconnected, Refused: gateway.logRefused},
 	})
 	return gateway, err
@@ -153,7 +157,8 @@
 // It should if the entry is not stopping, has a configuration, and is connected
 // to the control instances.
 func (g *Gateway) Ready() bool {
-	return !g.stopping.Load() && g.table.Load() != nil && g.controlContactAge() < controlContactTimeout
+	table := g.table.Load()
+	return !g.stopping.Load() && table != nil && g.controlContactAge() < controlContactTimeout && (table.Workspaces == nil || g.keysValid())
 }
 
 // controlContactAge returns the time since the leader's last answer. It includes the time
@@ -169,6 +174,17 @@
 	return timer.Now().Since(contact.at) < contact.confirms
 }
 
+// keysValid reports whether no key of the present table can have been revoked for longer
+// than is allowed.
+func (g *Gateway) keysValid() bool {
+	lease := workspace.Lease{Revocation: g.settings.Bounds.Revocation}
+	if lease.Revocation == 0 {
+		return true
+	}
+	proven := g.lastContact.Load().proven
+	return proven != nil && lease.Valid(timer.Now().Since(*proven))
+}
+
 // Stop shuts the entry down gracefully. The entry reports that it is not ready,
 // answers the requests that it has read and those that still arrive, and closes
 // the connections. Requests whose response is not expected before the end are
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -231,7 +231,7 @@
 	service, weighted := exchange.Route.PickService(t.random.Float64())
 	request := placement.Request{
 		ID: id, Route: exchange.Route, Service: service, ArrivedAt: received.Received, FirstTriedAt: t.firstTries.Estimate(exchange.Route.Name, received.Received, received.CallerTimeout),
-		Deadline: received.Received.Add(timeout), BodyNotReplayable: received.Rest != nil,
+		Deadline: received.Received.Add(timeout), BodyNotReplayable: received.Rest != nil, Workspace: exchange.Workspace,
 	}
 	t.active[id] = &activeRequest{exchange: exchange, request: request}
 	t.requestIDs[exchange] = id
@@ -302,6 +302,9 @@
 	}
 	// Only now does the table have what the answer confirms.
 	if m.contact != nil {
+		if m.contact.proven == nil {
+			m.contact.proven = t.gateway.lastContact.Load().proven
+		}
 		t.gateway.lastContact.Store(m.contact)
 	}
 	if m.position.Count > 0 {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -144,7 +144,7 @@
 	}
 	received := timer.Now()
 	age := time.Duration(response.AgeMS) * time.Millisecond
-	message.contact = &controlContact{at: received.Before(age), confirms: peer.ConfirmsRelayed(sent, received, response.Followers, age)}
+	message.contact = &controlContact{at: received.Before(age), confirms: peer.ConfirmsRelayed(sent, received, response.Followers, age), proven: peer.ProvenAt(sent, response)}
 	if !w.connected {
 		w.connected = true
 		gateway.options.Log.WithFields(log.Fields{
--- a/header/header.go
+++ b/header/header.go
@@ -47,6 +47,10 @@
 	// Limit holds the number of requests a second that the upstream takes from all entries
 	// together, while it limits them; see [Names.ParseLimit].
 	Limit string
+	// Credential holds the key of the caller's workspace, after the scheme "Bearer".
+	Credential string
+	// Workspace holds the name of the workspace for which an upstream runs a request.
+	Workspace string
 }
 
 // retryAfter is the header in which a response with status 503 states, in seconds with
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -33,6 +33,7 @@
 	"github.com/oriolepost/oriolepost/header"
 	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/upstream"
+	"github.com/oriolepost/oriolepost/workspace"
 )
 
 const (
@@ -65,6 +66,8 @@
 	// Route is the route of the request, from the routing table that was current
 	// when the request had been read.
 	Route *route.Route
+	// Workspace is the workspace for which the request runs; nil if it runs for none.
+	Workspace *workspace.Workspace
 	// Response takes the response; its capacity is one. On status 0 nothing is
 	// sent and the connection is closed.
 	Response chan upstream.Response
@@ -348,10 +351,11 @@
 	exchange.closeAfter = c.isLast(request)
 	// The table is looked up only now, so that a request that took long to read
 	// is routed by the newest one.
-	// Whether it is the newest is asked before: what is confirmed later may be a newer
+	// What is known of the table is asked before: what is confirmed later may be a newer
 	// table.
-	confirmed := c.server.options.TableConfirmed()
-	switch l := c.server.options.Table().Lookup(request.Host, request.Path, confirmed).(type) {
+	trust := workspace.Trust{Newest: c.server.options.TableConfirmed(), Valid: c.server.options.KeysValid()}
+	table := c.server.options.Table()
+	switch l := table.Lookup(request.Host, request.Path, trust.Newest).(type) {
 	case route.Unconfigured:
 		c.refuse(exchange, http.StatusServiceUnavailable, "no configuration yet")
 		return exchange
@@ -364,6 +368,9 @@
 	case route.Found:
 		exchange.Route = l.Route
 	}
+	if table.Workspaces != nil && !c.admit(exchange, table.Workspaces, trust) {
+		return exchange
+	}
 	if !exchange.Route.Idempotent {
 		c.awaitResponses()
 	}
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -22,6 +22,7 @@
 	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/script"
 	"github.com/oriolepost/oriolepost/upstream"
+	"github.com/oriolepost/oriolepost/workspace"
 )
 
 func TestIngress(t *testing.T) {
@@ -51,6 +52,10 @@
 	conns     map[string]net.Conn
 	// outdated is true while the table may not be the newest.
 	outdated atomic.Bool
+	// expired is true while the keys of the table may not be relied on, and keys is true
+	// when requests need one.
+	expired atomic.Bool
+	keys    bool
 }
 
 var _ = script.Describe("ingress", "testdata/*.txt", func() script.Handler {
@@ -64,8 +69,8 @@
 	b.address = free.Addr().String()
 	gomega.Expect(free.Close()).To(gomega.Succeed())
 	b.server, err = ingress.Listen(ingress.Options{
-		Address: b.address, Names: header.Names{RequestID: "Request-Id", Deadline: "Deadline"},
-		Table: b.table.Load, TableConfirmed: func() bool { return !b.outdated.Load() }, Metrics: metrics.NewSet(),
+		Address: b.address, Names: header.Names{RequestID: "Request-Id", Deadline: "Deadline", Credential: "Authorization", Workspace: "Workspace"},
+		Table: b.table.Load, TableConfirmed: func() bool { return !b.outdated.Load() }, KeysValid: func() bool { return !b.expired.Load() }, Metrics: metrics.NewSet(),
 		Callbacks: ingress.Callbacks{Arrived: b.onArrived, Disconnected: b.onDisconnected, Refused: b.onRefused},
 	})
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
@@ -85,10 +90,11 @@
 		Routes: []route.Route{
 			{Name: "view", Host: "booking", Prefix: "/view/", Idempotent: true, Services: []route.WeightedService{{Service: "booking", Weight: 1}}},
 			{Name: "book", Host: "booking", Prefix: "/book/", Services: []route.WeightedService{{Service: "booking", Weight: 1}}},
+			{Name: "open", Host: "booking", Prefix: "/open/", Idempotent: true, Public: true, Services: []route.WeightedService{{Service: "booking", Weight: 1}}},
 			{Name: "long", Host: "booking", Prefix: "/long/", Timeout: longTimeout, Services: []route.WeightedService{{Service: "booking", Weight: 1}}},
 		},
 		Services: []route.Service{{Name: "booking"}},
-		Limits:   limits,
+		Limits:   limits, KeysRequired: b.keys, Workspaces: []workspace.Workspace{{Name: "stables", Keys: []workspace.Digest{header.KeyDigest("k1")}}},
 	}))
 }
 
@@ -103,6 +109,14 @@
 	case r.HasBody:
 		line += fmt.Sprintf(" body=%q", r.Body)
 	}
+	if e.Workspace != nil {
+		line += " workspace=" + e.Workspace.Name
+	}
+	for _, name := range []string{"Authorization", "Workspace"} {
+		if values := r.Header.Values(name); len(values) > 0 {
+			line += fmt.Sprintf(" %s=%q", name, values)
+		}
+	}
 	if e.Request.Host != "booking" {
 		line += " host=" + r.Host
 	}
@@ -136,6 +150,13 @@
 	case "lose_contact":
 		b.outdated.Store(true)
 		return ""
+	case "expire_keys":
+		b.expired.Store(true)
+		return ""
+	case "require_keys":
+		b.keys = true
+		b.setLimits(route.Limits{HeaderBytes: 1024, BodyBytes: 1 << 20, HeaderTimeout: 300 * time.Millisecond})
+		return ""
 	case "forward":
 		return b.forward(c.Args["id"])
 	case "answer":
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -24,7 +24,9 @@
 	Table func() *route.Table
 	// TableConfirmed reports whether that table is known to be the newest.
 	TableConfirmed func() bool
-	Metrics        *metrics.Set
+	// KeysValid reports whether the keys in that table may still be relied on.
+	KeysValid func() bool
+	Metrics   *metrics.Set
 }
 
 // Server accepts the callers' connections.
--- a/peer/message.go
+++ b/peer/message.go
@@ -275,6 +275,10 @@
 	// View is an encoded [View]. It is empty when the entry has the newest one.
 	// It is encoded once for all entries that lack the same changes.
 	View []byte `json:"view,omitempty"`
+	// ProofAgeMS is how long ago, at most, the leader proved that it had a majority and so
+	// everything that was acknowledged, counted from the answer. It is zero if the answer
+	// proves nothing.
+	ProofAgeMS int64 `json:"proof_age_ms,omitempty"`
 	// DigestWanted is true when the leader needs the entry's digest to tell what the
 	// entry lacks. Besides, only Epoch is set then.
 	DigestWanted bool `json:"digest_wanted,omitempty"`
--- a/peer/watchtimeout.go
+++ b/peer/watchtimeout.go
@@ -49,3 +49,15 @@
 	}
 	return min(confirms+age, maxWatchTimeout+2*watchAnswerMargin)
 }
+
+// ProvenAt returns the moment as of which the sender of a watch, with the answer to it, has
+// everything that was acknowledged; nil if the answer proves nothing. The answer was
+// written no earlier than the watch was sent, so the proof is no older than its age before
+// that. How long the answer was on its way does not count.
+func ProvenAt(sent timer.Stamp, response WatchResponse) *timer.Stamp {
+	if response.ProofAgeMS <= 0 {
+		return nil
+	}
+	proven := sent.Before(time.Duration(response.ProofAgeMS) * time.Millisecond)
+	return &proven
+}
--- a/placement/event.go
+++ b/placement/event.go
@@ -5,6 +5,7 @@
 
 	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/route"
+	"github.com/oriolepost/oriolepost/workspace"
 )
 
 // RequestID identifies a request within one entry.
@@ -28,6 +29,17 @@
 	Deadline time.Time
 	// BodyNotReplayable is true when the body cannot be sent a second time.
 	BodyNotReplayable bool
+	// Workspace is the workspace for which the request runs; nil if it runs for none.
+	Workspace *workspace.Workspace
+}
+
+// priority returns the priority of a request: that of its workspace, if it has one, or that
+// of its route.
+func (r Request) priority() int {
+	if r.Workspace != nil && r.Workspace.Priority != nil {
+		return *r.Workspace.Priority
+	}
+	return r.Route.Priority
 }
 
 // Load is an upstream's load report.
--- a/placement/place.go
+++ b/placement/place.go
@@ -53,9 +53,10 @@
 	pending := &pendingRequest{request: r, attempts: map[AttemptID]*attempt{}, tried: map[Key]bool{}}
 	s.requests[r.ID] = pending
 	s.retryBudget(now, r.Service).CountRequest(now)
-	s.lowestPriority[r.Service] = max(s.lowestPriority[r.Service], r.Route.Priority)
-	if highest, known := s.highestPriority[r.Service]; !known || r.Route.Priority < highest {
-		s.highestPriority[r.Service] = r.Route.Priority
+	priority := r.priority()
+	s.lowestPriority[r.Service] = max(s.lowestPriority[r.Service], priority)
+	if highest, known := s.highestPriority[r.Service]; !known || priority < highest {
+		s.highestPriority[r.Service] = priority
 	}
 	if !now.Before(r.Deadline) {
 		s.refuse(now, pending, NotRun{Reason: ReasonTimeout})
@@ -120,7 +121,7 @@
 	}
 	serviceTime := s.expectedTime(pending.request)
 	ratio := maxQueueTimeRatio
-	if pending.request.Route.Priority < s.lowestPriority[pending.request.Service] {
+	if pending.request.priority() < s.lowestPriority[pending.request.Service] {
 		ratio = urgentMaxQueueTimeRatio
 	}
 	t := pending.request.ArrivedAt.Add(time.Duration(ratio * float64(pending.request.objective()-serviceTime)))
@@ -155,7 +156,7 @@
 // Hedges are last.
 func (q *waitQueue) insert(pending *pendingRequest) {
 	i, _ := slices.BinarySearchFunc(q.waiting, pending, func(a, b *pendingRequest) int {
-		return cmp.Or(cmp.Compare(len(a.attempts), len(b.attempts)), cmp.Compare(a.request.Route.Priority, b.request.Route.Priority), a.request.ArrivedAt.Compare(b.request.ArrivedAt), cmp.Compare(a.request.ID, b.request.ID))
+		return cmp.Or(cmp.Compare(len(a.attempts), len(b.attempts)), cmp.Compare(a.request.priority(), b.request.priority()), a.request.ArrivedAt.Compare(b.request.ArrivedAt), cmp.Compare(a.request.ID, b.request.ID))
 	})
 	q.waiting = slices.Insert(q.waiting, i, pending)
 }
--- a/placement/repeat.go
+++ b/placement/repeat.go
@@ -16,7 +16,7 @@
 func (s *State) spendRetry(now time.Time, pending *pendingRequest) bool {
 	service := pending.request.Service
 	share := 1.0
-	if s.highestPriority[service] < s.lowestPriority[service] && pending.request.Route.Priority == s.lowestPriority[service] {
+	if s.highestPriority[service] < s.lowestPriority[service] && pending.request.priority() == s.lowestPriority[service] {
 		share = lowPriorityRetryShare
 	}
 	return s.retryBudget(now, service).Spend(now, share)
--- a/route/route.go
+++ b/route/route.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/oriolepost/oriolepost/service"
+	"github.com/oriolepost/oriolepost/workspace"
 )
 
 // Configuration is the complete configuration of all routes and services.
@@ -29,6 +30,10 @@
 	Routes   []Route   `json:"routes"`
 	Services []Service `json:"services"`
 	Limits   Limits    `json:"limits"`
+	// KeysRequired is true when a request needs the key of a workspace, unless its route is
+	// public. Workspaces is empty otherwise.
+	KeysRequired bool                  `json:"keys_required,omitempty"`
+	Workspaces   []workspace.Workspace `json:"workspaces,omitempty"`
 }
 
 // Route defines how requests for one host and path prefix are handled.
@@ -55,6 +60,8 @@
 	MaxAttempts int `json:"max_attempts,omitempty"`
 	// Services are the services among which the requests are split by weight.
 	Services []WeightedService `json:"parts"`
+	// Public is true when requests need no key of a workspace.
+	Public bool `json:"public,omitempty"`
 }
 
 // WeightedService is a service of a route with its weight. A service gets
@@ -114,7 +121,7 @@
 		}
 		routeIndexes[hostAndPrefix] = i
 	}
-	return nil
+	return workspace.Check(c.Workspaces)
 }
 
 // checkServices returns the set of service names, or an error for a name that is
@@ -177,6 +184,8 @@
 	Configuration Configuration
 	// Services holds the services by name.
 	Services map[string]Service
+	// Workspaces holds the workspaces by key; nil if requests need no key.
+	Workspaces *workspace.Directory
 	// routes holds the routes by normalized host and by path prefix.
 	routes map[string]map[string]*Route
 }
@@ -187,6 +196,9 @@
 	for _, s := range c.Services {
 		t.Services[s.Name] = s
 	}
+	if c.KeysRequired {
+		t.Workspaces = workspace.NewDirectory(t.Configuration.Workspaces)
+	}
 	for i := range c.Routes {
 		r := &t.Configuration.Routes[i]
 		host := normalizeHost(r.Host)
--- a/settings/deployment.go
+++ b/settings/deployment.go
@@ -59,6 +59,10 @@
 	// ColdSlack.
 	ColdFactor float64
 	ColdSlack  float64
+	// Revocation is the time after the acknowledgement of a configuration that revokes a
+	// key, from which on no instance may run a request with it, in contact with the others
+	// or not. Zero means that only instances in contact are bound.
+	Revocation time.Duration
 }
 
 // Voters returns the number of voters that is needed for a majority to remain
--- a/timer/stamp_test.go
+++ b/timer/stamp_test.go
@@ -1,6 +1,7 @@
 package timer_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 
 var _ = script.Describe("timer", "testdata/*.txt", func() script.Handler {
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	var suspensions timer.Suspensions
 	return func(c script.Case) string {
 		switch c.Command {
 		case "since":
@@ -27,6 +29,12 @@
 				Boot:   time.Hour + time.Duration(c.Int("boot_ms", 0))*time.Millisecond,
 			}
 			return later.Since(earlier).String()
+		case "check":
+			suspensions.Check(timer.Stamp{
+				Steady: start.Add(time.Duration(c.Int("steady_ms", 0)) * time.Millisecond),
+				Boot:   time.Hour + time.Duration(c.Int("boot_ms", 0))*time.Millisecond,
+			})
+			return fmt.Sprintf("last suspension ended at %v", suspensions.EndedAt.Sub(start))
 		case "now":
 			return (timer.Now().Since(timer.Now()) + time.Second).Round(time.Second).String()
 		}
