--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -31,6 +31,7 @@
 	"github.com/oriolepost/oriolepost/script"
 	"github.com/oriolepost/oriolepost/settings"
 	"github.com/oriolepost/oriolepost/timer"
+	"github.com/oriolepost/oriolepost/workspace"
 )
 
 func TestGateway(t *testing.T) {
@@ -50,7 +51,7 @@
 
 var names = header.Names{
 	RequestID: "Request-Id", Deadline: "Deadline", Target: "Target", Signature: "Signature",
-	NotRun: "Not-Run", Load: "Load", Cold: "Cold", Upstream: "Upstream", Leaving: "Leaving", Limit: "Limit",
+	NotRun: "Not-Run", Load: "Load", Cold: "Cold", Upstream: "Upstream", Leaving: "Leaving", Limit: "Limit", Credential: "Credential", Workspace: "Workspace",
 }
 
 // fixture runs an entry, a control instance and upstreams on loopback addresses.
@@ -145,7 +146,12 @@
 		gomega.Expect(b.entry.UpdateSeeds(settings.Deployment{PeerPort: b.port, Seeds: testCase.List("seeds")})).To(gomega.Succeed())
 		return ""
 	case "configure":
-		return b.propose(record.PutConfiguration{Configuration: configuration(uint64(testCase.Int("version", 1)), time.Duration(testCase.Int("timeout", 2000))*time.Millisecond), Original: []byte("x")})
+		c := configuration(uint64(testCase.Int("version", 1)), time.Duration(testCase.Int("timeout", 2000))*time.Millisecond)
+		if keys, required := testCase.Args["keys"]; required {
+			c.KeysRequired = true
+			c.Workspaces = []workspace.Workspace{{Name: "stables", Keys: []workspace.Digest{header.KeyDigest(keys)}}}
+		}
+		return b.propose(record.PutConfiguration{Configuration: c, Original: []byte("x")})
 	case "upstream":
 		return b.upstream(testCase)
 	case "announce":
@@ -216,7 +222,7 @@
 		Instance: testCase.Args["role"], Domain: "palermo", IP: "127.0.8.1", PeerPort: b.port, Seeds: []string{"127.0.8.1:1"},
 		DataFolder: filepath.Join(b.folder, "data"), FirstStart: true, Caller: b.caller,
 		// The entry has its share of the retry slack once it has been connected for a window.
-		Bounds: settings.Bounds{Grace: 3 * time.Second, RetryRatio: 0.2, RetryWindow: 200 * time.Millisecond, RetrySlack: 60, ColdFactor: 1.5, ColdSlack: 5},
+		Bounds: settings.Bounds{Grace: 3 * time.Second, RetryRatio: 0.2, RetryWindow: 200 * time.Millisecond, RetrySlack: 60, ColdFactor: 1.5, ColdSlack: 5, Revocation: time.Duration(testCase.Int("revocation", 0)) * time.Millisecond},
 	}
 	if seeds := testCase.List("seeds"); len(seeds) > 0 {
 		deployment.Seeds = seeds
@@ -450,6 +456,9 @@
 	request.Host = "booking"
 	request.Header.Set("Request-Id", "r"+testCase.Args["path"])
 	request.Header.Set("Deadline", "2000")
+	if key := testCase.Args["key"]; key != "" {
+		request.Header.Set("Credential", "Bearer "+key)
+	}
 	if id := testCase.Args["id"]; id != "" {
 		answer := make(chan string, 1)
 		b.answers[id] = answer
