replica, tcp, ingress: a leader and answers sooner after a loss of power

A candidate asked each voter once, and a voter that returned later was asked again only after an election timeout; a dial to an instance that returns hung for 150 ms; a voter with more entries waited for its own timeout; and entries refused requests until the first configuration, although each caller has one retry. Change: candidates repeat their request ten times an election timeout, dials are repeated every 40 ms, a voter that denies a pre-vote for a shorter log stands for election at once, and requests wait for the first configuration for a third of the caller's timeout, 0.8 s at most, in the first 2 s.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,6 +82,8 @@
 	// lastContact is the last answer of the leader; before the first one, the start of
 	// the entry.
 	lastContact atomic.Pointer[controlContact]
+	// configured is closed by the entry task once requests can be routed.
+	configured  chan struct{}
 	stopping    atomic.Bool
 	seedUpdates chan<- []search.Instance
 }
@@ -110,7 +112,7 @@
 	if err != nil {
 		return nil, err
 	}
-	gateway = &Gateway{settings: deployment, options: options}
+	gateway = &Gateway{settings: deployment, options: options, configured: make(chan struct{})}
 	gateway.lastContact.Store(&controlContact{at: timer.Now()})
 	gateway.task = newTask(ctx, gateway, placement.New(placement.Config{
 		Name: deployment.Instance, Domain: deployment.Domain, RetryRatio: deployment.Bounds.RetryRatio, RetryWindow: deployment.Bounds.RetryWindow,
@@ -125,7 +127,7 @@
 	gateway.seedUpdates = watch.seedUpdates
 	go watch.run()
 	gateway.callers, err = ingress.Listen(ingress.Options{
-		Address: deployment.Caller, Names: options.Names, Metrics: options.Metrics, Table: gateway.table.Load, TableConfirmed: gateway.tableConfirmed, KeysValid: gateway.keysValid,
+		Address: deployment.Caller, Names: options.Names, Metrics: options.Metrics, Table: gateway.table.Load, TableConfirmed: gateway.tableConfirmed, KeysValid: gateway.keysValid, Configured: gateway.configured,
 		Callbacks: ingress.Callbacks{Arrived: gateway.task.requestArrived, Disconnected: gateway.task.callersDisconnected, Refused: gateway.logRefused},
 	})
 	return gateway, err
@@ -157,8 +159,14 @@
 // It should if the entry is not stopping, has a configuration, and is connected
 // to the control instances.
 func (g *Gateway) Ready() bool {
+	return !g.stopping.Load() && g.routes() && g.controlContactAge() < controlContactTimeout
+}
+
+// routes reports whether there is a routing table, and its keys are valid if requests need
+// one.
+func (g *Gateway) routes() bool {
 	table := g.table.Load()
-	return !g.stopping.Load() && table != nil && g.controlContactAge() < controlContactTimeout && (table.Workspaces == nil || g.keysValid())
+	return table != nil && (table.Workspaces == nil || g.keysValid())
 }
 
 // controlContactAge returns the time since the leader's last answer. It includes the time
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -112,6 +112,8 @@
 	responses  map[placement.AttemptID]upstream.Response
 	idleConns  map[placement.Key][]*upstream.Conn
 	firstTries placement.FirstTries
+	// configured is true once requests can be routed.
+	configured bool
 }
 
 // activeRequest is a request that is not answered yet.
@@ -310,6 +312,10 @@
 	if m.position.Count > 0 {
 		t.step(m.position)
 	}
+	if !t.configured && t.gateway.routes() {
+		t.configured = true
+		close(t.gateway.configured)
+	}
 }
 
 // applyView passes the changes of a view to the placement, and makes a newer
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -53,8 +53,8 @@
 	// configuration after its start. Until then requests are refused with a
 	// Retry-After drawn at random from 0.5 to 1.5 times this delay.
 	configurationDelay = 400 * time.Millisecond
-	// retryAfterDivisor limits Retry-After to the caller timeout divided by it,
-	// since callers honor a Retry-After of up to a third of their timeout. A
+	// retryAfterDivisor limits Retry-After to the caller's remaining time divided by it,
+	// since callers honor a Retry-After of up to a third of that time. A
 	// caller that sends no timeout gets no Retry-After.
 	retryAfterDivisor = 4
 )
@@ -349,6 +349,7 @@
 func (c *conn) dispatch(request *Request) *Exchange {
 	exchange := newExchange(request, nil)
 	exchange.closeAfter = c.isLast(request)
+	c.awaitConfiguration(request)
 	// The table is looked up only now, so that a request that took long to read
 	// is routed by the newest one.
 	// What is known of the table is asked before: what is confirmed later may be a newer
@@ -393,7 +394,8 @@
 	retryAfter := time.Duration(0)
 	if status == http.StatusServiceUnavailable {
 		spread := time.Duration(rand.Int64N(int64(configurationDelay)))
-		retryAfter = min(configurationDelay/2+spread, e.Request.CallerTimeout/retryAfterDivisor)
+		remaining := max(0, e.Request.CallerTimeout-time.Since(e.Request.Received))
+		retryAfter = min(configurationDelay/2+spread, remaining/retryAfterDivisor)
 	}
 	e.Response <- Refusal(status, reason, retryAfter)
 }
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -56,24 +56,21 @@
 	// when requests need one.
 	expired atomic.Bool
 	keys    bool
+	// configured is closed once the server has a table.
+	configured chan struct{}
 }
 
 var _ = script.Describe("ingress", "testdata/*.txt", func() script.Handler {
 	b := &fixture{
 		events: make(chan string, 64), arrived: make(chan *ingress.Exchange, 64),
-		exchanges: map[string]*ingress.Exchange{}, conns: map[string]net.Conn{},
+		exchanges: map[string]*ingress.Exchange{}, conns: map[string]net.Conn{}, configured: make(chan struct{}),
 	}
-	b.setLimits(route.Limits{HeaderBytes: 1024, BodyBytes: 1 << 20, HeaderTimeout: 300 * time.Millisecond})
+	b.configure()
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	b.address = free.Addr().String()
 	gomega.Expect(free.Close()).To(gomega.Succeed())
-	b.server, err = ingress.Listen(ingress.Options{
-		Address: b.address, Names: header.Names{RequestID: "Request-Id", Deadline: "Deadline", Credential: "Authorization", Workspace: "Workspace"},
-		Table: b.table.Load, TableConfirmed: func() bool { return !b.outdated.Load() }, KeysValid: func() bool { return !b.expired.Load() }, Metrics: metrics.NewSet(),
-		Callbacks: ingress.Callbacks{Arrived: b.onArrived, Disconnected: b.onDisconnected, Refused: b.onRefused},
-	})
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	b.listen()
 	ginkgo.DeferCleanup(func() {
 		for _, c := range b.conns {
 			_ = c.Close()
@@ -83,6 +80,22 @@
 	return b.run
 })
 
+// configure gives the server its first table.
+func (b *fixture) configure() {
+	b.setLimits(route.Limits{HeaderBytes: 1024, BodyBytes: 1 << 20, HeaderTimeout: 300 * time.Millisecond})
+	close(b.configured)
+}
+
+func (b *fixture) listen() {
+	var err error
+	b.server, err = ingress.Listen(ingress.Options{
+		Address: b.address, Names: header.Names{RequestID: "Request-Id", Deadline: "Deadline", Credential: "Authorization", Workspace: "Workspace"},
+		Table: b.table.Load, TableConfirmed: func() bool { return !b.outdated.Load() }, KeysValid: func() bool { return !b.expired.Load() }, Configured: b.configured, Metrics: metrics.NewSet(),
+		Callbacks: ingress.Callbacks{Arrived: b.onArrived, Disconnected: b.onDisconnected, Refused: b.onRefused},
+	})
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+}
+
 // setLimits makes a configuration with these limits the current one.
 func (b *fixture) setLimits(limits route.Limits) {
 	b.table.Store(route.NewTable(route.Configuration{
@@ -150,6 +163,16 @@
 	case "lose_contact":
 		b.outdated.Store(true)
 		return ""
+	case "restart":
+		// The server starts again, without a table.
+		gomega.Expect(b.server.CloseListener()).To(gomega.Succeed())
+		b.configured = make(chan struct{})
+		b.table.Store(nil)
+		b.listen()
+		return ""
+	case "configure":
+		b.configure()
+		return b.waitEvents(false)
 	case "expire_keys":
 		b.expired.Store(true)
 		return ""
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -24,6 +24,9 @@
 	Table func() *route.Table
 	// TableConfirmed reports whether that table is known to be the newest.
 	TableConfirmed func() bool
+	// Configured is closed once the server has a routing table, and its keys are valid if
+	// requests need one.
+	Configured <-chan struct{}
 	// KeysValid reports whether the keys in that table may still be relied on.
 	KeysValid func() bool
 	Metrics   *metrics.Set
@@ -31,8 +34,9 @@
 
 // Server accepts the callers' connections.
 type Server struct {
-	options  Options
-	listener net.Listener
+	options   Options
+	startedAt time.Time
+	listener  net.Listener
 	// draining is true once the server drains; the tasks of the connections read
 	// it.
 	draining atomic.Bool
@@ -52,7 +56,7 @@
 		}
 	}()
 	s = &Server{
-		options: o, opened: make(chan net.Conn), closed: make(chan net.Conn),
+		options: o, startedAt: time.Now(), opened: make(chan net.Conn), closed: make(chan net.Conn),
 		drain: make(chan struct{}, 1), Done: make(chan struct{}),
 	}
 	if s.listener, err = net.Listen("tcp", o.Address); err != nil {
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -22,6 +22,8 @@
 	// TLS handshake. It is several times the network delay between failure
 	// domains, and short enough that an instance that is down is skipped quickly.
 	dialTimeout = 150 * time.Millisecond
+	// dialRepeatInterval is the interval between the attempts of one dial.
+	dialRepeatInterval = 40 * time.Millisecond
 	// dialBackoff is the time after a failed dial during which requests fail with
 	// the error of that dial.
 	dialBackoff = 40 * time.Millisecond
@@ -91,7 +93,7 @@
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	return tcp.Dial(ctx, address, dialTimeout)
+	return tcp.DialRepeated(ctx, address, dialTimeout, dialRepeatInterval)
 }
 
 // Call sends a request and waits for its response or the end of the context. The
--- a/replica/election.go
+++ b/replica/election.go
@@ -10,8 +10,11 @@
 		r.tickLeader(now)
 		return
 	}
-	if !now.Before(r.electionAt) {
+	switch {
+	case !now.Before(r.electionAt):
 		r.campaign(now, true, false)
+	case r.Role == RoleCandidate && !now.Before(r.voteRetryAt):
+		r.requestVotes(now)
 	}
 }
 
@@ -67,16 +70,28 @@
 	}
 	r.setRole(RoleCandidate)
 	r.votes = map[string]bool{r.Config.ID: true}
-	request := VoteRequest{
+	r.voteRequest = VoteRequest{
 		Term: term, Pre: preVote, LeadershipTransfer: transfer,
 		LastIndex: r.log.lastIndex(), LastTerm: r.log.lastTerm(),
 	}
+	r.requestVotes(now)
+	r.countVotes(now, transfer)
+}
+
+// voteRetriesPerElection is how often a candidate repeats its request to the voters that
+// have not answered it, within an election timeout. After a loss of power, voters return one
+// after the other, and one that returns is to answer at once and not at the next election.
+const voteRetriesPerElection = 10
+
+// requestVotes sends the vote request of the present election to the voters that have not
+// answered it.
+func (r *Replica) requestVotes(now time.Time) {
+	r.voteRetryAt = now.Add(r.Config.ElectionTimeout / voteRetriesPerElection)
 	for _, id := range r.Members.Voters {
-		if id != r.Config.ID {
-			r.send(id, request)
+		if _, answered := r.votes[id]; !answered {
+			r.send(id, r.voteRequest)
 		}
 	}
-	r.countVotes(now, transfer)
 }
 
 func (r *Replica) countVotes(now time.Time, transfer bool) {
@@ -134,7 +149,7 @@
 	}
 	switch m := message.(type) {
 	case VoteRequest:
-		r.voteRequest(now, from, m)
+		r.answerVoteRequest(now, from, m)
 	case VoteReply:
 		r.voteReply(now, from, m)
 	case AppendRequest:
@@ -174,12 +189,17 @@
 	return r.Role == RoleLeader || now.Sub(r.lastLeaderContact) < r.Config.ElectionTimeout
 }
 
-func (r *Replica) voteRequest(now time.Time, from string, request VoteRequest) {
+func (r *Replica) answerVoteRequest(now time.Time, from string, request VoteRequest) {
 	upToDate := request.LastTerm > r.log.lastTerm() ||
 		(request.LastTerm == r.log.lastTerm() && request.LastIndex >= r.log.lastIndex())
 	switch {
 	case r.leaseBlocksVote(now, request) || !upToDate || request.Term < r.Term:
 		r.send(from, VoteReply{Term: r.Term, Pre: request.Pre})
+		if request.Pre && !upToDate && r.Leader == "" && r.Role == RoleFollower && !r.leaseBlocksVote(now, request) {
+			// The candidate can't be elected by this voter, which has more entries, whereas
+			// this voter can be elected by the candidate.
+			r.electionAt = now
+		}
 	case request.Pre:
 		r.send(from, VoteReply{Term: request.Term, Pre: true, Granted: request.Term > r.Term})
 	case r.Vote == "" || r.Vote == from:
@@ -197,7 +217,13 @@
 	if r.inPreVote {
 		expectedTerm = r.Term + 1
 	}
-	if r.Role != RoleCandidate || reply.Pre != r.inPreVote || !reply.Granted || reply.Term != expectedTerm {
+	if r.Role != RoleCandidate || reply.Pre != r.inPreVote {
+		return
+	}
+	if !reply.Granted || reply.Term != expectedTerm {
+		if !r.votes[from] {
+			r.votes[from] = false
+		}
 		return
 	}
 	r.votes[from] = true
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -149,8 +149,13 @@
 	random       *rand.Rand
 	appliedIndex uint64
 	progress     map[string]*progress
-	// votes holds the voters that granted their vote or pre-vote to this candidate.
+	// votes holds the voters that answered this candidate, and whether they granted their
+	// vote or pre-vote.
 	votes map[string]bool
+	// voteRequest is the request of the present election. It is sent again at voteRetryAt to
+	// the voters that have not answered it.
+	voteRequest VoteRequest
+	voteRetryAt time.Time
 	// inPreVote is true while a candidate collects pre-votes, before it raises
 	// its term.
 	inPreVote bool
@@ -232,6 +237,9 @@
 	if r.Role == RoleLeader {
 		return r.heartbeatAt
 	}
+	if r.Role == RoleCandidate && r.voteRetryAt.Before(r.electionAt) {
+		return r.voteRetryAt
+	}
 	return r.electionAt
 }
 
--- a/replica/starved_test.go
+++ b/replica/starved_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/oriolepost/oriolepost/replica"
@@ -18,6 +19,8 @@
 	nextRun      time.Time
 	blockedUntil time.Time
 	inbox        []replica.Receive
+	// absent is true until a voter that returns runs for the first time.
+	absent bool
 }
 
 // starvedGroup is a group of voters whose time the test file advances.
@@ -30,7 +33,7 @@
 	timersFirst bool
 }
 
-var _ = script.Describe("starved voters", "testdata/starved.txt", func() script.Handler {
+var _ = script.Describe("starved voters", "testdata/starved*.txt", func() script.Handler {
 	g := &starvedGroup{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
 	return func(c script.Case) string {
 		switch c.Command {
@@ -76,6 +79,13 @@
 	g.elections, g.timersFirst = 0, c.Bool("timers_first")
 	start := g.now
 	elected := time.Duration(0)
+	for i, ms := range c.List("return_ms") {
+		delay, err := strconv.Atoi(ms)
+		if err != nil {
+			return err.Error()
+		}
+		g.returnAt(g.nodes[i], g.now.Add(time.Duration(delay)*time.Millisecond), uint64(c.Int("seed", 1)), uint64(i))
+	}
 	for end := g.now.Add(time.Duration(c.Int("ms", 1000)) * time.Millisecond); g.now.Before(end); g.now = g.now.Add(time.Millisecond) {
 		for _, n := range g.nodes {
 			if n.id == killed || g.now.Before(n.nextRun) || g.now.Before(n.blockedUntil) {
@@ -86,17 +96,30 @@
 			if g.elections > before {
 				elected = g.now.Sub(start)
 			}
+			n.absent = false
 			n.nextRun = g.now.Add(time.Duration(pauseMin+random.IntN(pauseMax-pauseMin)) * time.Millisecond)
 		}
 	}
 	g.nodes = without(g.nodes, killed)
 	text := fmt.Sprintf("elections=%d", g.elections)
+	if within := c.Int("within_ms", 0); within > 0 {
+		text += fmt.Sprintf(" within_%d_ms=%v", within, elected > 0 && elected <= time.Duration(within)*time.Millisecond)
+	}
 	if c.Bool("kill_leader") {
 		text += fmt.Sprintf(" within_1100_ms=%v", elected > 0 && elected <= 1100*time.Millisecond)
 	}
 	return text
 }
 
+// returnAt starts a voter again at a time, with what it had saved. What is sent to it
+// before is lost.
+func (g *starvedGroup) returnAt(n *starvedNode, at time.Time, seed, index uint64) {
+	saved := replica.PersistentState{HardState: n.replica.HardState, Snapshot: replica.Snapshot{Index: 1, Term: 1, Members: n.replica.Members}}
+	n.replica = replica.New(n.replica.Config, saved, rand.New(rand.NewPCG(seed, index)), at)
+	n.inbox, n.nextRun, n.blockedUntil, n.absent = nil, at, at, true
+	g.leader = ""
+}
+
 func without(nodes []*starvedNode, id string) []*starvedNode {
 	var kept []*starvedNode
 	for _, n := range nodes {
@@ -124,7 +147,7 @@
 			n.blockedUntil = g.now.Add(sync)
 		case replica.Send:
 			for _, to := range g.nodes {
-				if to.id == e.To {
+				if to.id == e.To && !to.absent {
 					to.inbox = append(to.inbox, replica.Receive{From: n.id, Message: e.Message})
 				}
 			}
--- a/tcp/tcp.go
+++ b/tcp/tcp.go
@@ -47,6 +47,49 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
+// DialRepeated opens a connection like Dial, with a new attempt beside the former ones after
+// each interval without an answer. The first result counts. The kernel repeats a lost
+// connection request only after a second, so that an instance which returns would stay
+// out of reach until the timeout and the next dial.
+func DialRepeated(ctx context.Context, address string, timeout, interval time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	type result struct {
+		conn net.Conn
+		err  error
+	}
+	// The capacity is that of all attempts, so that none blocks when it ends late.
+	results := make(chan result, timeout/interval+2)
+	attempts := 0
+	attempt := func() {
+		attempts++
+		go func() {
+			conn, err := Dial(ctx, address, timeout)
+			results <- result{conn, err}
+		}()
+	}
+	attempt()
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case first := <-results:
+			go func(others int) {
+				for range others {
+					if late := <-results; late.conn != nil {
+						_ = late.conn.Close()
+					}
+				}
+			}(attempts - 1)
+			return first.conn, first.err
+		case <-ticker.C:
+			if attempts < cap(results) {
+				attempt()
+			}
+		}
+	}
+}
+
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
 	var optionErr error
 	err := c.Control(func(fd uintptr) {
