--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -22,6 +22,7 @@
 	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/script"
 	"github.com/oriolepost/oriolepost/upstream"
+	"github.com/oriolepost/oriolepost/workspace"
 )
 
 func TestIngress(t *testing.T) {
@@ -51,24 +52,25 @@
 	conns     map[string]net.Conn
 	// outdated is true while the table may not be the newest.
 	outdated atomic.Bool
+	// expired is true while the keys of the table may not be relied on, and keys is true
+	// when requests need one.
+	expired atomic.Bool
+	keys    bool
+	// configured is closed once the server has a table.
+	configured chan struct{}
 }
 
 var _ = script.Describe("ingress", "testdata/*.txt", func() script.Handler {
 	b := &fixture{
 		events: make(chan string, 64), arrived: make(chan *ingress.Exchange, 64),
-		exchanges: map[string]*ingress.Exchange{}, conns: map[string]net.Conn{},
+		exchanges: map[string]*ingress.Exchange{}, conns: map[string]net.Conn{}, configured: make(chan struct{}),
 	}
-	b.setLimits(route.Limits{HeaderBytes: 1024, BodyBytes: 1 << 20, HeaderTimeout: 300 * time.Millisecond})
+	b.configure()
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	b.address = free.Addr().String()
 	gomega.Expect(free.Close()).To(gomega.Succeed())
-	b.server, err = ingress.Listen(ingress.Options{
-		Address: b.address, Names: header.Names{RequestID: "Request-Id", Deadline: "Deadline"},
-		Table: b.table.Load, TableConfirmed: func() bool { return !b.outdated.Load() }, Metrics: metrics.NewSet(),
-		Callbacks: ingress.Callbacks{Arrived: b.onArrived, Disconnected: b.onDisconnected, Refused: b.onRefused},
-	})
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	b.listen()
 	ginkgo.DeferCleanup(func() {
 		for _, c := range b.conns {
 			_ = c.Close()
@@ -78,6 +80,22 @@
 	return b.run
 })
 
+// configure gives the server its first table.
+func (b *fixture) configure() {
+	b.setLimits(route.Limits{HeaderBytes: 1024, BodyBytes: 1 << 20, HeaderTimeout: 300 * time.Millisecond})
+	close(b.configured)
+}
+
+func (b *fixture) listen() {
+	var err error
+	b.server, err = ingress.Listen(ingress.Options{
+		Address: b.address, Names: header.Names{RequestID: "Request-Id", Deadline: "Deadline", Credential: "Authorization", Workspace: "Workspace"},
+		Table: b.table.Load, TableConfirmed: func() bool { return !b.outdated.Load() }, KeysValid: func() bool { return !b.expired.Load() }, Configured: b.configured, Metrics: metrics.NewSet(),
+		Callbacks: ingress.Callbacks{Arrived: b.onArrived, Disconnected: b.onDisconnected, Refused: b.onRefused},
+	})
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+}
+
 // setLimits makes a configuration with these limits the current one.
 func (b *fixture) setLimits(limits route.Limits) {
 	b.table.Store(route.NewTable(route.Configuration{
@@ -85,10 +103,11 @@
 		Routes: []route.Route{
 			{Name: "view", Host: "booking", Prefix: "/view/", Idempotent: true, Services: []route.WeightedService{{Service: "booking", Weight: 1}}},
 			{Name: "book", Host: "booking", Prefix: "/book/", Services: []route.WeightedService{{Service: "booking", Weight: 1}}},
+			{Name: "open", Host: "booking", Prefix: "/open/", Idempotent: true, Public: true, Services: []route.WeightedService{{Service: "booking", Weight: 1}}},
 			{Name: "long", Host: "booking", Prefix: "/long/", Timeout: longTimeout, Services: []route.WeightedService{{Service: "booking", Weight: 1}}},
 		},
 		Services: []route.Service{{Name: "booking"}},
-		Limits:   limits,
+		Limits:   limits, KeysRequired: b.keys, Workspaces: []workspace.Workspace{{Name: "stables", Keys: []workspace.Digest{header.KeyDigest("k1")}}},
 	}))
 }
 
@@ -103,6 +122,14 @@
 	case r.HasBody:
 		line += fmt.Sprintf(" body=%q", r.Body)
 	}
+	if e.Workspace != nil {
+		line += " workspace=" + e.Workspace.Name
+	}
+	for _, name := range []string{"Authorization", "Workspace"} {
+		if values := r.Header.Values(name); len(values) > 0 {
+			line += fmt.Sprintf(" %s=%q", name, values)
+		}
+	}
 	if e.Request.Host != "booking" {
 		line += " host=" + r.Host
 	}
@@ -136,6 +163,23 @@
 	case "lose_contact":
 		b.outdated.Store(true)
 		return ""
+	case "restart":
+		// The server starts again, without a table.
+		gomega.Expect(b.server.CloseListener()).To(gomega.Succeed())
+		b.configured = make(chan struct{})
+		b.table.Store(nil)
+		b.listen()
+		return ""
+	case "configure":
+		b.configure()
+		return b.waitEvents(false)
+	case "expire_keys":
+		b.expired.Store(true)
+		return ""
+	case "require_keys":
+		b.keys = true
+		b.setLimits(route.Limits{HeaderBytes: 1024, BodyBytes: 1 << 20, HeaderTimeout: 300 * time.Millisecond})
+		return ""
 	case "forward":
 		return b.forward(c.Args["id"])
 	case "answer":
