--- a/replica/election.go
+++ b/replica/election.go
@@ -72,7 +72,7 @@
 		LastIndex: r.log.lastIndex(), LastTerm: r.log.lastTerm(),
 	}
 	for _, id := range r.Members.Voters {
-		if id != r.Config.ID {
+		if id != r.Config.ID && !IsPlaceholder(id) {
 			r.send(id, request)
 		}
 	}
--- a/replica/plan.go
+++ b/replica/plan.go
@@ -96,11 +96,17 @@
 	return members, true
 }
 
-// lostVoters returns the voters that are not expected to return: those that have
-// not answered for too long, and those whose instance now sends join requests with
-// another data folder.
+// lostVoters returns the voters that are not expected to return: placeholders, those that
+// have not answered for too long, and those whose instance now sends join requests with
+// another data folder. Placeholders are first: to remove one never costs a vote.
 func (p MembershipPlan) lostVoters(replica *Replica, standbys []Identity, now time.Time) []string {
-	lost := replica.UnresponsiveVoters(now, p.ReplaceAfter)
+	var lost []string
+	for _, id := range replica.Members.Voters {
+		if IsPlaceholder(id) {
+			lost = append(lost, id)
+		}
+	}
+	lost = append(lost, replica.UnresponsiveVoters(now, p.ReplaceAfter)...)
 	for _, id := range replica.Members.Voters {
 		if hasNewFolder(id, standbys) && id != replica.Config.ID && !slices.Contains(lost, id) {
 			lost = append(lost, id)
--- a/replica/plan_test.go
+++ b/replica/plan_test.go
@@ -27,6 +27,11 @@
 	return func(c script.Case) string {
 		now = now.Add(time.Duration(c.Int("after_ms", 0)) * time.Millisecond)
 		switch c.Command {
+		case "members":
+			saved.Snapshot.Members = replica.Members{Voters: c.List("voters")}
+			r = replica.New(config, saved, rand.New(rand.NewPCG(1, 1)), now)
+			plan.Target = c.Int("target", plan.Target)
+			return ""
 		case "elect":
 			r.Step(now, replica.Tick{})
 			for _, pre := range []bool{true, false} {
--- a/replica/replication.go
+++ b/replica/replication.go
@@ -32,9 +32,10 @@
 	r.advanceCommit()
 }
 
+// peers returns the other replicas. No replica answers for a placeholder.
 func (r *Replica) peers() []string {
 	all := append(slices.Clone(r.Members.Voters), r.Members.Learners...)
-	return slices.DeleteFunc(all, func(id string) bool { return id == r.Config.ID })
+	return slices.DeleteFunc(all, func(id string) bool { return id == r.Config.ID || IsPlaceholder(id) })
 }
 
 func (r *Replica) broadcast(now time.Time) {
