control: the voter group forms when one seed is missing

Change: seeds tell each other their initial seeds and whether they may be initial voters, and replica.Formation decides. A group that has no place for an initial seed is logged as an error, once for each membership.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -139,7 +139,7 @@
 	case "copy":
 		return b.copiesOfView(testCase.List("at"))
 	case "voters":
-		return b.voters(name)
+		return b.voters(testCase, name)
 	case "find_leader":
 		return b.findLeader()
 	case "watch_without_leader":
@@ -373,22 +373,39 @@
 	return fmt.Sprintf("full=%v version=%d upstreams=%d", view.Full, view.Configuration.Version, len(view.Upstreams))
 }
 
-// voters returns the names of the voters that an instance has in its log.
-func (b *fixture) voters(name string) string {
+// voters returns the names of the voters that an instance has in its log. With expect, it
+// repeats the question until these are the voters: lost ones are replaced with a delay.
+func (b *fixture) voters(testCase script.Case, name string) string {
+	deadline := time.Now().Add(2 * callTimeout)
+	for {
+		names := b.votersOnce(name)
+		if slices.Equal(names, testCase.List("expect")) || testCase.Args["expect"] == "" || time.Now().After(deadline) {
+			return cmp.Or(strings.Join(names, " "), "none")
+		}
+		timer.Pause(context.Background(), 50*time.Millisecond)
+	}
+}
+
+func (b *fixture) votersOnce(name string) []string {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	response, err := peer.NewPool(ctx, peer.Options{}).Call(ctx, control.PeerAddress(addresses[name], b.port), peer.IdentifyRequest{})
 	identity, ok := response.(peer.IdentifyResponse)
 	if err != nil || !ok || identity.Members == nil {
-		return "none"
+		return nil
 	}
 	var names []string
 	for _, n := range slices.Sorted(maps.Keys(addresses)) {
-		if slices.ContainsFunc(identity.Members.Voters, func(id string) bool { return replica.InstanceOf(id) == addresses[n] }) {
-			names = append(names, n)
+		for _, id := range identity.Members.Voters {
+			switch {
+			case id == replica.ID(addresses[n], ""):
+				names = append(names, "no-"+n)
+			case replica.InstanceOf(id) == addresses[n]:
+				names = append(names, n)
+			}
 		}
 	}
-	return strings.Join(names, " ")
+	return names
 }
 
 // incompressible returns bytes that stay as many when they are compressed.
--- a/control/group.go
+++ b/control/group.go
@@ -87,6 +87,14 @@
 	}
 }
 
+func namesOf(instances []search.Instance) []string {
+	var names []string
+	for _, i := range instances {
+		names = append(names, i.Name)
+	}
+	return names
+}
+
 // replaceSeeds takes the seeds of changed settings. The initial voters stay those of the
 // first settings.
 func (t *task) replaceSeeds(seeds []search.Instance) {
--- a/control/members.go
+++ b/control/members.go
@@ -30,8 +30,7 @@
 	// still counts as lost for a time. replaceVoterAfter is shorter than that
 	// time, so that the voters tolerate two losses in a row.
 	replaceVoterAfter = 2500 * time.Millisecond
-	// identifyTimeout limits one attempt to get the identities of all initial
-	// voters.
+	// identifyTimeout limits one attempt to get the identities of all seeds.
 	identifyTimeout = 400 * time.Millisecond
 )
 
@@ -143,8 +142,8 @@
 }
 
 // joinOrBootstrap sends the leader a join request, unless this instance is a
-// voter that knows the leader. At the very first start, an initial voter also
-// begins to bootstrap the voter group.
+// voter that knows the leader. At the very first start, an initial voter that the leader
+// of no group has accepted also begins to bootstrap the voter group.
 func (t *task) joinOrBootstrap(now time.Time) {
 	voter := slices.Contains(t.replica.Members.Voters, t.id())
 	if now.Before(t.joinAt) || (voter && t.replica.Leader != "") {
@@ -166,7 +165,7 @@
 		case <-t.ctx.Done():
 		}
 	}()
-	if t.notBootstrapped() && t.initialVoter() && !t.bootstrapping {
+	if t.notBootstrapped() && t.initialVoter() && !t.bootstrapping && !t.joined {
 		t.bootstrapping = true
 		t.joinAt = now.Add(housekeepingInterval)
 		go t.discoverPeers()
@@ -200,43 +199,44 @@
 // empty.
 func (t *task) initialVoter() bool {
 	return t.settings.FirstStart && t.folder.Empty &&
-		slices.ContainsFunc(t.initialSeeds, func(a search.Instance) bool { return a.Name == t.settings.IP })
+		slices.Contains(t.formation.Seeds, t.settings.IP)
 }
 
-// discoverPeers asks all seeds for their replica identities, and sends the task
-// those that answered.
+// discoverPeers asks all seeds who they are, and sends the task the answers.
 func (t *task) discoverPeers() {
 	ctx, cancel := context.WithTimeout(t.ctx, identifyTimeout)
 	defer cancel()
-	answers := make(chan *replica.Identity, len(t.initialSeeds))
+	received := make(chan *replica.SeedAnswer, len(t.initialSeeds))
 	for _, s := range t.initialSeeds {
-		go func() { answers <- t.requestIdentity(ctx, s) }()
+		go func() { received <- t.requestIdentity(ctx, s) }()
 	}
-	var voters []replica.Identity
+	var answers []replica.SeedAnswer
 	for range t.initialSeeds {
-		if i := <-answers; i != nil {
-			voters = append(voters, *i)
+		if a := <-received; a != nil {
+			answers = append(answers, *a)
 		}
 	}
 	select {
-	case t.mailbox <- postedMessage{bootstrapMessage{voters: voters}, time.Now()}:
+	case t.mailbox <- postedMessage{bootstrapMessage{answers: answers}, time.Now()}:
 	case <-t.ctx.Done():
 	}
 }
 
-// requestIdentity asks one instance for its replica identity. It returns nil
-// when the instance does not answer.
-func (t *task) requestIdentity(ctx context.Context, s search.Instance) *replica.Identity {
+// requestIdentity asks one seed who it is. It returns nil when the seed does not answer.
+func (t *task) requestIdentity(ctx context.Context, s search.Instance) *replica.SeedAnswer {
 	response, err := t.pool.Call(ctx, s.Address, peer.IdentifyRequest{})
 	r, ok := response.(peer.IdentifyResponse)
 	if err != nil || !ok {
 		return nil
 	}
-	return &replica.Identity{ReplicaID: r.ReplicaID, Instance: r.Instance, Members: r.Members}
+	return &replica.SeedAnswer{ReplicaID: r.ReplicaID, Instance: r.Instance, Seeds: r.InitialSeeds, InitialVoter: r.InitialVoter, Members: r.Members}
 }
 
 func (t *task) identify() peer.IdentifyResponse {
-	r := peer.IdentifyResponse{Instance: t.settings.IP, ReplicaID: t.id(), Known: t.knownInstances()}
+	r := peer.IdentifyResponse{
+		Instance: t.settings.IP, ReplicaID: t.id(), Known: t.knownInstances(),
+		InitialSeeds: t.formation.Seeds, InitialVoter: t.notBootstrapped() && t.initialVoter(),
+	}
 	if !t.notBootstrapped() {
 		m := t.replica.Members
 		r.Members = &m
@@ -244,15 +244,21 @@
 	return r
 }
 
-// bootstrap creates the voter group if all initial voters answered.
-func (t *task) bootstrap(voters []replica.Identity) []replica.Effect {
+// bootstrap creates the voter group if the answers of the seeds allow it.
+func (t *task) bootstrap(answers []replica.SeedAnswer) []replica.Effect {
 	t.bootstrapping = false
 	if !t.notBootstrapped() {
 		return nil
 	}
-	members, ok := replica.Bootstrap(t.id(), voters, len(t.initialSeeds))
-	if !ok {
+	var members replica.Members
+	switch outcome := t.formation.Decide(time.Now(), answers).(type) {
+	case replica.Undecided:
+		return nil
+	case replica.Outside:
+		t.logOutside(outcome)
 		return nil
+	case replica.Formed:
+		members = outcome.Members
 	}
 	first := replica.Snapshot{Index: 1, Term: 1, Members: members}
 	t.replica = replica.New(replicaConfig(t.id()), replica.PersistentState{
@@ -264,3 +270,13 @@
 		replica.SaveSnapshot{Snapshot: first, DropLaterEntries: true},
 	}
 }
+
+// logOutside logs, once for each membership, that a group exists which has no place for
+// this seed.
+func (t *task) logOutside(outside replica.Outside) {
+	if outside.Expected || slices.Equal(outside.Members.Voters, t.outsideOf) {
+		return
+	}
+	t.outsideOf = outside.Members.Voters
+	t.log.WithFields(log.Fields{"change": "membership", "members": outside.Members, "replica": t.id()}).Error("a voter group exists that does not list this initial seed")
+}
--- a/control/message.go
+++ b/control/message.go
@@ -57,7 +57,7 @@
 
 type identifyMessage struct{ answer chan<- answer }
 
-type bootstrapMessage struct{ voters []replica.Identity }
+type bootstrapMessage struct{ answers []replica.SeedAnswer }
 
 type transferMessage struct{ done chan<- bool }
 
--- a/control/task.go
+++ b/control/task.go
@@ -139,9 +139,12 @@
 	// place is this instance's place in the voter group, as last logged.
 	place          string
 	housekeepingAt time.Time
-	// bootstrapping is true while all initial voters are asked for their
-	// identities.
+	// formation decides how this instance takes part in the formation of the voter group.
+	formation replica.Formation
+	// bootstrapping is true while all seeds are asked for their identities.
 	bootstrapping bool
+	// outsideOf are the voters of the group that last had no place for this seed.
+	outsideOf []string
 }
 
 // pendingProposal is a command that was proposed and is not applied yet.
@@ -168,6 +171,7 @@
 		return nil, err
 	}
 	t.replica = replica.New(replicaConfig(t.id()), folder.Saved, t.random, time.Now())
+	t.formation = replica.Formation{Self: t.id(), Seeds: namesOf(seeds), StartedAt: time.Now()}
 	t.relay = newRelay(deployment.IP, t.id()+"/"+randomID())
 	t.relayPool = peer.NewPool(ctx, peer.Options{Metrics: options.Metrics, Dial: options.Dial})
 	return t, nil
@@ -336,7 +340,7 @@
 	case identifyMessage:
 		message.answer <- answer{response: t.identify()}
 	case bootstrapMessage:
-		return t.bootstrap(message.voters)
+		return t.bootstrap(message.answers)
 	case transferMessage:
 		message.done <- t.replica.Role != replica.RoleLeader
 		return t.replica.Step(now, replica.TransferLeadership{})
--- a/peer/message.go
+++ b/peer/message.go
@@ -220,6 +220,10 @@
 	Members *replica.Members `json:"members,omitempty"`
 	// Known lists the instances that may belong to the voter group.
 	Known []string `json:"known,omitempty"`
+	// InitialSeeds are the seeds that the settings named at the instance's start.
+	InitialSeeds []string `json:"initial_seeds,omitempty"`
+	// InitialVoter is true while the instance may be an initial voter of a new group.
+	InitialVoter bool `json:"initial_voter,omitempty"`
 }
 
 // JoinResponse answers a JoinRequest.
