--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -41,6 +41,8 @@
 	ChangedAt map[string]uint64 `json:"changed_at"`
 	// OutDomains holds the failure domains that are out of service.
 	OutDomains map[string]bool `json:"out_domains"`
+	// DomainChanges holds when failure domains were last taken out of service or put back.
+	DomainChanges DomainChanges `json:"domain_changes,omitzero"`
 	// DrainedServers holds the servers that operators have drained.
 	DrainedServers map[string]bool `json:"drained_servers"`
 	// Changes holds the newest results of changes, oldest first.
@@ -92,6 +94,7 @@
 	}
 	maps.Copy(clone.ChangedAt, c.ChangedAt)
 	maps.Copy(clone.OutDomains, c.OutDomains)
+	clone.DomainChanges = c.DomainChanges.clone()
 	maps.Copy(clone.DrainedServers, c.DrainedServers)
 	clone.Changes = slices.Clone(c.Changes)
 	clone.Configuration = c.Configuration
@@ -150,7 +153,11 @@
 	case record.PutDocument:
 		return c.putDocument(index, cmd.Document)
 	case record.SetDomain:
+		if changedAt := c.DomainChanges.last(cmd.Domain); cmd.AsOf > 0 && changedAt > cmd.AsOf {
+			return record.Overtaken{Index: changedAt}
+		}
 		setOrDelete(c.OutDomains, cmd.Domain, cmd.Out)
+		c.DomainChanges.set(cmd.Domain, index)
 	case record.SetServer:
 		setOrDelete(c.DrainedServers, cmd.Server, cmd.Drained)
 	case record.PutConfiguration:
@@ -243,7 +250,8 @@
 		change.VersionConflict = &r
 	case record.HostConflict:
 		change.HostConflict = &r
-	case record.Claimed, record.InProgress, record.Replay, record.KeyMismatch, record.LedgerFull:
+	case record.Overtaken, record.Claimed, record.InProgress, record.Replay, record.KeyMismatch, record.LedgerFull:
+		// An overtaken order is sent again, with the same ID, on a newer state.
 		return
 	}
 	c.Changes = append(c.Changes, change)
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -1,7 +1,9 @@
 package catalog_test
 
 import (
+	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/onsi/ginkgo/v2"
@@ -29,7 +31,7 @@
 			d.Hosts = testCase.List("hosts")
 			return show(catalogState.Apply(index, record.PutDocument{ChangeID: id, Document: d}))
 		case "domain":
-			return show(catalogState.Apply(index, record.SetDomain{ChangeID: id, Domain: testCase.Args["name"], Out: testCase.Bool("out")}))
+			return show(catalogState.Apply(index, record.SetDomain{ChangeID: id, Domain: testCase.Args["name"], Out: testCase.Bool("out"), AsOf: uint64(testCase.Int("as_of", 0))}))
 		case "server":
 			return show(catalogState.Apply(index, record.SetServer{ChangeID: id, Server: testCase.Args["name"], Drained: testCase.Bool("drained")}))
 		case "many":
@@ -37,6 +39,14 @@
 				catalogState.Apply(index+uint64(i), record.SetServer{ChangeID: fmt.Sprint("many-", i), Server: "s", Drained: i%2 == 0})
 			}
 			return fmt.Sprintf("stored %d", len(catalogState.Changes))
+		case "many_domains":
+			for i := range testCase.Int("count", 0) {
+				catalogState.Apply(index+uint64(i), record.SetDomain{Domain: fmt.Sprint("domain-", i)})
+			}
+			return fmt.Sprintf("kept %d", len(catalogState.DomainChanges.Index))
+		case "restart":
+			catalogState = restarted(catalogState, testCase.Bool("former"))
+			return ""
 		case "show":
 			return fmt.Sprintf("index %d, out %v, drained %v, versions %v", catalogState.Index, catalogState.OutDomains, catalogState.DrainedServers, versions(catalogState))
 		}
@@ -44,6 +54,21 @@
 	}
 })
 
+// restarted returns a catalog as it is read from a snapshot, or from one of the format
+// before the indexes of the domains' changes.
+func restarted(c *catalog.Catalog, former bool) *catalog.Catalog {
+	c = c.Clone()
+	if former {
+		c.DomainChanges = catalog.DomainChanges{}
+	}
+	data, err := json.Marshal(c)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(strings.Contains(string(data), "domain_changes")).To(gomega.Equal(!former))
+	read := catalog.New()
+	gomega.Expect(json.Unmarshal(data, read)).To(gomega.Succeed())
+	return read
+}
+
 func show(r record.Result) string { return fmt.Sprintf("%T%+v", r, r) }
 
 func versions(c *catalog.Catalog) map[string]uint64 {
--- a/jsonform/envelope.go
+++ b/jsonform/envelope.go
@@ -137,6 +137,8 @@
 	switch r.(type) {
 	case record.Done:
 		return "done"
+	case record.Overtaken:
+		return "overtaken"
 	case record.VersionConflict:
 		return "version_conflict"
 	case record.HostConflict:
@@ -160,6 +162,8 @@
 	switch envelope.Kind {
 	case "done":
 		return decodeVariant(envelope, func(r record.Done) record.Result { return r })
+	case "overtaken":
+		return decodeVariant(envelope, func(r record.Overtaken) record.Result { return r })
 	case "version_conflict":
 		return decodeVariant(envelope, func(r record.VersionConflict) record.Result { return r })
 	case "host_conflict":
--- a/record/record.go
+++ b/record/record.go
@@ -41,6 +41,10 @@
 	ChangeID string `json:"change_id"`
 	Domain   string `json:"domain"`
 	Out      bool   `json:"out"`
+	// AsOf is the log index up to which the state was known when the order was issued. An
+	// order is not applied on top of a later change of the domain. Zero means that the
+	// order is unconditional.
+	AsOf uint64 `json:"as_of,omitempty"`
 }
 
 // SetServer drains a server, or ends its draining.
@@ -168,6 +172,13 @@
 	Service string `json:"service"`
 }
 
+// Overtaken means that the order changed nothing, because the domain was changed after the
+// state that the order was bound to.
+type Overtaken struct {
+	// Index is the log index of that change.
+	Index uint64 `json:"index"`
+}
+
 // Claimed means that the claimant holds the key and may run the request.
 type Claimed struct{}
 
@@ -188,6 +199,7 @@
 type LedgerFull struct{}
 
 func (Done) result()            {}
+func (Overtaken) result()       {}
 func (VersionConflict) result() {}
 func (HostConflict) result()    {}
 func (Claimed) result()         {}
