control: reads tell the log index, and the known incarnation can be asked for

Cause: an order needs the index of the state that it is bound to, and a deregistration without a start time has to name the incarnation that was known when it arrived. Change: ReadRequest.IndexOnly and ReadResponse.Index; IncarnationRequest.

--- a/control/announce.go
+++ b/control/announce.go
@@ -68,6 +68,23 @@
 	return t.propose(now, data, pendingProposal{answer: message.answer})
 }
 
+// findIncarnation answers with the newest incarnation of an upstream that this instance
+// knows, from announcements, from the log or from the leader's view. A deregistration
+// without a start time is bound to it.
+func (t *task) findIncarnation(message incarnationMessage) {
+	startMS := t.state.Catalog.Upstreams[message.upstream].StartMS
+	for _, table := range []*fleet.Table{t.fleet, t.relay.fleet} {
+		if member := table.Members[message.upstream]; member != nil {
+			startMS = max(startMS, member.StartMS)
+		}
+	}
+	if startMS == 0 && !t.leads() {
+		message.answer <- answer{err: t.notLeaderError()}
+		return
+	}
+	message.answer <- answer{response: peer.IncarnationResponse{StartMS: startMS}}
+}
+
 // applyAndForward applies an announcement that has been acknowledged already.
 // An instance that is not the leader also queues it for the leader.
 func (t *task) applyAndForward(now time.Time, request peer.AnnounceRequest) {
--- a/control/apply.go
+++ b/control/apply.go
@@ -24,7 +24,9 @@
 		}
 		t.bytesSinceSnapshot += len(entry.Data)
 		result = t.state.Apply(entry.Index, c)
-		t.updateWatchedState(entry.Index, c)
+		if _, overtaken := result.(record.Overtaken); !overtaken {
+			t.updateWatchedState(entry.Index, c)
+		}
 	} else {
 		t.state.Applied = entry.Index
 	}
@@ -48,8 +50,10 @@
 	case proposed.answer == nil:
 	case err != nil:
 		proposed.answer <- answer{err: err}
+	case proposed.indexOnly:
+		proposed.answer <- answer{response: peer.ReadResponse{Index: t.state.Applied}}
 	case proposed.read:
-		proposed.answer <- answer{response: peer.ReadResponse{Original: t.state.Catalog.Original}}
+		proposed.answer <- answer{response: peer.ReadResponse{Original: t.state.Catalog.Original, Index: t.state.Applied}}
 	default:
 		proposed.answer <- answer{response: peer.ProposeResponse{Result: result}}
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -56,6 +56,10 @@
 	watches map[string]peer.WatchRequest
 	// mirrors holds, by entry, what it knows of the leader's fleet.
 	mirrors map[string]*fleet.Mirror
+	// bound holds, by order, the index that it is bound to, and delayed the outcomes of
+	// orders that run in the background.
+	bound   map[string]uint64
+	delayed map[string]chan string
 	// followers are entries that watch in the background.
 	followers []*follower
 }
@@ -77,6 +81,7 @@
 	b := &fixture{
 		folder: folder, port: l.Addr().(*net.TCPAddr).Port, instances: map[string]*instance{},
 		watches: map[string]peer.WatchRequest{}, mirrors: map[string]*fleet.Mirror{},
+		bound: map[string]uint64{}, delayed: map[string]chan string{},
 	}
 	gomega.Expect(l.Close()).To(gomega.Succeed())
 	b.cut.Store(&map[string]bool{})
@@ -125,7 +130,13 @@
 			Original:      append([]byte(testCase.Args["text"]), incompressible(testCase.Int("bytes", 0))...),
 		}})
 	case "domain":
-		return b.call(testCase, name, peer.ProposeRequest{Command: record.SetDomain{Domain: testCase.Args["domain"], Out: testCase.Bool("out")}})
+		return b.setDomain(testCase, name)
+	case "await":
+		return <-b.delayed[testCase.Args["order"]]
+	case "bind":
+		return b.bind(testCase, name)
+	case "incarnation":
+		return b.call(testCase, name, peer.IncarnationRequest{Upstream: testCase.Args["id"]})
 	case "read":
 		return b.call(testCase, name, peer.ReadRequest{})
 	case "announce":
@@ -281,7 +292,13 @@
 	if read, ok := response.(peer.ReadResponse); ok {
 		return string(read.Original)
 	}
+	if incarnation, ok := response.(peer.IncarnationResponse); ok {
+		return fmt.Sprintf("born=%d", incarnation.StartMS)
+	}
 	if proposed, ok := response.(peer.ProposeResponse); ok {
+		if _, overtaken := proposed.Result.(record.Overtaken); overtaken {
+			return "overtaken"
+		}
 		if done, ok := proposed.Result.(record.Done); ok && done.Version > 0 {
 			return fmt.Sprintf("in force: %d", done.Version)
 		}
@@ -289,6 +306,33 @@
 	return "acknowledged"
 }
 
+// bind reads the state through an instance, and binds a later order to it.
+func (b *fixture) bind(testCase script.Case, name string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	response, err := b.instances[name].control.Call(ctx, peer.ReadRequest{IndexOnly: true})
+	read, ok := response.(peer.ReadResponse)
+	if err != nil || !ok || read.Index == 0 || len(read.Original) > 0 {
+		return "refused"
+	}
+	b.bound[testCase.Args["order"]] = read.Index
+	return ""
+}
+
+// setDomain sends an order for a failure domain, bound to the state if a bind command named
+// it. In the background its outcome is awaited later.
+func (b *fixture) setDomain(testCase script.Case, name string) string {
+	order := testCase.Args["order"]
+	request := peer.ProposeRequest{Command: record.SetDomain{Domain: testCase.Args["domain"], Out: testCase.Bool("out"), AsOf: b.bound[order]}}
+	if !testCase.Bool("background") {
+		return b.call(testCase, name, request)
+	}
+	outcome := make(chan string, 1)
+	b.delayed[order] = outcome
+	go func() { outcome <- b.call(testCase, name, request) }()
+	return ""
+}
+
 // watch follows the leader's view as an entry does, and returns its text. It
 // repeats the watch until the text has the prefix given by expect and contains
 // the text given by contains: the leader gets an upstream's announcement with a
--- a/control/message.go
+++ b/control/message.go
@@ -23,7 +23,15 @@
 	answer  chan<- answer
 }
 
-type readMessage struct{ answer chan<- answer }
+type readMessage struct {
+	indexOnly bool
+	answer    chan<- answer
+}
+
+type incarnationMessage struct {
+	upstream string
+	answer   chan<- answer
+}
 
 type announceMessage struct {
 	request peer.AnnounceRequest
@@ -61,20 +69,21 @@
 
 type transferMessage struct{ done chan<- bool }
 
-func (replicaMessage) message()   {}
-func (proposeMessage) message()   {}
-func (readMessage) message()      {}
-func (announceMessage) message()  {}
-func (renewMessage) message()     {}
-func (watchMessage) message()     {}
-func (copyMessage) message()      {}
-func (joinMessage) message()      {}
-func (joinEndedMessage) message() {}
-func (groupMessage) message()     {}
-func (seedsMessage) message()     {}
-func (identifyMessage) message()  {}
-func (bootstrapMessage) message() {}
-func (transferMessage) message()  {}
+func (replicaMessage) message()     {}
+func (proposeMessage) message()     {}
+func (readMessage) message()        {}
+func (incarnationMessage) message() {}
+func (announceMessage) message()    {}
+func (renewMessage) message()       {}
+func (watchMessage) message()       {}
+func (copyMessage) message()        {}
+func (joinMessage) message()        {}
+func (joinEndedMessage) message()   {}
+func (groupMessage) message()       {}
+func (seedsMessage) message()       {}
+func (identifyMessage) message()    {}
+func (bootstrapMessage) message()   {}
+func (transferMessage) message()    {}
 
 // answer is the outcome of a request.
 type answer struct {
@@ -106,7 +115,7 @@
 	switch message.(type) {
 	case replicaMessage, renewMessage, groupMessage:
 		return peer.Nothing{}, nil
-	case proposeMessage, readMessage, announceMessage, watchMessage, copyMessage, joinMessage, joinEndedMessage, relayAnswerMessage, seedsMessage, identifyMessage, bootstrapMessage, transferMessage:
+	case proposeMessage, readMessage, incarnationMessage, announceMessage, watchMessage, copyMessage, joinMessage, joinEndedMessage, relayAnswerMessage, seedsMessage, identifyMessage, bootstrapMessage, transferMessage:
 	}
 	select {
 	case a := <-reply:
@@ -136,7 +145,9 @@
 		data, err := encode(request.Command)
 		return proposeMessage{request.Command, data, reply}, err
 	case peer.ReadRequest:
-		return readMessage{reply}, nil
+		return readMessage{request.IndexOnly, reply}, nil
+	case peer.IncarnationRequest:
+		return incarnationMessage{request.Upstream, reply}, nil
 	case peer.AnnounceRequest:
 		return announceMessage{request, reply}, nil
 	case peer.RenewRequest:
--- a/control/task.go
+++ b/control/task.go
@@ -150,8 +150,9 @@
 // pendingProposal is a command that was proposed and is not applied yet.
 type pendingProposal struct {
 	answer chan<- answer
-	// read is true when the answer is the configuration.
-	read bool
+	// read is true when the answer is the configuration and the index, and indexOnly when
+	// it is only the index.
+	read, indexOnly bool
 	// enrolls is true for a command that records upstreams.
 	enrolls bool
 }
@@ -317,7 +318,9 @@
 	case proposeMessage:
 		return t.propose(now, message.data, pendingProposal{answer: message.answer})
 	case readMessage:
-		return t.propose(now, nil, pendingProposal{answer: message.answer, read: true})
+		return t.propose(now, nil, pendingProposal{answer: message.answer, read: true, indexOnly: message.indexOnly})
+	case incarnationMessage:
+		t.findIncarnation(message)
 	case announceMessage:
 		return t.announce(now, message)
 	case renewMessage:
--- a/peer/message.go
+++ b/peer/message.go
@@ -108,8 +108,18 @@
 	Renewed []string `json:"heard,omitempty"`
 }
 
-// ReadRequest asks the leader for the newest configuration.
-type ReadRequest struct{}
+// ReadRequest asks the leader for the newest configuration, and for the log index up to
+// which the leader has applied everything that was acknowledged.
+type ReadRequest struct {
+	// IndexOnly is true when the response needs no configuration.
+	IndexOnly bool `json:"index_only,omitempty"`
+}
+
+// IncarnationRequest asks a control instance for the newest incarnation of an upstream that
+// it knows. An instance that knows none refuses it, unless it leads.
+type IncarnationRequest struct {
+	Upstream string `json:"upstream"`
+}
 
 // WatchRequest asks the leader for the changes since a view. The response comes
 // when there is a change, or after a timeout.
@@ -174,22 +184,23 @@
 // not know the group, and those that know only the seeds ask it. It has no response.
 type GroupNotice struct{ Group Group }
 
-func (AnnounceRequest) request()  {}
-func (GroupNotice) request()      {}
-func (CopyRequest) request()      {}
-func (RenewRequest) request()     {}
-func (ReadRequest) request()      {}
-func (WatchRequest) request()     {}
-func (ReplicaMessage) request()   {}
-func (ReportRequest) request()    {}
-func (ProposeRequest) request()   {}
-func (BorrowRequest) request()    {}
-func (ReturnRequest) request()    {}
-func (ReportNowRequest) request() {}
-func (IdentifyRequest) request()  {}
-func (JoinRequest) request()      {}
-func (StatusRequest) request()    {}
-func (ConfirmRequest) request()   {}
+func (AnnounceRequest) request()    {}
+func (GroupNotice) request()        {}
+func (CopyRequest) request()        {}
+func (RenewRequest) request()       {}
+func (ReadRequest) request()        {}
+func (IncarnationRequest) request() {}
+func (WatchRequest) request()       {}
+func (ReplicaMessage) request()     {}
+func (ReportRequest) request()      {}
+func (ProposeRequest) request()     {}
+func (BorrowRequest) request()      {}
+func (ReturnRequest) request()      {}
+func (ReportNowRequest) request()   {}
+func (IdentifyRequest) request()    {}
+func (JoinRequest) request()        {}
+func (StatusRequest) request()      {}
+func (ConfirmRequest) request()     {}
 
 // Response is the response to a request.
 //
@@ -254,6 +265,16 @@
 	// Original is the newest configuration, byte for byte as it was submitted.
 	// It is empty when there is none yet.
 	Original []byte `json:"original,omitempty"`
+	// Index is a log index. Everything that was acknowledged before the request has this
+	// index or a lower one.
+	Index uint64 `json:"index,omitempty"`
+}
+
+// IncarnationResponse answers an IncarnationRequest.
+type IncarnationResponse struct {
+	// StartMS is the start time of the incarnation in Unix milliseconds, and zero if none
+	// is known.
+	StartMS int64 `json:"born_ms"`
 }
 
 // WatchResponse answers a WatchRequest.
@@ -314,17 +335,18 @@
 	Control []string `json:"control,omitempty"`
 }
 
-func (ReadResponse) response()     {}
-func (WatchResponse) response()    {}
-func (CopyResponse) response()     {}
-func (JoinResponse) response()     {}
-func (Nothing) response()          {}
-func (ReportResponse) response()   {}
-func (ProposeResponse) response()  {}
-func (BorrowResponse) response()   {}
-func (IdentifyResponse) response() {}
-func (ConfirmResponse) response()  {}
-func (StatusResponse) response()   {}
+func (ReadResponse) response()        {}
+func (IncarnationResponse) response() {}
+func (WatchResponse) response()       {}
+func (CopyResponse) response()        {}
+func (JoinResponse) response()        {}
+func (Nothing) response()             {}
+func (ReportResponse) response()      {}
+func (ProposeResponse) response()     {}
+func (BorrowResponse) response()      {}
+func (IdentifyResponse) response()    {}
+func (ConfirmResponse) response()     {}
+func (StatusResponse) response()      {}
 
 // RefusedError is the error response of an instance that refused a request.
 type RefusedError struct {
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -13,22 +13,23 @@
 
 // JSON-RPC method names.
 const (
-	methodReplica   = "replica"
-	methodReport    = "report"
-	methodPropose   = "propose"
-	methodBorrow    = "borrow"
-	methodReturn    = "return"
-	methodReportNow = "poke"
-	methodIdentify  = "identify"
-	methodJoin      = "join"
-	methodStatus    = "status"
-	methodConfirm   = "confirm"
-	methodAnnounce  = "announce"
-	methodRenew     = "renew"
-	methodRead      = "read"
-	methodWatch     = "watch"
-	methodCopy      = "copy"
-	methodGroup     = "group"
+	methodReplica     = "replica"
+	methodReport      = "report"
+	methodPropose     = "propose"
+	methodBorrow      = "borrow"
+	methodReturn      = "return"
+	methodReportNow   = "poke"
+	methodIdentify    = "identify"
+	methodJoin        = "join"
+	methodStatus      = "status"
+	methodConfirm     = "confirm"
+	methodAnnounce    = "announce"
+	methodRenew       = "renew"
+	methodRead        = "read"
+	methodWatch       = "watch"
+	methodCopy        = "copy"
+	methodGroup       = "group"
+	methodIncarnation = "incarnation"
 )
 
 // replicaParams is the JSON form of a ReplicaMessage.
@@ -88,6 +89,8 @@
 		return methodRenew, request, true, nil
 	case ReadRequest:
 		return methodRead, request, false, nil
+	case IncarnationRequest:
+		return methodIncarnation, request, false, nil
 	case WatchRequest:
 		return methodWatch, request, false, nil
 	case CopyRequest:
@@ -127,7 +130,9 @@
 	case methodRenew:
 		return decode(params, func(r RenewRequest) Request { return r })
 	case methodRead:
-		return ReadRequest{}, nil
+		return decode(params, func(r ReadRequest) Request { return r })
+	case methodIncarnation:
+		return decode(params, func(r IncarnationRequest) Request { return r })
 	case methodWatch:
 		return decode(params, func(r WatchRequest) Request { return r })
 	case methodCopy:
@@ -199,7 +204,7 @@
 		return proposeResult{Result: e}, err
 	case JoinResponse:
 		return response.Group, nil
-	case Nothing, ReportResponse, BorrowResponse, IdentifyResponse, ConfirmResponse, StatusResponse, ReadResponse, WatchResponse, CopyResponse:
+	case Nothing, ReportResponse, BorrowResponse, IdentifyResponse, ConfirmResponse, StatusResponse, ReadResponse, IncarnationResponse, WatchResponse, CopyResponse:
 		return response, nil
 	}
 	return nil, fmt.Errorf("response %T has no form", response)
@@ -222,6 +227,8 @@
 		return decode(result, func(r ConfirmResponse) Response { return r })
 	case ReadRequest:
 		return decode(result, func(r ReadResponse) Response { return r })
+	case IncarnationRequest:
+		return decode(result, func(r IncarnationResponse) Response { return r })
 	case WatchRequest:
 		return decode(result, func(r WatchResponse) Response { return r })
 	case CopyRequest:
