--- a/control/task.go
+++ b/control/task.go
@@ -144,16 +144,20 @@
 	// place is this instance's place in the voter group, as last logged.
 	place          string
 	housekeepingAt time.Time
-	// bootstrapping is true while all initial voters are asked for their
-	// identities.
+	// formation decides how this instance takes part in the formation of the voter group.
+	formation replica.Formation
+	// bootstrapping is true while all seeds are asked for their identities.
 	bootstrapping bool
+	// outsideOf are the voters of the group that last had no place for this seed.
+	outsideOf []string
 }
 
 // pendingProposal is a command that was proposed and is not applied yet.
 type pendingProposal struct {
 	answer chan<- answer
-	// read is true when the answer is the configuration.
-	read bool
+	// read is true when the answer is the configuration and the index, and indexOnly when
+	// it is only the index.
+	read, indexOnly bool
 	// enrolls is true for a command that records upstreams.
 	enrolls bool
 }
@@ -173,6 +177,7 @@
 		return nil, err
 	}
 	t.replica = replica.New(replicaConfig(t.id()), folder.Saved, t.random, time.Now())
+	t.formation = replica.Formation{Self: t.id(), Seeds: namesOf(seeds), StartedAt: time.Now()}
 	t.relay = newRelay(deployment.IP, t.id()+"/"+randomID())
 	t.relayPool = peer.NewPool(ctx, peer.Options{Metrics: options.Metrics, Dial: options.Dial})
 	return t, nil
@@ -319,7 +324,9 @@
 	case proposeMessage:
 		return t.propose(now, message.data, pendingProposal{answer: message.answer})
 	case readMessage:
-		return t.propose(now, nil, pendingProposal{answer: message.answer, read: true})
+		return t.propose(now, nil, pendingProposal{answer: message.answer, read: true, indexOnly: message.indexOnly})
+	case incarnationMessage:
+		t.findIncarnation(message)
 	case announceMessage:
 		return t.announce(now, message)
 	case renewMessage:
@@ -342,7 +349,7 @@
 	case identifyMessage:
 		message.answer <- answer{response: t.identify()}
 	case bootstrapMessage:
-		return t.bootstrap(message.voters)
+		return t.bootstrap(message.answers)
 	case transferMessage:
 		message.done <- t.replica.Role != replica.RoleLeader
 		return t.replica.Step(now, replica.TransferLeadership{})
--- a/replica/election.go
+++ b/replica/election.go
@@ -88,7 +88,7 @@
 func (r *Replica) requestVotes(now time.Time) {
 	r.voteRetryAt = now.Add(r.Config.ElectionTimeout / voteRetriesPerElection)
 	for _, id := range r.Members.Voters {
-		if _, answered := r.votes[id]; !answered {
+		if _, answered := r.votes[id]; !answered && !IsPlaceholder(id) {
 			r.send(id, r.voteRequest)
 		}
 	}
