control: a test for a late seed whose place was taken

Cause: nothing checked that the seed logs the group that has no place for it, once, forms no group and reads the configuration as a standby.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -19,7 +19,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
@@ -67,7 +66,9 @@
 type instance struct {
 	control *control.Control
 	metrics *metrics.Set
-	cancel  context.CancelFunc
+	// errors receives the first errors that the instance logs.
+	errors chan *log.Entry
+	cancel context.CancelFunc
 }
 
 // addresses maps the instance names in test files to loopback addresses.
@@ -151,6 +152,8 @@
 		return b.copiesOfView(testCase.List("at"))
 	case "voters":
 		return b.voters(testCase, name)
+	case "errors":
+		return b.loggedErrors(testCase, name)
 	case "find_leader":
 		return b.findLeader()
 	case "watch_without_leader":
@@ -180,16 +183,28 @@
 func (b *fixture) start(name string, first bool, lost int) {
 	ctx, cancel := context.WithCancel(context.Background())
 	set := metrics.NewSet()
+	errorLog := make(chan *log.Entry, 64)
 	started, err := control.Start(ctx, settings.Deployment{
 		Instance: name, IP: addresses[name], Domain: name, PeerPort: b.port, Seeds: seeds(),
 		DataFolder: filepath.Join(b.folder, name), FirstStart: first, LostInstances: lost,
 	}, control.Options{
-		Log: &log.Logger{Handler: discard.Default, Level: log.ErrorLevel}, Metrics: set,
+		Log: &log.Logger{Handler: sendTo(errorLog), Level: log.ErrorLevel}, Metrics: set,
 		Dial:       func(ctx context.Context, address string) (net.Conn, error) { return b.dial(ctx, name, address) },
 		CreateFile: func(path string) (disk.File, error) { return b.createFile(name, path) },
 	})
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	b.instances[name] = &instance{started, set, cancel}
+	b.instances[name] = &instance{started, set, errorLog, cancel}
+}
+
+// sendTo returns a log handler that drops what a channel has no space for.
+func sendTo(entries chan<- *log.Entry) log.Handler {
+	return log.HandlerFunc(func(e *log.Entry) error {
+		select {
+		case entries <- e:
+		default:
+		}
+		return nil
+	})
 }
 
 // setFull sets whose disks are full. The journals that are open when an instance starts are
@@ -430,6 +445,28 @@
 	}
 }
 
+// loggedErrors returns the errors that an instance has logged since the last call. With
+// wait it waits for one.
+func (b *fixture) loggedErrors(testCase script.Case, name string) string {
+	logged := b.instances[name].errors
+	if testCase.Bool("wait") {
+		gomega.Eventually(func() int { return len(logged) }, callTimeout).Should(gomega.BeNumerically(">", 0))
+	}
+	var lines []string
+	for len(logged) > 0 {
+		entry := <-logged
+		members, _ := entry.Fields["members"].(replica.Members)
+		line := entry.Message + ":"
+		for _, n := range slices.Sorted(maps.Keys(addresses)) {
+			if slices.ContainsFunc(members.Voters, func(id string) bool { return replica.InstanceOf(id) == addresses[n] }) {
+				line += " " + n
+			}
+		}
+		lines = append(lines, line)
+	}
+	return strings.Join(lines, "\n")
+}
+
 func (b *fixture) votersOnce(name string) []string {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
