script: a case can consist of several steps

Cause: a scripted test of many short commands takes four lines for each. Change: Case.Steps and Case.RunSteps.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -22,7 +22,8 @@
 
 var _ = script.Describe("catalog", "testdata/*.txt", func() script.Handler {
 	catalogState := catalog.New()
-	return func(testCase script.Case) string {
+	var handle script.Handler
+	handle = func(testCase script.Case) string {
 		index, id := uint64(testCase.Int("index", 0)), testCase.Args["id"]
 		switch testCase.Command {
 		case "put":
@@ -39,6 +40,8 @@
 				catalogState.Apply(index+uint64(i), record.SetServer{ChangeID: fmt.Sprint("many-", i), Server: "s", Drained: i%2 == 0})
 			}
 			return fmt.Sprintf("stored %d", len(catalogState.Changes))
+		case "steps":
+			return testCase.RunSteps(handle)
 		case "many_domains":
 			for i := range testCase.Int("count", 0) {
 				catalogState.Apply(index+uint64(i), record.SetDomain{Domain: fmt.Sprint("domain-", i)})
@@ -52,6 +55,7 @@
 		}
 		return "unknown command"
 	}
+	return handle
 })
 
 // restarted returns a catalog as it is read from a snapshot, or from one of the format
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -99,6 +99,8 @@
 func (b *fixture) run(testCase script.Case) string {
 	name := testCase.Args["at"]
 	switch testCase.Command {
+	case "steps":
+		return testCase.RunSteps(b.run)
 	case "start":
 		for _, n := range testCase.List("names") {
 			b.start(n, testCase.Bool("first"), testCase.Int("lost", 1))
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -21,34 +21,37 @@
 
 var errNoLeader = errors.New("no leader")
 
-// One order whose sender waits for 900 ms, with a clock that the test file advances.
+// A case is an order whose sender waits for 900 ms. The steps are events, and the output has
+// the effects that follow.
 var _ = script.Describe("order", "testdata/*.txt", func() script.Handler {
-	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	var o *order.Order
 	return func(c script.Case) string {
-		now = now.Add(time.Duration(c.Int("after_ms", 0)) * time.Millisecond)
-		var err error
-		if c.Bool("failed") {
-			err = errNoLeader
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		o := order.New(now, 900*time.Millisecond)
+		if c.Command == "unbound" {
+			o = order.NewUnbound(now, 900*time.Millisecond)
 		}
-		var event order.Event
-		switch c.Command {
-		case "receive":
-			o = order.New(now, 900*time.Millisecond)
-			if c.Bool("unbound") {
-				o = order.NewUnbound(now, 900*time.Millisecond)
-			}
-			event = order.Received{}
-		case "checked":
-			event = order.SenderChecked{Waiting: c.Bool("waiting")}
-		case "read":
-			event = order.StateRead{Index: uint64(c.Int("index", 0)), Err: err}
-		case "done":
-			event = order.Proposed{Result: record.Done{Index: uint64(c.Int("index", 0))}, Err: err}
-		case "overtaken":
-			event = order.Proposed{Result: record.Overtaken{Index: uint64(c.Int("index", 0))}}
-		}
-		effect := o.Step(now, event)
-		return fmt.Sprintf("%T%+v", effect, effect)
+		return c.RunSteps(func(step script.Case) string {
+			now = now.Add(time.Duration(step.Int("after_ms", 0)) * time.Millisecond)
+			effect := o.Step(now, eventOf(step))
+			return fmt.Sprintf("%T%v", effect, effect)
+		})
 	}
 })
+
+func eventOf(c script.Case) order.Event {
+	var err error
+	if c.Bool("failed") {
+		err = errNoLeader
+	}
+	switch c.Command {
+	case "checked":
+		return order.SenderChecked{Waiting: c.Bool("waiting")}
+	case "read":
+		return order.StateRead{Index: uint64(c.Int("index", 0)), Err: err}
+	case "done":
+		return order.Proposed{Result: record.Done{}, Err: err}
+	case "overtaken":
+		return order.Proposed{Result: record.Overtaken{}}
+	}
+	return order.Received{}
+}
--- a/replica/formation_test.go
+++ b/replica/formation_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -13,42 +13,42 @@
 	"github.com/oriolepost/oriolepost/script"
 )
 
-// Seeds of a new system, each with its own start, that ask each other in rounds. A seed that
-// has formed the group answers the later rounds as a member.
-var _ = script.Describe("formation", "testdata/formation/*.txt", func() script.Handler {
-	epoch := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	formations, answers := map[string]replica.Formation{}, map[string]replica.SeedAnswer{}
+// A case is a new system with its seeds, which have their start times as arguments. In a
+// round one seed asks those that it sees. A seed that has formed the group answers as its
+// member.
+var _ = script.Describe("formation", "testdata/formation.txt", func() script.Handler {
 	return func(c script.Case) string {
-		name, now := c.Args["name"], epoch.Add(time.Duration(c.Int("at_ms", 0))*time.Millisecond)
-		switch c.Command {
-		case "start":
-			id := replica.ID(name, fmt.Sprint(c.Int("folder", 1)))
-			formations[name] = replica.Formation{Self: id, Seeds: c.List("seeds"), StartedAt: now}
-			answers[name] = replica.SeedAnswer{ReplicaID: id, Instance: name, Seeds: c.List("seeds"), InitialVoter: !c.Bool("not_first")}
-			return ""
-		case "belongs":
+		epoch := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		answers, seeds := map[string]replica.SeedAnswer{}, slices.Sorted(maps.Keys(c.Args))
+		for _, name := range seeds {
+			answers[name] = replica.SeedAnswer{ReplicaID: replica.ID(name, "1"), Instance: name, Seeds: seeds, InitialVoter: true}
+		}
+		return c.RunSteps(func(step script.Case) string {
+			name := step.Args["at"]
 			answer := answers[name]
-			answer.Members = &replica.Members{Voters: c.List("voters"), Learners: c.List("learners")}
-			answers[name] = answer
-			return ""
-		case "round":
-			var received []replica.SeedAnswer
-			for _, seen := range c.List("sees") {
-				received = append(received, answers[seen])
-			}
-			switch outcome := formations[name].Decide(now, received).(type) {
-			case replica.Formed:
-				answer := answers[name]
-				answer.Members = &outcome.Members
-				answers[name] = answer
-				return "formed " + strings.Join(outcome.Members.Voters, " ")
-			case replica.Outside:
-				return fmt.Sprintf("outside of %s, expected: %v", strings.Join(outcome.Members.Voters, " "), outcome.Expected)
-			case replica.Undecided:
-				return "undecided"
+			defer func() { answers[name] = answer }()
+			switch step.Command {
+			case "not_first":
+				answer.InitialVoter = false
+			case "seeds":
+				answer.Seeds = step.List("are")
+			case "belongs":
+				answer.Members = &replica.Members{Voters: step.List("voters"), Learners: step.List("learners")}
+			case "round":
+				var received []replica.SeedAnswer
+				for _, seen := range step.List("sees") {
+					received = append(received, answers[seen])
+				}
+				started := epoch.Add(time.Duration(c.Int(name, 0)) * time.Millisecond)
+				outcome := replica.Formation{Self: answer.ReplicaID, Seeds: answer.Seeds, StartedAt: started}.
+					Decide(epoch.Add(time.Duration(step.Int("ms", 0))*time.Millisecond), received)
+				if formed, ok := outcome.(replica.Formed); ok {
+					answer.Members = &formed.Members
+				}
+				return fmt.Sprintf("%T%v", outcome, outcome)
 			}
-		}
-		return "unknown command"
+			return ""
+		})
 	}
 })
 
--- a/replica/plan_test.go
+++ b/replica/plan_test.go
@@ -24,9 +24,12 @@
 		// The reply is to a message that was sent now.
 		r.Step(now, replica.Receive{From: from, Message: replica.AppendReply{Term: r.Term, Success: true, MatchIndex: r.LastIndex(), SentNS: now.Sub(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)).Nanoseconds()}})
 	}
-	return func(c script.Case) string {
+	var handle script.Handler
+	handle = func(c script.Case) string {
 		now = now.Add(time.Duration(c.Int("after_ms", 0)) * time.Millisecond)
 		switch c.Command {
+		case "steps":
+			return c.RunSteps(handle)
 		case "members":
 			saved.Snapshot.Members = replica.Members{Voters: c.List("voters")}
 			r = replica.New(config, saved, rand.New(rand.NewPCG(1, 1)), now)
@@ -72,4 +75,5 @@
 		}
 		return "unknown command"
 	}
+	return handle
 })
--- a/script/script.go
+++ b/script/script.go
@@ -116,10 +116,21 @@
 	if len(lines) == 0 {
 		return c, fmt.Errorf("comment %q is not followed by a command", c.Comment)
 	}
-	c.Line = lines[0]
-	words := strings.Fields(c.Line)
-	c.Command = words[0]
-	c.Args = map[string]string{}
+	parsed := parseLine(lines[0])
+	c.Line, c.Command, c.Args = parsed.Line, parsed.Command, parsed.Args
+	input, expected, found := strings.Cut(strings.Join(lines[1:], "\n")+"\n", "----\n")
+	if !found {
+		return c, fmt.Errorf("case %q has no line of four dashes", c.Line)
+	}
+	c.Input = input
+	c.Expected = strings.TrimRight(expected, "\n")
+	return c, nil
+}
+
+// parseLine parses a line with a command and its arguments.
+func parseLine(line string) Case {
+	words := strings.Fields(line)
+	c := Case{Line: line, Command: words[0], Args: map[string]string{}}
 	for _, w := range words[1:] {
 		name, value, found := strings.Cut(w, "=")
 		if !found {
@@ -127,13 +138,31 @@
 		}
 		c.Args[name] = value
 	}
-	input, expected, found := strings.Cut(strings.Join(lines[1:], "\n")+"\n", "----\n")
-	if !found {
-		return c, fmt.Errorf("case %q has no line of four dashes", c.Line)
+	return c
+}
+
+// Steps returns the cases in the input of a case that consists of several steps: each line
+// has commands without input, separated by semicolons.
+func (c Case) Steps() []Case {
+	var steps []Case
+	for line := range strings.Lines(c.Input) {
+		for step := range strings.SplitSeq(line, ";") {
+			steps = append(steps, parseLine(strings.TrimSpace(step)))
+		}
 	}
-	c.Input = input
-	c.Expected = strings.TrimRight(expected, "\n")
-	return c, nil
+	return steps
+}
+
+// RunSteps runs the steps of a case and returns their outputs that are not empty, in one
+// line.
+func (c Case) RunSteps(handle Handler) string {
+	var outputs []string
+	for _, step := range c.Steps() {
+		if output := handle(step); output != "" {
+			outputs = append(outputs, output)
+		}
+	}
+	return strings.Join(outputs, "; ")
 }
 
 // Format returns the cases in the form of a test file, as Parse reads it.
