placement: quarantined contents are refused, suspected ones not repeated

Cause: a request that crashes its upstream is sent to another one, and hedged to a third. Change: requests have a fingerprint, and the state reads quarantine.Holder: a quarantined content is refused on arrival and while it waits; after a broken connection one further attempt may be sent, none if the content was suspected before; no hedges then.

--- a/placement/attempt.go
+++ b/placement/attempt.go
@@ -98,7 +98,7 @@
 // hedgeTime returns the time at which an idempotent request is sent to a second
 // upstream too; zero if it must not be.
 func (s *State) hedgeTime(now time.Time, pending *pendingRequest, expected time.Duration) time.Time {
-	if !s.mayAttemptAgain(pending) || !pending.request.Route.Idempotent {
+	if !s.mayAttemptAgain(now, pending) || !s.mayHedgeContent(now, pending) || !pending.request.Route.Idempotent {
 		return time.Time{}
 	}
 	return now.Add(time.Duration(hedgeFactor * float64(max(expected, s.expectedTime(pending.request)))))
@@ -107,19 +107,19 @@
 // hedge looks for a second upstream for a request whose attempt is slow.
 func (s *State) hedge(now time.Time, pending *pendingRequest) {
 	pending.hedgeAt = time.Time{}
-	if len(pending.attempts) != 1 || pending.queued || !s.mayAttemptAgain(pending) {
+	if len(pending.attempts) != 1 || pending.queued || !s.mayAttemptAgain(now, pending) || !s.mayHedgeContent(now, pending) {
 		return
 	}
 	s.place(now, pending)
 }
 
 // mayAttemptAgain reports whether the request may be sent to one more upstream.
-func (s *State) mayAttemptAgain(pending *pendingRequest) bool {
+func (s *State) mayAttemptAgain(now time.Time, pending *pendingRequest) bool {
 	limit := pending.request.Route.MaxAttempts
 	if limit == 0 {
 		limit = defaultMaxAttempts
 	}
-	return !pending.request.BodyNotReplayable && pending.attemptsSent < limit
+	return !pending.request.BodyNotReplayable && pending.attemptsSent < limit && s.mayRepeatContent(now, pending)
 }
 
 // handleAttemptEnd updates the upstream and the request of an attempt that has
@@ -137,6 +137,7 @@
 		delete(u.InFlight, e.Attempt)
 		s.updateUpstreamStats(now, u, a, pending, e)
 	}
+	pending.noteReset(e.Outcome)
 	s.resolve(now, pending, e)
 	if q := s.queues[pending.request.Service]; q != nil && len(q.waiting) > 0 {
 		s.dispatch(now, q)
@@ -169,22 +170,28 @@
 		}
 	case Unknown:
 		pending.outcome = mergeOutcomes(pending.outcome, o)
-		if len(pending.attempts) > 0 || pending.queued {
-			return
-		}
-		if pending.request.Route.Idempotent && s.retryElsewhere(now, pending) {
+		if s.goesOn(now, pending) {
 			return
 		}
 	}
 	s.finish(now, pending, 0)
 }
 
+// goesOn reports whether a request goes on after an attempt whose result is not known: with
+// another attempt, or one that is looked for.
+func (s *State) goesOn(now time.Time, pending *pendingRequest) bool {
+	if pending.queued && !s.mayRepeatContent(now, pending) {
+		s.dequeue(pending)
+	}
+	return len(pending.attempts) > 0 || pending.queued || pending.request.Route.Idempotent && s.retryElsewhere(now, pending)
+}
+
 // retryElsewhere starts the search for another upstream if the request may be
 // sent once more. An upstream that already had the request is used only if no
 // other is eligible. retryElsewhere returns false if the request has to end
 // with the outcome that it has.
 func (s *State) retryElsewhere(now time.Time, pending *pendingRequest) bool {
-	if !s.mayAttemptAgain(pending) || pending.attemptsStarted >= maxStartedAttempts {
+	if !s.mayAttemptAgain(now, pending) || pending.attemptsStarted >= maxStartedAttempts {
 		return false
 	}
 	s.place(now, pending)
@@ -313,6 +320,10 @@
 		return s.restRetryAfter(now, r)
 	}
 	maxDelay := min(maxRetryAfter, time.Duration(maxRetryAfterRatio*float64(r.Deadline.Sub(now))))
+	if reason == ReasonQuarantined {
+		// No retry can succeed soon.
+		return maxDelay/2 + s.randomBelow(maxDelay/2)
+	}
 	if reason == ReasonShed || reason == ReasonBudget || reason == ReasonStopping {
 		maxDelay = min(maxDelay, maxRefusedRetryAfter)
 	}
--- a/placement/event.go
+++ b/placement/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/oriolepost/oriolepost/fleet"
+	"github.com/oriolepost/oriolepost/quarantine"
 	"github.com/oriolepost/oriolepost/route"
 )
 
@@ -28,6 +29,12 @@
 	Deadline time.Time
 	// BodyNotReplayable is true when the body cannot be sent a second time.
 	BodyNotReplayable bool
+	// Fingerprint identifies the content of the request. It is empty if the quarantine
+	// does not apply.
+	Fingerprint quarantine.Fingerprint
+	// Probe is true for the one request that may be sent although its content is
+	// quarantined.
+	Probe bool
 }
 
 // Load is an upstream's load report.
@@ -118,6 +125,9 @@
 // index among all entries and their number.
 type PositionReported struct{ Index, Count int }
 
+// ContentQuarantined reports that a content was quarantined.
+type ContentQuarantined struct{ Fingerprint quarantine.Fingerprint }
+
 // StopBegan reports that this entry stops.
 type StopBegan struct{ Plan StopPlan }
 
@@ -131,6 +141,7 @@
 func (AttemptEnded) event()       {}
 func (ViewReceived) event()       {}
 func (PositionReported) event()   {}
+func (ContentQuarantined) event() {}
 func (StopBegan) event()          {}
 func (TimerExpired) event()       {}
 
@@ -204,6 +215,9 @@
 	ReasonNoConfiguration Reason = "no_configuration"
 	// ReasonNoWeight means that all services of the route have weight zero.
 	ReasonNoWeight Reason = "no_weight"
+	// ReasonQuarantined means that the content of the request is quarantined, as it
+	// crashes upstreams.
+	ReasonQuarantined Reason = "quarantined"
 	// ReasonStopping means that this entry stops before a response is expected.
 	ReasonStopping Reason = "stopping"
 )
--- a/placement/place.go
+++ b/placement/place.go
@@ -61,6 +61,10 @@
 		s.refuse(now, pending, NotRun{Reason: ReasonTimeout})
 		return
 	}
+	if s.isQuarantined(now, pending) {
+		s.refuse(now, pending, NotRun{Reason: ReasonQuarantined})
+		return
+	}
 	s.probeLimited(now, r.Service)
 	s.place(now, pending)
 }
@@ -294,12 +298,16 @@
 // startAttempt sends a request to an upstream. If an earlier attempt may have
 // reached an upstream, this one takes a token from the retry budget, and the
 // request is refused if there is none. It is also refused if this entry stops too
-// soon.
+// soon, or if its content was quarantined while it waited.
 func (s *State) startAttempt(now time.Time, pending *pendingRequest, u *Upstream) {
 	if !s.mayStart(now, pending) {
 		s.refuse(now, pending, NotRun{Reason: ReasonStopping})
 		return
 	}
+	if s.isQuarantined(now, pending) {
+		s.refuse(now, pending, NotRun{Reason: ReasonQuarantined})
+		return
+	}
 	if pending.attemptsSent > 0 && !s.spendRetry(now, pending) {
 		s.refuse(now, pending, NotRun{Reason: ReasonBudget})
 		return
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -43,6 +43,7 @@
 	"time"
 
 	"github.com/oriolepost/oriolepost/fleet"
+	"github.com/oriolepost/oriolepost/quarantine"
 	"github.com/oriolepost/oriolepost/retry"
 	"github.com/oriolepost/oriolepost/route"
 )
@@ -127,6 +128,10 @@
 	// attemptsStarted counts all attempts.
 	attemptsSent    int
 	attemptsStarted int
+	// resets counts the attempts whose connection broke, and maxAttemptsSent limits
+	// attemptsSent after the first of them.
+	resets          int
+	maxAttemptsSent int
 	outcome         Outcome
 	// queued is true while the request waits in the queue. Its wait ends at
 	// queueDeadline at the latest.
@@ -159,6 +164,9 @@
 	ControlContactAt       time.Time
 	// Stop is the plan of this entry's stop; zero before it.
 	Stop StopPlan
+	// Quarantine knows which contents crash upstreams. Its owner steps it before this
+	// state, which only reads it. It is nil where no request has a fingerprint.
+	Quarantine *quarantine.Holder
 
 	leaving Leaving
 	// rests holds the rests by incarnation. Like leaving, it is kept when an upstream is
@@ -219,6 +227,8 @@
 		s.handleView(now, e)
 	case PositionReported:
 		s.handleEntryIndex(now, e)
+	case ContentQuarantined:
+		s.refuseQuarantined(now, e.Fingerprint)
 	case StopBegan:
 		s.handleStop(e)
 	case TimerExpired:
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/placement"
+	"github.com/oriolepost/oriolepost/quarantine"
 	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/script"
 )
@@ -29,6 +30,9 @@
 	unansweredProbes []string
 	// attempts holds the incarnation to which each attempt was sent.
 	attempts map[placement.AttemptID]placement.Key
+	// sent holds the content and the start of each attempt.
+	sent     map[placement.AttemptID]quarantine.Crashed
+	contents map[placement.RequestID]quarantine.Fingerprint
 }
 
 var _ = script.Describe("steps", "testdata/steps/*.txt", func() script.Handler {
@@ -40,10 +44,12 @@
 // restart replaces the entry by one that knows nothing.
 func (s *steps) restart() {
 	s.attempts = map[placement.AttemptID]placement.Key{}
+	s.sent, s.contents = map[placement.AttemptID]quarantine.Crashed{}, map[placement.RequestID]quarantine.Fingerprint{}
 	s.unansweredProbes = nil
 	s.state = placement.New(placement.Config{
 		Name: "e1", Domain: "palermo", RetryRatio: 0.2, RetryWindow: retryWindow, RetrySlack: 80, ColdFactor: 1.5, ColdSlack: 5,
 	}, rand.New(rand.NewPCG(1, 1)))
+	s.state.Quarantine = quarantine.NewHolder()
 }
 
 func (s *steps) run(c script.Case) string {
@@ -63,10 +69,12 @@
 			Name: "r", Idempotent: c.Bool("idempotent"), MaxAttempts: c.Int("attempts", 2), Objective: time.Second,
 			Priority: c.Int("priority", 0), Services: []route.WeightedService{{Service: "booking", Weight: 1}},
 		}
+		s.contents[placement.RequestID(c.Int("id", 1))] = quarantine.Fingerprint(c.Args["content"])
 		return s.step(placement.Arrived{Request: placement.Request{
 			ID: placement.RequestID(c.Int("id", 1)), Route: r, Service: "booking", ArrivedAt: s.now,
 			FirstTriedAt: s.now.Add(-time.Duration(c.Int("first_try_ago", 0)) * time.Millisecond),
 			Deadline:     s.now.Add(time.Duration(c.Int("deadline", 2000)) * time.Millisecond),
+			Fingerprint:  quarantine.Fingerprint(c.Args["content"]), Probe: c.Bool("probe"),
 		}})
 	case "probe_result":
 		key := placement.Key{ID: c.Args["upstream"], BornMS: int64(c.Int("born", 1))}
@@ -80,9 +88,20 @@
 		return s.answerProbes(c)
 	case "attempt_end":
 		id := placement.AttemptID(c.Int("attempt", 1))
+		if outcome, ok := attemptOutcome(c).(placement.Unknown); ok && outcome.Reason == placement.ReasonReset && s.sent[id].Fingerprint != "" {
+			s.state.Quarantine.Step(s.now, s.sent[id])
+		}
 		return s.stepAfterNotice(c, s.attempts[id], placement.AttemptEnded{Attempt: id, Outcome: attemptOutcome(c), Limit: limit(c)})
 	case "notice":
 		return s.stepAfterNotice(c, placement.Key{ID: c.Args["upstream"], BornMS: 1}, nil)
+	case "quarantined":
+		f := quarantine.Fingerprint(c.Args["content"])
+		for i := range int64(c.Int("crashes", quarantine.TotalLimit)) {
+			s.state.Quarantine.Step(s.now, quarantine.Listed{Epoch: 1, Listings: []quarantine.Listing{{
+				Fingerprint: f, Crashes: []quarantine.Crash{{Upstream: quarantine.Incarnation{ID: "elsewhere", StartMS: i}}},
+			}}})
+		}
+		return s.step(placement.ContentQuarantined{Fingerprint: f})
 	case "stop":
 		return s.step(placement.StopBegan{Plan: placement.StopPlan{
 			AcceptsUntil: s.now.Add(time.Duration(c.Int("accepts", 0)) * time.Millisecond),
@@ -195,6 +214,9 @@
 		}
 		if a, ok := effect.(placement.StartAttempt); ok {
 			s.attempts[a.Attempt] = placement.KeyOf(a.Upstream)
+			s.sent[a.Attempt] = quarantine.Crashed{
+				Fingerprint: s.contents[a.Request], Upstream: quarantine.Incarnation{ID: a.Upstream.ID, StartMS: a.Upstream.StartMS}, SentAt: s.now,
+			}
 		}
 		lines = append(lines, effectText(effect))
 	}
