control: reports of crashes to the leader, and its list in the views

Cause: a content crashes upstreams at several entries, and none of them knows of the others. Change: SuspectRequest and QuarantineProbeRequest, which any control instance passes on to the leader at once, one message at a time; View.Quarantine, sent where the entry has another list; a new leader starts with the list that it had followed. Absent fields change nothing.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -27,6 +27,7 @@
 	"github.com/oriolepost/oriolepost/disk"
 	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/peer"
+	"github.com/oriolepost/oriolepost/quarantine"
 	"github.com/oriolepost/oriolepost/record"
 	"github.com/oriolepost/oriolepost/replica"
 	"github.com/oriolepost/oriolepost/route"
@@ -136,6 +137,17 @@
 		return b.call(testCase, name, peer.AnnounceRequest{Upstream: u, Sequence: uint64(testCase.Int("sequence", 1)), Leaving: testCase.Bool("leaving")})
 	case "watch":
 		return b.watch(testCase, name)
+	case "suspect":
+		var request peer.SuspectRequest
+		for _, upstream := range strings.Split(testCase.Args["upstreams"], ",") {
+			request.Sightings = append(request.Sightings, quarantine.Sighting{
+				Fingerprint: quarantine.Fingerprint(testCase.Args["content"]), Upstream: quarantine.Incarnation{ID: upstream, StartMS: 1},
+				SentAgoMS: int64(testCase.Int("sent_ago", 100)), Answered: testCase.Bool("answered"),
+			})
+		}
+		return b.direct(name, request)
+	case "probe":
+		return b.direct(name, peer.QuarantineProbeRequest{Fingerprint: quarantine.Fingerprint(testCase.Args["content"])})
 	case "copy":
 		return b.copiesOfView(testCase.List("at"))
 	case "voters":
@@ -289,6 +301,26 @@
 	return "acknowledged"
 }
 
+// direct sends a request to one instance, as an entry does that follows it, and repeats it
+// while there is no leader.
+func (b *fixture) direct(name string, request peer.Request) string {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	pool := peer.NewPool(ctx, peer.Options{})
+	for {
+		response, err := pool.Call(ctx, control.PeerAddress(addresses[name], b.port), request)
+		if probe, ok := response.(peer.QuarantineProbeResponse); err == nil && ok {
+			return fmt.Sprintf("allowed: %v, ask again in 25 to 30 s: %v", probe.Allowed, probe.AskAgainMS > 25_000 && probe.AskAgainMS <= 30_000)
+		}
+		if err == nil {
+			return "acknowledged"
+		}
+		if !timer.Pause(ctx, 20*time.Millisecond) {
+			return "refused"
+		}
+	}
+}
+
 // watch follows the leader's view as an entry does, and returns its text. It
 // repeats the watch until the text has the prefix given by expect and contains
 // the text given by contains: the leader gets an upstream's announcement with a
@@ -324,11 +356,17 @@
 			mirror.Put(view.Upstreams)
 			request.Digest = ""
 			request.FleetRevision, request.FleetComplete = view.FleetRevision, view.FleetComplete
+			if view.Quarantine != nil {
+				request.Quarantine = view.Quarantine.ID
+			}
 		}
 		request.Epoch, request.Revision, request.Index, request.Count, request.Followers = update.Epoch, update.Revision, update.Index, update.Count, update.Followers
 		b.watches[testCase.Args["entry"]] = request
 		view.Full = view.Full || full
 		text := viewText(update, view, compared)
+		if testCase.Bool("quarantine") {
+			text = quarantineText(view)
+		}
 		if strings.HasPrefix(text, testCase.Args["expect"]) && strings.Contains(text, testCase.Args["contains"]) || time.Now().After(deadline) {
 			return text
 		}
@@ -468,3 +506,15 @@
 	}
 	return strings.Join(lines, "\n")
 }
+
+// quarantineText returns the list of contents in a view.
+func quarantineText(v peer.View) string {
+	if v.Quarantine == nil {
+		return ""
+	}
+	var lines []string
+	for _, l := range v.Quarantine.Listings {
+		lines = append(lines, fmt.Sprintf("%s: crashes=%d quarantined=%v answered=%v", l.Fingerprint, len(l.Crashes), l.Quarantined, l.Answered))
+	}
+	return strings.Join(lines, "\n")
+}
--- a/control/follower_test.go
+++ b/control/follower_test.go
@@ -28,6 +28,8 @@
 	// relayed is true if a relay answered.
 	relayed      bool
 	index, count int
+	// quarantined is the number of contents that were last listed as quarantined.
+	quarantined int
 }
 
 // follow starts followers, which run until the end of the test file. They reach all
@@ -49,6 +51,7 @@
 func (f *follower) run(ctx context.Context, client *peer.LeaderClient, name string) {
 	following := peer.NewFollowing(name)
 	upstreams := map[string]bool{}
+	quarantined := 0
 	for ctx.Err() == nil {
 		attempt, cancel := context.WithTimeout(ctx, peer.WatchDuration(following.Request.Followers))
 		response, err := client.Call(attempt, following.Request)
@@ -69,9 +72,17 @@
 			for _, id := range view.Removed {
 				delete(upstreams, id)
 			}
+			if view.Quarantine != nil {
+				quarantined = 0
+				for _, l := range view.Quarantine.Listings {
+					if l.Quarantined {
+						quarantined++
+					}
+				}
+			}
 		}
 		f.last.Store(&followed{
-			version: following.Request.Version, upstreams: len(upstreams), relayed: answer.Source != "", index: answer.Index, count: answer.Count,
+			version: following.Request.Version, upstreams: len(upstreams), relayed: answer.Source != "", index: answer.Index, count: answer.Count, quarantined: quarantined,
 		})
 	}
 }
@@ -87,7 +98,7 @@
 		positions := map[int]bool{}
 		for _, f := range b.followers {
 			last := f.last.Load()
-			if last.version != uint64(testCase.Int("version", 0)) || last.upstreams != testCase.Int("upstreams", 0) {
+			if last.version != uint64(testCase.Int("version", 0)) || last.upstreams != testCase.Int("upstreams", 0) || last.quarantined != testCase.Int("quarantined", 0) {
 				outdated++
 			}
 			if !last.relayed {
--- a/control/members.go
+++ b/control/members.go
@@ -11,6 +11,7 @@
 
 	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/peer"
+	"github.com/oriolepost/oriolepost/quarantine"
 	"github.com/oriolepost/oriolepost/record"
 	"github.com/oriolepost/oriolepost/replica"
 	"github.com/oriolepost/oriolepost/search"
@@ -49,6 +50,9 @@
 	t.metrics.GetOrCreateCounter("oriolepost_replica_commit_index").Set(t.replica.CommitIndex)
 	t.logMembership()
 	t.pruneFollowers(now)
+	if t.leads() {
+		t.stepQuarantine(now, quarantine.Pruned{})
+	}
 	t.notifySeeds(now)
 	t.joinOrBootstrap(now)
 	return t.replaceVoters(now)
--- a/control/message.go
+++ b/control/message.go
@@ -106,7 +106,8 @@
 	switch message.(type) {
 	case replicaMessage, renewMessage, groupMessage:
 		return peer.Nothing{}, nil
-	case proposeMessage, readMessage, announceMessage, watchMessage, copyMessage, joinMessage, joinEndedMessage, relayAnswerMessage, seedsMessage, identifyMessage, bootstrapMessage, transferMessage:
+	case proposeMessage, readMessage, announceMessage, watchMessage, copyMessage, joinMessage, joinEndedMessage, relayAnswerMessage, seedsMessage, identifyMessage, bootstrapMessage, transferMessage,
+		suspectMessage, suspectsPassedOnMessage, quarantineProbeMessage:
 	}
 	select {
 	case a := <-reply:
@@ -145,6 +146,10 @@
 		return watchMessage{request, reply}, nil
 	case peer.CopyRequest:
 		return copyMessage{reply}, nil
+	case peer.SuspectRequest:
+		return suspectMessage{request, reply}, nil
+	case peer.QuarantineProbeRequest:
+		return quarantineProbeMessage{request, reply}, nil
 	case peer.GroupNotice:
 		return groupMessage{request.Group}, nil
 	case peer.IdentifyRequest:
--- a/control/relay.go
+++ b/control/relay.go
@@ -42,6 +42,8 @@
 	view      peer.View
 	// configuration is the newest one that the leader has sent.
 	configuration *route.Configuration
+	// quarantine is the newest list that the leader has sent.
+	quarantine listedQuarantine
 	// changes counts the views that the leader has sent.
 	changes uint64
 	// positions holds the positions of the entries that were reported to the leader, and
@@ -149,7 +151,10 @@
 	if view.Configuration != nil {
 		r.configuration = view.Configuration
 	}
-	view.Upstreams, view.Removed, view.Configuration = nil, nil, nil
+	if view.Quarantine != nil {
+		r.quarantine = listedQuarantine{list: *view.Quarantine, asOf: now}
+	}
+	view.Upstreams, view.Removed, view.Configuration, view.Quarantine = nil, nil, nil, nil
 	r.view = view
 	r.changes++
 }
@@ -253,6 +258,7 @@
 	outDomains    []string
 	control       []string
 	configuration *route.Configuration
+	quarantine    listedQuarantine
 }
 
 // published returns the view of this leader, or that of the leader that it follows.
@@ -260,7 +266,7 @@
 	if r := t.relay; !t.leads() {
 		return published{
 			source: r.source, epoch: r.following.Request.Epoch, revision: r.fleet.Revision + r.changes, fleet: r.fleet, complete: r.view.FleetComplete,
-			outDomains: r.view.OutDomains, control: r.view.Control, configuration: r.configuration,
+			outDomains: r.view.OutDomains, control: r.view.Control, configuration: r.configuration, quarantine: r.quarantine,
 		}
 	}
 	return t.ownView(now)
@@ -270,7 +276,10 @@
 func (t *task) ownView(now time.Time) published {
 	p := published{
 		epoch: t.replica.Term, revision: t.revision(), fleet: t.fleet, complete: t.fleetComplete(now),
-		outDomains: slices.Sorted(maps.Keys(t.state.Catalog.OutDomains)), configuration: t.state.Catalog.Configuration,
+		outDomains: slices.Sorted(maps.Keys(t.state.Catalog.OutDomains)), configuration: t.state.Catalog.Configuration, quarantine: t.relay.quarantine,
+	}
+	if t.leads() {
+		p.quarantine = t.ownQuarantine(now)
 	}
 	for _, id := range append(slices.Clone(t.replica.Members.Voters), t.replica.Members.Learners...) {
 		p.control = append(p.control, replica.InstanceOf(id))
--- a/control/task.go
+++ b/control/task.go
@@ -18,6 +18,7 @@
 	"github.com/oriolepost/oriolepost/jsonform"
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/proposal"
+	"github.com/oriolepost/oriolepost/quarantine"
 	"github.com/oriolepost/oriolepost/record"
 	"github.com/oriolepost/oriolepost/replica"
 	"github.com/oriolepost/oriolepost/search"
@@ -93,6 +94,12 @@
 	relay     *relay
 	relayPool *peer.Pool
 	relaying  bool
+	// quarantine is what this leader knows of contents that crash upstreams. suspects
+	// holds the reports that wait while this instance passes others on to the leader,
+	// which is so if passingOn.
+	quarantine *quarantine.Owner
+	suspects   []suspectMessage
+	passingOn  bool
 	// watched is the state as of which the watchers last learned of a change.
 	watched watchedVersion
 	// heldWatches are the watches that wait for a leader, until heldUntil.
@@ -156,7 +163,7 @@
 func newTask(ctx context.Context, deployment settings.Deployment, options Options, folder *disk.Folder, pool *peer.Pool, leader *peer.LeaderClient, seeds []search.Instance) (*task, error) {
 	t := &task{
 		settings: deployment, folder: folder, pool: pool, leaderClient: leader, seeds: seeds, initialSeeds: seeds, ctx: ctx,
-		metrics: options.Metrics, log: options.Log, fleet: fleet.New(),
+		metrics: options.Metrics, log: options.Log, fleet: fleet.New(), quarantine: quarantine.NewOwner(),
 		mailbox:   make(chan postedMessage, mailboxSize),
 		backlog:   backlog{handled: map[string]int{}},
 		random:    rand.New(rand.NewPCG(rand.Uint64(), ipHash(deployment.IP))),
@@ -331,6 +338,12 @@
 		t.learnGroup(message.group)
 	case relayAnswerMessage:
 		t.takeRelayAnswer(now, message)
+	case suspectMessage:
+		t.takeSuspects(now, message)
+	case suspectsPassedOnMessage:
+		t.suspectsPassedOn(message)
+	case quarantineProbeMessage:
+		t.allowProbe(now, message)
 	case seedsMessage:
 		t.replaceSeeds(message.seeds)
 	case identifyMessage:
@@ -429,6 +442,7 @@
 	}).Info("replica role changed")
 	t.role = change
 	t.discardViews()
+	t.quarantineRoleChanged(time.Now(), formerRole, change.Role)
 	if (formerRole == replica.RoleLeader) != (change.Role == replica.RoleLeader) {
 		t.refuseWatches()
 	}
--- a/control/view.go
+++ b/control/view.go
@@ -49,7 +49,7 @@
 	if known, ok := t.differences[key]; ok && now.Sub(known.encodedAt) <= fullViewLifetime {
 		return known
 	}
-	view := p.view(request.Version)
+	view := p.view(now, request.Version, request.Quarantine)
 	view.Upstreams, view.Removed = p.fleet.ChangesSince(now, request.FleetRevision)
 	if len(t.differences) >= maxDifferences {
 		clear(t.differences)
@@ -71,7 +71,7 @@
 		return cached
 	}
 	t.metrics.GetOrCreateCounter("oriolepost_whole_views_total").Inc()
-	view := p.view(version)
+	view := p.view(now, version, "")
 	view.Full = true
 	view.Upstreams, _ = p.fleet.ChangesSince(now, 0)
 	t.fullViews[key] = t.encodeView(now, p, view)
@@ -184,7 +184,7 @@
 		t.log.WithError(err).WithField("entry", request.Entry).Error("could not decode the digest of an entry; it gets the full view")
 		return t.fullViewFor(now, p, request.Version)
 	}
-	key := comparison{digest: request.Digest, version: request.Version}
+	key := comparison{digest: request.Digest, version: request.Version, quarantine: request.Quarantine}
 	if known, ok := t.comparisons[key]; ok && known.revision == p.revision && now.Sub(known.encodedAt) <= fullViewLifetime {
 		return known
 	}
@@ -192,7 +192,7 @@
 	if len(buckets) > maxComparedBuckets {
 		return t.fullViewFor(now, p, request.Version)
 	}
-	view := p.view(request.Version)
+	view := p.view(now, request.Version, request.Quarantine)
 	view.Buckets, view.Upstreams = buckets, p.fleet.Bucketed(now, buckets)
 	view.Removed = retiredIn(p.fleet, buckets)
 	if len(t.comparisons) >= maxComparisons {
@@ -216,10 +216,12 @@
 	return retired
 }
 
-// comparison identifies the view for all entries with the same digest and version.
+// comparison identifies the view for all entries with the same digest, version and
+// quarantine.
 type comparison struct {
-	digest  string
-	version uint64
+	digest     string
+	version    uint64
+	quarantine string
 }
 
 // maxComparedBuckets is the number of differing buckets above which an entry gets the
@@ -231,10 +233,10 @@
 // same digest.
 const maxComparisons = 64
 
-// view returns a view without upstreams, and with the configuration if it is newer
-// than the entry's.
-func (p published) view(version uint64) peer.View {
-	view := peer.View{FleetRevision: p.fleet.Revision, FleetComplete: p.complete, OutDomains: p.outDomains, Control: p.control}
+// view returns a view without upstreams, with the configuration if it is newer than the
+// entry's, and with the quarantine if the entry has another one.
+func (p published) view(now time.Time, version uint64, quarantine string) peer.View {
+	view := peer.View{Quarantine: p.quarantine.view(now, quarantine), FleetRevision: p.fleet.Revision, FleetComplete: p.complete, OutDomains: p.outDomains, Control: p.control}
 	if p.configuration != nil && p.configuration.Version > version {
 		view.Configuration = p.configuration
 	}
--- a/control/watch.go
+++ b/control/watch.go
@@ -187,7 +187,9 @@
 }
 
 // revision counts the changes of everything that entries follow.
-func (t *task) revision() uint64 { return t.fleet.Revision + t.committedChanges }
+func (t *task) revision() uint64 {
+	return t.fleet.Revision + t.committedChanges + t.quarantine.Revision
+}
 
 // refuseWatches refuses all pending watches, so that the entries look for the
 // new leader, and forgets those that follow this instance.
--- a/peer/following.go
+++ b/peer/following.go
@@ -63,5 +63,8 @@
 	}
 	f.Request.Epoch, f.Request.Source, f.Request.Revision = response.Epoch, response.Source, response.Revision
 	f.Request.FleetRevision, f.Request.FleetComplete = view.FleetRevision, view.FleetComplete
+	if view.Quarantine != nil {
+		f.Request.Quarantine = view.Quarantine.ID
+	}
 	f.Request.Digest = ""
 }
--- a/peer/fuzz_test.go
+++ b/peer/fuzz_test.go
@@ -7,7 +7,7 @@
 func FuzzRequest(f *testing.F) {
 	for _, method := range []string{
 		methodReplica, methodReport, methodPropose, methodBorrow, methodReturn, methodJoin, methodConfirm, methodAnnounce,
-		methodRenew, methodWatch, methodCopy,
+		methodRenew, methodWatch, methodCopy, methodSuspect, methodQuarantineProbe,
 	} {
 		f.Add(method, []byte(`{"entry":"e1","epoch":1,"command":"e30=","message":{"kind":"append","body":{}}}`))
 	}
--- a/peer/message.go
+++ b/peer/message.go
@@ -21,6 +21,7 @@
 	"github.com/oriolepost/oriolepost/catalog"
 	"github.com/oriolepost/oriolepost/entry"
 	"github.com/oriolepost/oriolepost/fleet"
+	"github.com/oriolepost/oriolepost/quarantine"
 	"github.com/oriolepost/oriolepost/record"
 	"github.com/oriolepost/oriolepost/replica"
 	"github.com/oriolepost/oriolepost/route"
@@ -141,6 +142,8 @@
 	// Digest is the encoded [fleet.Digest] of the upstreams that the entry knows. It
 	// is set after the leader asked for it, until the entry gets a view.
 	Digest string `json:"digest,omitempty"`
+	// Quarantine is the Quarantine.ID of the entry's view.
+	Quarantine string `json:"quarantine,omitempty"`
 	// Relay is set if a relay sends the watch, which then is not an entry.
 	Relay *Relay `json:"relay,omitempty"`
 }
@@ -152,6 +155,22 @@
 	Entries []string `json:"entries,omitempty"`
 }
 
+// SuspectRequest reports the upstreams that may have crashed under a content, or a response
+// to such a content, to the leader. Any control instance passes it on. It is safe to repeat.
+type SuspectRequest struct {
+	Sightings []quarantine.Sighting `json:"sightings"`
+	// Relayed is true if a control instance passes the request on. It is not passed on
+	// again.
+	Relayed bool `json:"relayed,omitempty"`
+}
+
+// QuarantineProbeRequest asks the leader whether one request with a quarantined content may
+// be sent. Any control instance passes it on.
+type QuarantineProbeRequest struct {
+	Fingerprint quarantine.Fingerprint `json:"fingerprint"`
+	Relayed     bool                   `json:"relayed,omitempty"`
+}
+
 // CopyRequest asks any control instance for its copy of the view. The copy may be
 // older than the leader's view. An entry that has none yet takes a copy first, so
 // that the leader has to send it only the differences.
@@ -174,22 +193,24 @@
 // not know the group, and those that know only the seeds ask it. It has no response.
 type GroupNotice struct{ Group Group }
 
-func (AnnounceRequest) request()  {}
-func (GroupNotice) request()      {}
-func (CopyRequest) request()      {}
-func (RenewRequest) request()     {}
-func (ReadRequest) request()      {}
-func (WatchRequest) request()     {}
-func (ReplicaMessage) request()   {}
-func (ReportRequest) request()    {}
-func (ProposeRequest) request()   {}
-func (BorrowRequest) request()    {}
-func (ReturnRequest) request()    {}
-func (ReportNowRequest) request() {}
-func (IdentifyRequest) request()  {}
-func (JoinRequest) request()      {}
-func (StatusRequest) request()    {}
-func (ConfirmRequest) request()   {}
+func (AnnounceRequest) request()        {}
+func (SuspectRequest) request()         {}
+func (QuarantineProbeRequest) request() {}
+func (GroupNotice) request()            {}
+func (CopyRequest) request()            {}
+func (RenewRequest) request()           {}
+func (ReadRequest) request()            {}
+func (WatchRequest) request()           {}
+func (ReplicaMessage) request()         {}
+func (ReportRequest) request()          {}
+func (ProposeRequest) request()         {}
+func (BorrowRequest) request()          {}
+func (ReturnRequest) request()          {}
+func (ReportNowRequest) request()       {}
+func (IdentifyRequest) request()        {}
+func (JoinRequest) request()            {}
+func (StatusRequest) request()          {}
+func (ConfirmRequest) request()         {}
 
 // Response is the response to a request.
 //
@@ -286,6 +307,22 @@
 	View []byte `json:"view"`
 }
 
+// QuarantineProbeResponse answers a QuarantineProbeRequest.
+type QuarantineProbeResponse struct {
+	Allowed bool `json:"allowed"`
+	// AskAgainMS is the time, in milliseconds, before which no other probe of the content
+	// is allowed.
+	AskAgainMS int64 `json:"ask_again_ms"`
+}
+
+// Quarantine lists the contents that all entries must know of. A view without one changes
+// nothing.
+type Quarantine struct {
+	// ID identifies the list; it is that of the leader, also in the views of relays.
+	ID       string               `json:"id"`
+	Listings []quarantine.Listing `json:"listings,omitempty"`
+}
+
 // View is the state that entries follow, or the changes to it since a revision.
 type View struct {
 	FleetRevision uint64 `json:"fleet_revision"`
@@ -308,19 +345,22 @@
 	// Control lists the names of the control instances, which store the
 	// replicated log.
 	Control []string `json:"control,omitempty"`
+	// Quarantine is set when it is another one than the entry's.
+	Quarantine *Quarantine `json:"quarantine,omitempty"`
 }
 
-func (ReadResponse) response()     {}
-func (WatchResponse) response()    {}
-func (CopyResponse) response()     {}
-func (JoinResponse) response()     {}
-func (Nothing) response()          {}
-func (ReportResponse) response()   {}
-func (ProposeResponse) response()  {}
-func (BorrowResponse) response()   {}
-func (IdentifyResponse) response() {}
-func (ConfirmResponse) response()  {}
-func (StatusResponse) response()   {}
+func (ReadResponse) response()            {}
+func (QuarantineProbeResponse) response() {}
+func (WatchResponse) response()           {}
+func (CopyResponse) response()            {}
+func (JoinResponse) response()            {}
+func (Nothing) response()                 {}
+func (ReportResponse) response()          {}
+func (ProposeResponse) response()         {}
+func (BorrowResponse) response()          {}
+func (IdentifyResponse) response()        {}
+func (ConfirmResponse) response()         {}
+func (StatusResponse) response()          {}
 
 // RefusedError is the error response of an instance that refused a request.
 type RefusedError struct {
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -13,22 +13,24 @@
 
 // JSON-RPC method names.
 const (
-	methodReplica   = "replica"
-	methodReport    = "report"
-	methodPropose   = "propose"
-	methodBorrow    = "borrow"
-	methodReturn    = "return"
-	methodReportNow = "poke"
-	methodIdentify  = "identify"
-	methodJoin      = "join"
-	methodStatus    = "status"
-	methodConfirm   = "confirm"
-	methodAnnounce  = "announce"
-	methodRenew     = "renew"
-	methodRead      = "read"
-	methodWatch     = "watch"
-	methodCopy      = "copy"
-	methodGroup     = "group"
+	methodReplica         = "replica"
+	methodReport          = "report"
+	methodPropose         = "propose"
+	methodBorrow          = "borrow"
+	methodReturn          = "return"
+	methodReportNow       = "poke"
+	methodIdentify        = "identify"
+	methodJoin            = "join"
+	methodStatus          = "status"
+	methodConfirm         = "confirm"
+	methodAnnounce        = "announce"
+	methodRenew           = "renew"
+	methodRead            = "read"
+	methodWatch           = "watch"
+	methodCopy            = "copy"
+	methodGroup           = "group"
+	methodSuspect         = "suspect"
+	methodQuarantineProbe = "quarantine_probe"
 )
 
 // replicaParams is the JSON form of a ReplicaMessage.
@@ -94,6 +96,10 @@
 		return methodCopy, request, false, nil
 	case GroupNotice:
 		return methodGroup, request.Group, true, nil
+	case SuspectRequest:
+		return methodSuspect, request, false, nil
+	case QuarantineProbeRequest:
+		return methodQuarantineProbe, request, false, nil
 	}
 	return "", nil, false, fmt.Errorf("request %T has no method", request)
 }
@@ -134,6 +140,10 @@
 		return CopyRequest{}, nil
 	case methodGroup:
 		return decode(params, func(g Group) Request { return GroupNotice{g} })
+	case methodSuspect:
+		return decode(params, func(r SuspectRequest) Request { return r })
+	case methodQuarantineProbe:
+		return decode(params, func(r QuarantineProbeRequest) Request { return r })
 	}
 	return nil, &RefusedError{Code: CodeMalformed, Reason: fmt.Sprintf("method %q is not known", method)}
 }
@@ -199,7 +209,7 @@
 		return proposeResult{Result: e}, err
 	case JoinResponse:
 		return response.Group, nil
-	case Nothing, ReportResponse, BorrowResponse, IdentifyResponse, ConfirmResponse, StatusResponse, ReadResponse, WatchResponse, CopyResponse:
+	case Nothing, ReportResponse, BorrowResponse, IdentifyResponse, ConfirmResponse, StatusResponse, ReadResponse, WatchResponse, CopyResponse, QuarantineProbeResponse:
 		return response, nil
 	}
 	return nil, fmt.Errorf("response %T has no form", response)
@@ -228,7 +238,9 @@
 		return decode(result, func(r CopyResponse) Response { return r })
 	case JoinRequest:
 		return decode(result, func(g Group) Response { return JoinResponse{g} })
-	case AnnounceRequest, RenewRequest, ReplicaMessage, ReturnRequest, ReportNowRequest, GroupNotice:
+	case QuarantineProbeRequest:
+		return decode(result, func(r QuarantineProbeResponse) Response { return r })
+	case AnnounceRequest, SuspectRequest, RenewRequest, ReplicaMessage, ReturnRequest, ReportNowRequest, GroupNotice:
 		return Nothing{}, nil
 	}
 	return Nothing{}, nil
--- a/quarantine/holder.go
+++ b/quarantine/holder.go
@@ -191,10 +191,10 @@
 	h.records.update(now, l.Fingerprint, "listed", func(r *record) {
 		r.listedEpoch = epoch
 		if l.Answered {
-			r.addAnswer(now.Add(-time.Duration(l.AnsweredAgoMS) * time.Millisecond))
+			r.addAnswer(sentAt(now, l.AnsweredAgoMS))
 		}
 		for _, c := range l.Crashes {
-			r.addCrash(crash{upstream: c.Upstream, sentAt: now.Add(-time.Duration(c.SentAgoMS) * time.Millisecond)})
+			r.addCrash(crash{upstream: c.Upstream, sentAt: sentAt(now, c.SentAgoMS)})
 		}
 		if wasAnswered {
 			voided = r.addAnswer(answeredAt)
--- a/quarantine/owner.go
+++ b/quarantine/owner.go
@@ -70,14 +70,14 @@
 }
 
 func (o *Owner) take(now time.Time, s Sighting) {
-	sentAt := now.Add(-time.Duration(s.SentAgoMS) * time.Millisecond)
+	at := sentAt(now, s.SentAgoMS)
 	if !s.Answered {
-		o.records.update(now, s.Fingerprint, "crashed", func(r *record) { r.addCrash(crash{upstream: s.Upstream, sentAt: sentAt}) })
+		o.records.update(now, s.Fingerprint, "crashed", func(r *record) { r.addCrash(crash{upstream: s.Upstream, sentAt: at}) })
 		return
 	}
 	delete(o.probes, s.Fingerprint)
 	if o.records.byFingerprint[s.Fingerprint] != nil {
-		o.records.update(now, s.Fingerprint, "answered", func(r *record) { r.addAnswer(sentAt) })
+		o.records.update(now, s.Fingerprint, "answered", func(r *record) { r.addAnswer(at) })
 	}
 }
 
@@ -87,10 +87,10 @@
 	}
 	o.records.update(now, l.Fingerprint, "listed", func(r *record) {
 		if l.Answered {
-			r.addAnswer(now.Add(-time.Duration(l.AnsweredAgoMS) * time.Millisecond))
+			r.addAnswer(sentAt(now, l.AnsweredAgoMS))
 		}
 		for _, c := range l.Crashes {
-			r.addCrash(crash{upstream: c.Upstream, sentAt: now.Add(-time.Duration(c.SentAgoMS) * time.Millisecond)})
+			r.addCrash(crash{upstream: c.Upstream, sentAt: sentAt(now, c.SentAgoMS)})
 		}
 	})
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -119,6 +119,12 @@
 	return aged
 }
 
+// sentAt returns the time of an age in milliseconds. Ages that no record can have are
+// limited, as they would overflow.
+func sentAt(now time.Time, agoMS int64) time.Time {
+	return now.Add(-time.Duration(min(max(agoMS, 0), quarantineLifetime.Milliseconds())) * time.Millisecond)
+}
+
 // Level says what is known of a content.
 type Level string
 
