gateway: fingerprints, reports of crashes at once, and refusals of quarantined contents

Cause: placement and control can keep a content from upstreams, but no request had one. Change: the connection's task hashes method, host, target and body; the entry task tells the quarantine how attempts end and what the leader lists; a report task sends crashes at once and again to a new leader; one request may wait for the leader's leave to be the probe.

--- a/gateway/copy.go
+++ b/gateway/copy.go
@@ -55,6 +55,9 @@
 	w.copied = true
 	w.following.Mirror.Put(view.Upstreams)
 	w.following.Request.Version, w.following.Request.Digest = view.Configuration.Version, peer.EncodeDigest(w.following.Mirror.Digest)
+	if view.Quarantine != nil {
+		w.following.Request.Quarantine = view.Quarantine.ID
+	}
 	view.FleetComplete = false
 	select {
 	case w.gateway.task.mailbox <- viewMessage{view: &view}:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,7 +1,7 @@
 // Package gateway runs an entry: an instance that accepts callers' requests and
 // forwards them to upstreams.
 //
-// It does the input and output for the decisions of package placement. Four
+// It does the input and output for the decisions of package placement. Five
 // kinds of tasks exchange messages:
 //
 //   - The entry task owns the placement state, the idle connections to upstreams
@@ -9,6 +9,8 @@
 //   - Each caller's connection has its own tasks, in package ingress.
 //   - Each probe and each attempt is a task that owns one connection to an
 //     upstream, which it returns to the entry task when it ends.
+//   - The report task reports upstreams that crashed under a request to the control
+//     instances.
 //   - The watch task follows the view of the control instances by long polls. A
 //     view holds the configuration and the fleet of upstreams.
 //
@@ -108,14 +110,17 @@
 	}
 	gateway = &Gateway{settings: deployment, options: options}
 	gateway.lastContact.Store(&controlContact{at: timer.Now()})
+	pool := peer.NewPool(ctx, peer.Options{Metrics: options.Metrics, Dial: options.Dial})
+	leader := control.NewLeaderClient(pool, seeds, deployment.PeerPort)
+	reports := newReportTask(ctx, pool, leader, options.Metrics)
 	gateway.task = newTask(ctx, gateway, placement.New(placement.Config{
 		Name: deployment.Instance, Domain: deployment.Domain, RetryRatio: deployment.Bounds.RetryRatio, RetryWindow: deployment.Bounds.RetryWindow,
 		RetrySlack: deployment.Bounds.RetrySlack, ColdFactor: deployment.Bounds.ColdFactor, ColdSlack: deployment.Bounds.ColdSlack,
-	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
+	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), reports)
 	go gateway.task.run()
-	pool := peer.NewPool(ctx, peer.Options{Metrics: options.Metrics, Dial: options.Dial})
+	go reports.run()
 	watch := &watchTask{
-		gateway: gateway, ctx: ctx, leader: control.NewLeaderClient(pool, seeds, deployment.PeerPort), seeds: seeds, seedUpdates: make(chan []search.Instance, 1),
+		gateway: gateway, ctx: ctx, leader: leader, seeds: seeds, seedUpdates: make(chan []search.Instance, 1),
 		following: peer.NewFollowing(deployment.Instance), pool: pool, copyDelay: minCopyRetryDelay,
 	}
 	gateway.seedUpdates = watch.seedUpdates
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -26,6 +26,7 @@
 	"github.com/oriolepost/oriolepost/gateway"
 	"github.com/oriolepost/oriolepost/header"
 	"github.com/oriolepost/oriolepost/peer"
+	"github.com/oriolepost/oriolepost/quarantine"
 	"github.com/oriolepost/oriolepost/record"
 	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/script"
@@ -84,7 +85,8 @@
 type fakeUpstream struct {
 	id      string
 	address string
-	// mode is good, shed (refuse each request), reset (close the connection
+	// mode is good, deadly (close the connection of each request whose path names it,
+	// without a response), shed (refuse each request), reset (close the connection
 	// without a response), slow (respond after delayMS), full (report that
 	// all slots are in use), unsigned_404 (respond with that status and without a
 	// signature), repeat (refuse one request, and write the refusal
@@ -189,6 +191,10 @@
 		return ""
 	case "ran_behind_refusal":
 		return fmt.Sprint(b.upstreams[testCase.Args["at"]].ranBehindRefusal.Load())
+	case "listed":
+		return b.listed(testCase)
+	case "elsewhere":
+		return b.elsewhere(testCase)
 	case "wait":
 		timer.Pause(context.Background(), time.Duration(testCase.Int("ms", 0))*time.Millisecond)
 		return ""
@@ -357,6 +363,9 @@
 		w.WriteHeader(code)
 		return
 	}
+	if mode == "deadly" && strings.Contains(r.URL.Path, "deadly") {
+		mode = "reset"
+	}
 	switch mode {
 	case "shed":
 		w.Header().Set("Not-Run", "1")
@@ -434,10 +443,56 @@
 	})
 }
 
+// listed returns what the leader lists of the contents that crash upstreams, as another
+// entry sees it, once it has the number of contents and the prefix that the test file
+// expects.
+func (b *fixture) listed(testCase script.Case) string {
+	text := ""
+	for deadline := time.Now().Add(stateTimeout); time.Now().Before(deadline); {
+		text = ""
+		listings := b.listings()
+		for _, l := range listings {
+			text += fmt.Sprintf("crashes=%d quarantined=%v answered=%v\n", len(l.Crashes), l.Quarantined, l.Answered)
+		}
+		if strings.HasPrefix(text, testCase.Args["expect"]) && len(listings) == testCase.Int("contents", 1) {
+			break
+		}
+		timer.Pause(context.Background(), 20*time.Millisecond)
+	}
+	return text
+}
+
+func (b *fixture) listings() []quarantine.Listing {
+	ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
+	defer cancel()
+	response, err := b.control.Call(ctx, peer.WatchRequest{Entry: "another"})
+	watched, ok := response.(peer.WatchResponse)
+	if err != nil || !ok || len(watched.View) == 0 {
+		return nil
+	}
+	view, err := peer.DecodeView(watched.View)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	if view.Quarantine == nil {
+		return nil
+	}
+	return view.Quarantine.Listings
+}
+
+// elsewhere reports that the listed content crashed an upstream, or was answered, at another
+// entry.
+func (b *fixture) elsewhere(testCase script.Case) string {
+	listings := b.listings()
+	gomega.Expect(listings).NotTo(gomega.BeEmpty())
+	return b.call(peer.SuspectRequest{Sightings: []quarantine.Sighting{{
+		Fingerprint: listings[0].Fingerprint, Upstream: quarantine.Incarnation{ID: testCase.Args["upstream"], StartMS: 1}, Answered: testCase.Bool("answered"),
+	}}})
+}
+
 // request sends a request and returns the response. With id it runs in the
 // background, and the command answer returns the response. With disconnect_ms
 // the caller closes the connection after so many milliseconds. With count the
-// text also has the number of requests that the upstreams received.
+// text also has the number of requests that the upstreams received. With any it does not
+// name the upstream.
 func (b *fixture) request(testCase script.Case) string {
 	ctx := context.Background()
 	if ms := testCase.Int("disconnect_ms", 0); ms > 0 {
@@ -461,6 +516,9 @@
 		before[id] = u.requests.Load()
 	}
 	text := b.send(request)
+	if testCase.Bool("any") {
+		text, _, _ = strings.Cut(text, " from ")
+	}
 	if testCase.Bool("count") {
 		total := int64(0)
 		for id, u := range b.upstreams {
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -49,6 +49,12 @@
 		"known_upstreams": active.basis.Candidates, "eligible_upstreams": finish.EligibleUpstreams, "resting_upstreams": finish.RestingUpstreams, "leaving_upstreams": finish.LeavingUpstreams, "limited_upstreams": finish.LimitedUpstreams, "queue_length": finish.QueueLength, "load": active.basis.Load, "queue_time_ms": active.basis.Waited.Milliseconds(),
 		"tries": strings.Join(active.attemptSummaries, "; "), "control_contact_age_ms": gateway.controlContactAge().Milliseconds(),
 	}
+	if reason == string(placement.ReasonQuarantined) {
+		gateway.options.Metrics.GetOrCreateCounter("oriolepost_quarantine_refused_total").Inc()
+	}
+	if reason == string(placement.ReasonQuarantined) || reason == string(placement.ReasonReset) {
+		fields["fingerprint"] = string(active.request.Fingerprint)
+	}
 	if stop := t.placement.Stop; !stop.EndsAt.IsZero() {
 		fields["stop_remaining_ms"] = time.Until(stop.EndsAt).Milliseconds()
 		fields["response_time_ms"] = finish.ResponseTime.Mean.Milliseconds()
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -11,6 +11,7 @@
 	"github.com/oriolepost/oriolepost/ingress"
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/placement"
+	"github.com/oriolepost/oriolepost/quarantine"
 	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/upstream"
 )
@@ -33,7 +34,10 @@
 type message interface{ message() }
 
 // arrivedMessage carries a request from a caller's connection.
-type arrivedMessage struct{ exchange *ingress.Exchange }
+type arrivedMessage struct {
+	exchange    *ingress.Exchange
+	fingerprint quarantine.Fingerprint
+}
 
 // disconnectedMessage carries the unanswered requests of a caller that closed
 // its connection.
@@ -52,6 +56,8 @@
 	// that term. Both are 0 when nothing changed.
 	epoch    uint64
 	revision uint64
+	// leaderEpoch is the term of the leader, also when nothing changed; zero with a copy.
+	leaderEpoch uint64
 }
 
 // probeResultMessage carries the result of a probe.
@@ -112,6 +118,10 @@
 	responses  map[placement.AttemptID]upstream.Response
 	idleConns  map[placement.Key][]*upstream.Conn
 	firstTries placement.FirstTries
+	// reports sends crashes to the leader. reportedEpoch is the term of the leader that
+	// everything was last reported to.
+	reports       *reportTask
+	reportedEpoch uint64
 }
 
 // activeRequest is a request that is not answered yet.
@@ -127,8 +137,10 @@
 	attemptSummaries []string
 }
 
-func newTask(ctx context.Context, gateway *Gateway, state *placement.State) *task {
+func newTask(ctx context.Context, gateway *Gateway, state *placement.State, reports *reportTask) *task {
+	state.Quarantine = quarantine.NewHolder()
 	return &task{
+		reports: reports,
 		gateway: gateway, ctx: ctx, mailbox: make(chan message, mailboxSize), placement: state,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		active: map[placement.RequestID]*activeRequest{}, requestIDs: map[*ingress.Exchange]placement.RequestID{},
@@ -141,7 +153,7 @@
 // sends an empty response, which closes the connection of the caller.
 func (t *task) requestArrived(e *ingress.Exchange) {
 	select {
-	case t.mailbox <- arrivedMessage{e}:
+	case t.mailbox <- arrivedMessage{e, fingerprint(e.Request)}:
 	case <-t.ctx.Done():
 		e.Response <- upstream.Response{}
 	}
@@ -189,7 +201,7 @@
 func (t *task) handle(m message) {
 	switch m := m.(type) {
 	case arrivedMessage:
-		t.startRequest(m.exchange)
+		t.startRequest(m)
 	case disconnectedMessage:
 		for _, e := range m.exchanges {
 			if id, ok := t.requestIDs[e]; ok {
@@ -209,6 +221,8 @@
 	case noticeMessage:
 		t.countInvalidRest(m.notice)
 		t.step(placement.NoticeReceived{Upstream: m.key, Notice: m.notice})
+	case probeDecidedMessage:
+		t.probeDecided(m)
 	case attemptEndedMessage:
 		t.releaseConn(m.key, m.conn)
 		t.attemptEnded(m)
@@ -217,8 +231,8 @@
 
 // startRequest passes a request to the placement, with the service that is to run
 // it and its deadline.
-func (t *task) startRequest(exchange *ingress.Exchange) {
-	received := exchange.Request
+func (t *task) startRequest(arrived arrivedMessage) {
+	exchange, received := arrived.exchange, arrived.exchange.Request
 	t.nextID++
 	id := t.nextID
 	timeout := defaultTimeout
@@ -231,7 +245,7 @@
 	service, weighted := exchange.Route.PickService(t.random.Float64())
 	request := placement.Request{
 		ID: id, Route: exchange.Route, Service: service, ArrivedAt: received.Received, FirstTriedAt: t.firstTries.Estimate(exchange.Route.Name, received.Received, received.CallerTimeout),
-		Deadline: received.Received.Add(timeout), BodyNotReplayable: received.Rest != nil,
+		Deadline: received.Received.Add(timeout), BodyNotReplayable: received.Rest != nil, Fingerprint: arrived.fingerprint,
 	}
 	t.active[id] = &activeRequest{exchange: exchange, request: request}
 	t.requestIDs[exchange] = id
@@ -239,7 +253,9 @@
 		t.perform(placement.Finish{Request: id, Outcome: placement.NotRun{Reason: placement.ReasonNoWeight}})
 		return
 	}
-	t.step(placement.Arrived{Request: request})
+	if !t.asksForProbe(request) {
+		t.step(placement.Arrived{Request: request})
+	}
 }
 
 func (t *task) step(e placement.Event) {
@@ -286,6 +302,7 @@
 	}
 	t.responses[ended.attempt] = ended.response
 	t.recordAttempt(ended)
+	t.recordContent(ended)
 	t.step(placement.AttemptEnded{Attempt: ended.attempt, Outcome: ended.outcome, Load: ended.response.Load, Limit: ended.response.Limit})
 	if response, unused := t.responses[ended.attempt]; unused {
 		if response.Rest != nil {
@@ -297,6 +314,7 @@
 
 // handleView handles the leader's answer to a watch.
 func (t *task) handleView(m viewMessage) {
+	t.takeQuarantine(m)
 	if m.view != nil {
 		t.applyView(m)
 	}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -137,7 +137,7 @@
 	if response.DigestWanted {
 		return
 	}
-	message := viewMessage{position: placement.PositionReported{Index: response.Index, Count: response.Count}}
+	message := viewMessage{position: placement.PositionReported{Index: response.Index, Count: response.Count}, leaderEpoch: response.Epoch}
 	if view != nil {
 		message.view, message.epoch, message.revision = view, response.Epoch, response.Revision
 		w.learnControlInstances(*view)
--- a/logtrace/logtrace.go
+++ b/logtrace/logtrace.go
@@ -66,7 +66,8 @@
 // Select returns the lines that match a filter, in the order of time. For a
 // request, it adds the changes within changeWindow of one of its lines: those of
 // the upstream that the line names, and those at the instance that logged it. It also
-// adds earlier ones that had taken upstreams out of use for the request.
+// adds earlier ones that had taken upstreams out of use for the request, or that
+// concerned its content.
 func Select(lines []Line, f Filter) []Line {
 	matching := slices.DeleteFunc(slices.Clone(lines), func(l Line) bool { return !f.matches(l) })
 	if f.RequestID != "" {
@@ -107,11 +108,11 @@
 
 // relatesTo reports whether a change is within changeWindow of a line of a request
 // and was logged at the same instance or names the same upstream, or whether it took an
-// upstream out of use for the request. A line with the change "upstreams" is logged for
+// upstream out of use for the request or concerned its content. A line with the change "upstreams" is logged for
 // each update of the upstream view, so it does not relate to a request unless it
 // mentions the request's upstream.
 func (l Line) relatesTo(request Line) bool {
-	if l.tookOutOfUse(request) {
+	if l.tookOutOfUse(request) || l.concernsContentOf(request) {
 		return true
 	}
 	if d := l.Time.Sub(request.Time).Abs(); d > changeWindow {
@@ -139,6 +140,13 @@
 	return false
 }
 
+// concernsContentOf reports whether a change, however long before and at any instance,
+// concerned the content of a request in the quarantine.
+func (l Line) concernsContentOf(request Line) bool {
+	fingerprint := request.text("fingerprint")
+	return fingerprint != "" && l.text("fingerprint") == fingerprint && !l.Time.After(request.Time)
+}
+
 // number returns a field as a number, or 0 when it is absent or not a number.
 func (l Line) number(name string) float64 {
 	n, _ := l.Fields[name].(float64)
