quarantine: a full table is ordered by keys that are computed once

Cause: with 1,024 contents at the leader, each report that displaces one computed the age and the level of a record in each comparison of the sort. Change: the keys are computed before the sort.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -32,7 +32,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
@@ -323,20 +322,32 @@
 	if excess <= 0 {
 		return
 	}
-	oldest := slices.SortedFunc(maps.Keys(r.byFingerprint), func(a, b Fingerprint) int {
-		first, second := r.byFingerprint[a], r.byFingerprint[b]
-		return cmp.Or(cmp.Compare(quarantineRank(first), quarantineRank(second)), first.lastCrashAt().Compare(second.lastCrashAt()), cmp.Compare(a, b))
-	})
-	for _, f := range oldest[:excess] {
-		r.remove(f, "displaced")
+	candidates := make([]candidate, 0, len(r.byFingerprint))
+	for f, content := range r.byFingerprint {
+		candidates = append(candidates, candidate{f, content.level() == LevelQuarantined, content.lastCrashAt()})
+	}
+	slices.SortFunc(candidates, compareCandidates)
+	for _, c := range candidates[:excess] {
+		r.remove(c.fingerprint, "displaced")
 	}
 }
 
-func quarantineRank(r *record) int {
-	if r.level() == LevelQuarantined {
-		return 1
+// candidate is a record that may be removed.
+type candidate struct {
+	fingerprint Fingerprint
+	quarantined bool
+	lastCrashAt time.Time
+}
+
+// compareCandidates orders records by how soon they are removed.
+func compareCandidates(a, b candidate) int {
+	if a.quarantined != b.quarantined {
+		if a.quarantined {
+			return 1
+		}
+		return -1
 	}
-	return 0
+	return cmp.Or(a.lastCrashAt.Compare(b.lastCrashAt), cmp.Compare(a.fingerprint, b.fingerprint))
 }
 
 func (r *records) remove(f Fingerprint, reason string) {
