--- a/faultsoak/faultsoak.go
+++ b/faultsoak/faultsoak.go
@@ -106,6 +106,10 @@
 	// finalVersion is the version of the configuration that is sent after the last
 	// fault. No operator reaches it.
 	finalVersion = 1 << 20
+	// controlName begins the names of the control instances.
+	controlName = "control"
+	// maxCrashed limits the crashed upstreams that wait to be replaced.
+	maxCrashed = 64
 	// finalProbes is the number of requests to each entry that only finalVersion
 	// allows.
 	finalProbes = 5
@@ -134,6 +138,9 @@
 	entryRelays   []*relay
 	controlRelays []*relay
 	upstreams     []*upstream
+	// crashed receives the upstreams that a request has crashed, which the injector
+	// replaces.
+	crashed chan *upstream
 	// finalVersionDue is when all entries must serve by finalVersion.
 	finalVersionDue time.Duration
 	ctx             context.Context
@@ -155,7 +162,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s := &testSystem{config: c, observer: startObserver(), folder: folder, ctx: ctx}
+	s := &testSystem{config: c, observer: startObserver(), folder: folder, ctx: ctx, crashed: make(chan *upstream, maxCrashed)}
 	if err := s.start(); err != nil {
 		s.stopProcesses()
 		return Result{}, err
@@ -235,7 +242,7 @@
 	}
 	for i := range s.config.Control + s.config.Entries {
 		deployment := settings.Deployment{
-			Instance: fmt.Sprintf("control-%d", i+1), Domain: domains[i%len(domains)], IP: s.hostIP(firstInstanceHost + i), PeerPort: s.basePort,
+			Instance: fmt.Sprintf("%s-%d", controlName, i+1), Domain: domains[i%len(domains)], IP: s.hostIP(firstInstanceHost + i), PeerPort: s.basePort,
 			Seeds: s.seeds, FirstStart: true, LostInstances: 1, MemoryMB: 200,
 			Bounds: settings.Bounds{
 				Grace: stopTimeout, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 60, ColdFactor: coldFactor, ColdSlack: coldSlack,
@@ -276,7 +283,7 @@
 	domains := cluster.DefaultDomains()
 	port := 1 + 2*(n/100)
 	host := firstUpstreamHost + n%100
-	return startUpstream(s.ctx, s.observer, fmt.Sprintf("upstream-%d", n), domains[n%len(domains)],
+	return startUpstream(s.ctx, s.observer, s.crashed, fmt.Sprintf("upstream-%d", n), domains[n%len(domains)],
 		s.address(host, port), s.address(host, port+1), s.controlRelayAddresses())
 }
 
--- a/faultsoak/history.go
+++ b/faultsoak/history.go
@@ -161,6 +161,9 @@
 	// OverLimit counts the requests to an upstream that names a limit, beyond the users'
 	// bound, from entries that had passed on a response with it.
 	OverLimit int `json:"over_limit"`
+	// OverExposed counts executions of a content that crashes its upstreams, beyond those
+	// that one entry, or all entries together, may let happen.
+	OverExposed int `json:"over_exposed"`
 	// StaleRead counts reads that returned an older version than one acknowledged
 	// more than Bounds.Apply before the read was sent.
 	StaleRead int `json:"stale_read"`
@@ -179,7 +182,7 @@
 
 // Broken reports whether any guarantee was violated.
 func (v Verdict) Broken() bool {
-	return v.RanTwice+v.FalseNotRun+v.WrongAnswer+v.Denied+v.NotAsked+v.AfterLeave+v.AfterNotice+v.WhileResting+v.OverLimit+v.StaleRead+v.StaleEntry+v.OverCold+v.Exits+v.NotRecovered > 0
+	return v.RanTwice+v.FalseNotRun+v.WrongAnswer+v.Denied+v.NotAsked+v.AfterLeave+v.AfterNotice+v.WhileResting+v.OverLimit+v.OverExposed+v.StaleRead+v.StaleEntry+v.OverCold+v.Exits+v.NotRecovered > 0
 }
 
 // maxExamples is the maximum number of violations that a verdict describes.
@@ -195,9 +198,11 @@
 // judge holds the verdict so far and what is needed from earlier events. Maps are
 // keyed by request id or by name of an upstream or instance.
 type judge struct {
-	bounds       Bounds
-	verdict      Verdict
-	limits       limits
+	bounds  Bounds
+	verdict Verdict
+	limits  limits
+	// exposures holds the executions of each deadly content.
+	exposures    map[string][]exposure
 	requests     map[string]RequestSent
 	executions   map[string]int
 	refused      map[string]bool
@@ -219,7 +224,7 @@
 func Judge(history []Event, b Bounds) Verdict {
 	j := &judge{
 		bounds: b, requests: map[string]RequestSent{}, executions: map[string]int{}, refused: map[string]bool{},
-		leftAt: map[string]time.Duration{}, lastFaultAt: map[string]time.Duration{}, coldArrivals: map[string][]time.Duration{}, served: map[string]bool{}, notices: newNotices(), limits: newLimits(),
+		leftAt: map[string]time.Duration{}, lastFaultAt: map[string]time.Duration{}, coldArrivals: map[string][]time.Duration{}, served: map[string]bool{}, notices: newNotices(), limits: newLimits(), exposures: map[string][]exposure{},
 	}
 	for _, e := range history {
 		j.handleEvent(e)
@@ -243,6 +248,7 @@
 		}
 	case RequestExecuted:
 		j.checkExecution(e)
+		j.checkExposure(e)
 		j.checkArrival(arrival{e.ID, e.Upstream, e.Leaving, e.At})
 		j.checkLimit(arrival{e.ID, e.Upstream, e.Leaving, e.At}, e.Limit)
 	case RequestRefused:
--- a/faultsoak/inject.go
+++ b/faultsoak/inject.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -44,6 +46,8 @@
 	seedsReplaced chan struct{}
 	// upstreamNumber plus one is the number of the next upstream.
 	upstreamNumber int
+	// deadlyNumber is the number of the last content that crashes its upstreams.
+	deadlyNumber int
 }
 
 // fault is a kind of fault and its relative frequency.
@@ -77,6 +81,7 @@
 	{name: "upstream_behaves", weight: 4, inject: (*faultInjector).changeBehaviour},
 	{name: "upstream_replaced", weight: 3, inject: (*faultInjector).replaceUpstream},
 	{name: "upstream_crashes", weight: 2, inject: (*faultInjector).crashUpstream},
+	{name: "upstream_deadly", weight: 1, inject: (*faultInjector).sendDeadly},
 	{name: "seeds_replaced", weight: 2, onControl: true, minControl: seedCount + 2, inject: (*faultInjector).replaceSeeds},
 }
 
@@ -89,7 +94,7 @@
 	for _, f := range possible {
 		total += f.weight
 	}
-	for timer.Pause(ctx, time.Duration(fi.random.Float64()*2*float64(every))) {
+	for fi.pauseReplacing(ctx, time.Duration(fi.random.Float64()*2*float64(every))) {
 		n := fi.random.IntN(total)
 		i := slices.IndexFunc(possible, func(f fault) bool {
 			n -= f.weight
@@ -105,6 +110,24 @@
 	}
 }
 
+// pauseReplacing waits, and replaces the upstreams that a request crashes meanwhile. It
+// returns false if the context ends first.
+func (fi *faultInjector) pauseReplacing(ctx context.Context, length time.Duration) bool {
+	due := time.After(length)
+	for {
+		select {
+		case <-due:
+			return true
+		case <-ctx.Done():
+			return false
+		case u := <-fi.system.crashed:
+			if i := slices.Index(fi.system.upstreams, u); i >= 0 {
+				fi.startReplacement(i)
+			}
+		}
+	}
+}
+
 func (fi *faultInjector) faultDuration() time.Duration {
 	return minFaultDuration + time.Duration(fi.random.Float64()*float64(maxFaultDuration-minFaultDuration))
 }
@@ -316,6 +339,31 @@
 	fi.startReplacement(i)
 }
 
+const (
+	// deadlyRequests is how often a deadly content is sent, at most every deadlyInterval on
+	// average: often enough to crash all upstreams, if nothing stops it.
+	deadlyRequests = 14
+	deadlyInterval = 250 * time.Millisecond
+)
+
+// sendDeadly lets a caller send a content that crashes each upstream that runs it, again and
+// again, to random entries.
+func (fi *faultInjector) sendDeadly(ctx context.Context) {
+	fi.deadlyNumber++
+	path := fmt.Sprintf("%s%d", deadlyPrefix, fi.deadlyNumber)
+	sender := fi.system.newCallers()[0]
+	go func() {
+		transport := &http.Transport{DisableKeepAlives: true}
+		for i := range deadlyRequests {
+			id := fmt.Sprintf("%s-%d", strings.TrimPrefix(path, "/view/"), i)
+			sender.sendTo(ctx, transport, rand.IntN(len(sender.entries)), RequestSent{ID: id, Path: path, Idempotent: true})
+			if !timer.Pause(ctx, time.Duration(rand.Float64()*2*float64(deadlyInterval))) {
+				return
+			}
+		}
+	}()
+}
+
 // startReplacement starts a new upstream and puts it at index i of the list of
 // upstreams. It reports whether the upstream started.
 func (fi *faultInjector) startReplacement(i int) bool {
--- a/faultsoak/upstream.go
+++ b/faultsoak/upstream.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -64,6 +65,9 @@
 	busy             chan struct{}
 	observer         *observer
 	controlAddresses []string
+	// crashed receives this upstream once a request has crashed it.
+	crashed chan<- *upstream
+	ended   atomic.Bool
 	// leave tells the announcing task to deregister the upstream.
 	leave chan struct{}
 	stop  context.CancelFunc
@@ -71,14 +75,14 @@
 
 // startUpstream starts an upstream at address, behind a relay at relayAddress. The
 // upstream announces the address of the relay.
-func startUpstream(ctx context.Context, o *observer, id, domain, address, relayAddress string, control []string) (*upstream, error) {
+func startUpstream(ctx context.Context, o *observer, crashed chan<- *upstream, id, domain, address, relayAddress string, control []string) (*upstream, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	u := &upstream{
 		info: fleet.Upstream{
 			ID: id, Service: serviceName, Address: relayAddress, Domain: domain, Slots: slots, StartMS: time.Now().UnixMilli(),
 		},
 		coldUntil: time.Now().Add(coldTime), busy: make(chan struct{}, slots), observer: o, controlAddresses: control,
-		leave: make(chan struct{}, 1), stop: cancel,
+		leave: make(chan struct{}, 1), stop: cancel, crashed: crashed,
 	}
 	u.behaviour.Store(&behaviour{slowdown: 1})
 	listener, err := net.Listen("tcp", address)
@@ -148,9 +152,23 @@
 		return
 	}
 	u.observer.record(RequestExecuted{ID: id, Upstream: u.info.ID, Path: r.URL.Path, Body: string(body), Cold: cold > 0, Leaving: leaving, Limit: limit, At: u.observer.now()})
+	if strings.HasPrefix(r.URL.Path, deadlyPrefix) {
+		u.crash(r.Context())
+		return
+	}
 	u.respond(w, r, id, b)
 }
 
+// crash ends the upstream with everything that it runs, after some time. It does not
+// deregister.
+func (u *upstream) crash(ctx context.Context) {
+	timer.Pause(ctx, time.Duration(rand.Float64()*float64(maxCrashDelay)))
+	if u.ended.CompareAndSwap(false, true) {
+		u.stop()
+		u.crashed <- u
+	}
+}
+
 // respond waits for the service time and sends the response. It sends none if the
 // client disconnects, and resets the connection if the response is to be lost.
 func (u *upstream) respond(w http.ResponseWriter, r *http.Request, id string, b *behaviour) {
