--- a/quarantine/replay_test.go
+++ b/quarantine/replay_test.go
@@ -16,6 +16,8 @@
 
 const (
 	reportDelay = 3 * time.Millisecond
+	// directEntries is the number of entries that follow the leader itself.
+	directEntries = 64
 	// replaceAfter is the time after which a crashed upstream is replaced.
 	replaceAfter = time.Second
 	// exposureWindow is the time after the third crash in which the sends count.
@@ -125,7 +127,7 @@
 func newReplay(c script.Case) *replay {
 	r := &replay{
 		now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), random: rand.New(rand.NewPCG(uint64(c.Int("seed", 1)), 1)), without: c.Bool("without"),
-		owner: quarantine.NewOwner(), viewInterval: time.Duration(c.Int("view_ms", 200)) * time.Millisecond, contents: map[quarantine.Fingerprint]*contentTally{},
+		owner: quarantine.NewOwner(), viewInterval: time.Duration(c.Int("view_ms", 120)) * time.Millisecond, contents: map[quarantine.Fingerprint]*contentTally{},
 	}
 	for range c.Int("entries", 1) {
 		r.entries = append(r.entries, quarantine.NewHolder())
@@ -152,13 +154,20 @@
 	return time.Duration(float64(low)+r.random.Float64()*float64(high-low)) * time.Millisecond
 }
 
-// publish sends what the leader lists to all entries, once in each interval.
+// publish sends what the leader lists to its entries, once in each interval, and a random
+// part of an interval later to those that follow relays, which have rounds of their own.
 func (r *replay) publish() {
 	if r.owner.Step(r.now, quarantine.Pruned{}); r.owner.Revision != r.listed {
 		r.listed = r.owner.Revision
-		listings := r.owner.Listings(r.now)
-		for _, h := range r.entries {
-			r.after(reportDelay, func() { h.Step(r.now, quarantine.Listed{Epoch: 1, Listings: listings}) })
+		listings, listedAt := r.owner.Listings(r.now), r.now
+		for i, h := range r.entries {
+			delay := reportDelay
+			if i >= directEntries {
+				delay += reportDelay + time.Duration(r.random.Float64()*float64(r.viewInterval))
+			}
+			r.after(delay, func() {
+				h.Step(r.now, quarantine.Listed{Epoch: 1, Listings: quarantine.Aged(listings, r.now.Sub(listedAt)-reportDelay)})
+			})
 		}
 	}
 	r.after(r.viewInterval, r.publish)
