--- a/gateway/log.go
+++ b/gateway/log.go
@@ -52,6 +52,12 @@
 	if active.request.Workspace != nil {
 		fields["workspace"] = active.request.Workspace.Name
 	}
+	if reason == string(placement.ReasonQuarantined) {
+		gateway.options.Metrics.GetOrCreateCounter("oriolepost_quarantine_refused_total").Inc()
+	}
+	if reason == string(placement.ReasonQuarantined) || reason == string(placement.ReasonReset) {
+		fields["fingerprint"] = string(active.request.Fingerprint)
+	}
 	if stop := t.placement.Stop; !stop.EndsAt.IsZero() {
 		fields["stop_remaining_ms"] = time.Until(stop.EndsAt).Milliseconds()
 		fields["response_time_ms"] = finish.ResponseTime.Mean.Milliseconds()
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -13,23 +13,25 @@
 
 // JSON-RPC method names.
 const (
-	methodReplica     = "replica"
-	methodReport      = "report"
-	methodPropose     = "propose"
-	methodBorrow      = "borrow"
-	methodReturn      = "return"
-	methodReportNow   = "poke"
-	methodIdentify    = "identify"
-	methodJoin        = "join"
-	methodStatus      = "status"
-	methodConfirm     = "confirm"
-	methodAnnounce    = "announce"
-	methodRenew       = "renew"
-	methodRead        = "read"
-	methodWatch       = "watch"
-	methodCopy        = "copy"
-	methodGroup       = "group"
-	methodIncarnation = "incarnation"
+	methodReplica         = "replica"
+	methodReport          = "report"
+	methodPropose         = "propose"
+	methodBorrow          = "borrow"
+	methodReturn          = "return"
+	methodReportNow       = "poke"
+	methodIdentify        = "identify"
+	methodJoin            = "join"
+	methodStatus          = "status"
+	methodConfirm         = "confirm"
+	methodAnnounce        = "announce"
+	methodRenew           = "renew"
+	methodRead            = "read"
+	methodWatch           = "watch"
+	methodCopy            = "copy"
+	methodGroup           = "group"
+	methodIncarnation     = "incarnation"
+	methodSuspect         = "suspect"
+	methodQuarantineProbe = "quarantine_probe"
 )
 
 // replicaParams is the JSON form of a ReplicaMessage.
@@ -97,6 +99,10 @@
 		return methodCopy, request, false, nil
 	case GroupNotice:
 		return methodGroup, request.Group, true, nil
+	case SuspectRequest:
+		return methodSuspect, request, false, nil
+	case QuarantineProbeRequest:
+		return methodQuarantineProbe, request, false, nil
 	}
 	return "", nil, false, fmt.Errorf("request %T has no method", request)
 }
@@ -139,6 +145,10 @@
 		return CopyRequest{}, nil
 	case methodGroup:
 		return decode(params, func(g Group) Request { return GroupNotice{g} })
+	case methodSuspect:
+		return decode(params, func(r SuspectRequest) Request { return r })
+	case methodQuarantineProbe:
+		return decode(params, func(r QuarantineProbeRequest) Request { return r })
 	}
 	return nil, &RefusedError{Code: CodeMalformed, Reason: fmt.Sprintf("method %q is not known", method)}
 }
@@ -204,7 +214,7 @@
 		return proposeResult{Result: e}, err
 	case JoinResponse:
 		return response.Group, nil
-	case Nothing, ReportResponse, BorrowResponse, IdentifyResponse, ConfirmResponse, StatusResponse, ReadResponse, IncarnationResponse, WatchResponse, CopyResponse:
+	case Nothing, ReportResponse, BorrowResponse, IdentifyResponse, ConfirmResponse, StatusResponse, ReadResponse, IncarnationResponse, WatchResponse, CopyResponse, QuarantineProbeResponse:
 		return response, nil
 	}
 	return nil, fmt.Errorf("response %T has no form", response)
@@ -235,7 +245,9 @@
 		return decode(result, func(r CopyResponse) Response { return r })
 	case JoinRequest:
 		return decode(result, func(g Group) Response { return JoinResponse{g} })
-	case AnnounceRequest, RenewRequest, ReplicaMessage, ReturnRequest, ReportNowRequest, GroupNotice:
+	case QuarantineProbeRequest:
+		return decode(result, func(r QuarantineProbeResponse) Response { return r })
+	case AnnounceRequest, SuspectRequest, RenewRequest, ReplicaMessage, ReturnRequest, ReportNowRequest, GroupNotice:
 		return Nothing{}, nil
 	}
 	return Nothing{}, nil
--- a/placement/event.go
+++ b/placement/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/oriolepost/oriolepost/fleet"
+	"github.com/oriolepost/oriolepost/quarantine"
 	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/workspace"
 )
@@ -31,6 +32,12 @@
 	BodyNotReplayable bool
 	// Workspace is the workspace for which the request runs; nil if it runs for none.
 	Workspace *workspace.Workspace
+	// Fingerprint identifies the content of the request. It is empty if the quarantine
+	// does not apply.
+	Fingerprint quarantine.Fingerprint
+	// Probe is true for the one request that may be sent although its content is
+	// quarantined.
+	Probe bool
 }
 
 // priority returns the priority of a request: that of its workspace, if it has one, or that
@@ -130,6 +137,9 @@
 // index among all entries and their number.
 type PositionReported struct{ Index, Count int }
 
+// ContentQuarantined reports that a content was quarantined.
+type ContentQuarantined struct{ Fingerprint quarantine.Fingerprint }
+
 // StopBegan reports that this entry stops.
 type StopBegan struct{ Plan StopPlan }
 
@@ -143,6 +153,7 @@
 func (AttemptEnded) event()       {}
 func (ViewReceived) event()       {}
 func (PositionReported) event()   {}
+func (ContentQuarantined) event() {}
 func (StopBegan) event()          {}
 func (TimerExpired) event()       {}
 
@@ -216,6 +227,9 @@
 	ReasonNoConfiguration Reason = "no_configuration"
 	// ReasonNoWeight means that all services of the route have weight zero.
 	ReasonNoWeight Reason = "no_weight"
+	// ReasonQuarantined means that the content of the request is quarantined, as it
+	// crashes upstreams.
+	ReasonQuarantined Reason = "quarantined"
 	// ReasonStopping means that this entry stops before a response is expected.
 	ReasonStopping Reason = "stopping"
 )
