control, gateway, placement: the leader grants retries

An entry that had used up its own share refused retries, although others left theirs. A leader of a former version refuses the request, and the entry then behaves as before. The harness of control has bounds now, and of placement the new effect.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -121,11 +121,13 @@
 		return ""
 	case "configure":
 		return b.call(testCase, name, peer.ProposeRequest{Command: record.PutConfiguration{
-			Configuration: route.Configuration{Version: uint64(testCase.Int("version", 0))},
+			Configuration: route.Configuration{Version: uint64(testCase.Int("version", 0)), Services: []route.Service{{Name: "booking"}}},
 			Original:      append([]byte(testCase.Args["text"]), incompressible(testCase.Int("bytes", 0))...),
 		}})
 	case "domain":
 		return b.call(testCase, name, peer.ProposeRequest{Command: record.SetDomain{Domain: testCase.Args["domain"], Out: testCase.Bool("out")}})
+	case "ask":
+		return b.ask(testCase)
 	case "read":
 		return b.call(testCase, name, peer.ReadRequest{})
 	case "announce":
@@ -172,6 +174,7 @@
 	started, err := control.Start(ctx, settings.Deployment{
 		Instance: name, IP: addresses[name], Domain: name, PeerPort: b.port, Seeds: seeds(),
 		DataFolder: filepath.Join(b.folder, name), FirstStart: first, LostInstances: lost,
+		Bounds: settings.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 60},
 	}, control.Options{
 		Log: &log.Logger{Handler: discard.Default, Level: log.ErrorLevel}, Metrics: set,
 		Dial:       func(ctx context.Context, address string) (net.Conn, error) { return b.dial(ctx, name, address) },
--- a/control/message.go
+++ b/control/message.go
@@ -39,6 +39,11 @@
 
 type copyMessage struct{ answer chan<- answer }
 
+type allowanceMessage struct {
+	request peer.AllowanceRequest
+	answer  chan<- answer
+}
+
 type joinMessage struct {
 	identity replica.Identity
 	answer   chan<- answer
@@ -69,6 +74,7 @@
 func (watchMessage) message()     {}
 func (copyMessage) message()      {}
 func (joinMessage) message()      {}
+func (allowanceMessage) message() {}
 func (joinEndedMessage) message() {}
 func (groupMessage) message()     {}
 func (seedsMessage) message()     {}
@@ -106,7 +112,7 @@
 	switch message.(type) {
 	case replicaMessage, renewMessage, groupMessage:
 		return peer.Nothing{}, nil
-	case proposeMessage, readMessage, announceMessage, watchMessage, copyMessage, joinMessage, joinEndedMessage, relayAnswerMessage, seedsMessage, identifyMessage, bootstrapMessage, transferMessage:
+	case proposeMessage, readMessage, announceMessage, watchMessage, copyMessage, allowanceMessage, joinMessage, joinEndedMessage, relayAnswerMessage, seedsMessage, identifyMessage, bootstrapMessage, transferMessage:
 	}
 	select {
 	case a := <-reply:
@@ -145,6 +151,8 @@
 		return watchMessage{request, reply}, nil
 	case peer.CopyRequest:
 		return copyMessage{reply}, nil
+	case peer.AllowanceRequest:
+		return allowanceMessage{request, reply}, nil
 	case peer.GroupNotice:
 		return groupMessage{request.Group}, nil
 	case peer.IdentifyRequest:
--- a/control/relay.go
+++ b/control/relay.go
@@ -228,6 +228,7 @@
 func (t *task) pruneFollowers(now time.Time) {
 	t.watchers.Prune(now)
 	t.roster.Prune(now)
+	t.pruneAllowance(now)
 	for instance, seen := range t.relaysSeen {
 		if now.Sub(seen.at) >= watcher.Lifetime && !t.watchers.Has(instance) {
 			delete(t.relaysSeen, instance)
--- a/control/task.go
+++ b/control/task.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
+	"github.com/oriolepost/oriolepost/allowance"
 	"github.com/oriolepost/oriolepost/disk"
 	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/jsonform"
@@ -93,6 +94,11 @@
 	relay     *relay
 	relayPool *peer.Pool
 	relaying  bool
+	// owner grants the entries their parts of limits on sums, while this instance leads in
+	// ownerTerm. startedAt is the start of this task.
+	owner     *allowance.Owner
+	ownerTerm uint64
+	startedAt time.Time
 	// watched is the state as of which the watchers last learned of a change.
 	watched watchedVersion
 	// heldWatches are the watches that wait for a leader, until heldUntil.
@@ -156,7 +162,7 @@
 func newTask(ctx context.Context, deployment settings.Deployment, options Options, folder *disk.Folder, pool *peer.Pool, leader *peer.LeaderClient, seeds []search.Instance) (*task, error) {
 	t := &task{
 		settings: deployment, folder: folder, pool: pool, leaderClient: leader, seeds: seeds, initialSeeds: seeds, ctx: ctx,
-		metrics: options.Metrics, log: options.Log, fleet: fleet.New(),
+		metrics: options.Metrics, log: options.Log, fleet: fleet.New(), startedAt: time.Now(),
 		mailbox:   make(chan postedMessage, mailboxSize),
 		backlog:   backlog{handled: map[string]int{}},
 		random:    rand.New(rand.NewPCG(rand.Uint64(), ipHash(deployment.IP))),
@@ -322,6 +328,8 @@
 		t.watch(now, message)
 	case copyMessage:
 		t.giveCopy(now, message)
+	case allowanceMessage:
+		t.grantAllowance(now, message)
 	case joinMessage:
 		t.join(now, message)
 	case joinEndedMessage:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,6 +83,10 @@
 	lastContact atomic.Pointer[controlContact]
 	stopping    atomic.Bool
 	seedUpdates chan<- []search.Instance
+	// pool has the connections to the control instances, and leader is the search for the
+	// one that this entry follows.
+	pool   *peer.Pool
+	leader *peer.LeaderClient
 }
 
 // controlContact is an answer of the leader to a watch.
@@ -110,13 +114,14 @@
 	gateway.lastContact.Store(&controlContact{at: timer.Now()})
 	gateway.task = newTask(ctx, gateway, placement.New(placement.Config{
 		Name: deployment.Instance, Domain: deployment.Domain, RetryRatio: deployment.Bounds.RetryRatio, RetryWindow: deployment.Bounds.RetryWindow,
-		RetrySlack: deployment.Bounds.RetrySlack, ColdFactor: deployment.Bounds.ColdFactor, ColdSlack: deployment.Bounds.ColdSlack,
+		RetrySlack: deployment.Bounds.RetrySlack, PooledRetries: deployment.Bounds.RetryRatio > 0 || deployment.Bounds.RetrySlack > 0, ColdFactor: deployment.Bounds.ColdFactor, ColdSlack: deployment.Bounds.ColdSlack,
 	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
+	gateway.pool = peer.NewPool(ctx, peer.Options{Metrics: options.Metrics, Dial: options.Dial})
+	gateway.leader = control.NewLeaderClient(gateway.pool, seeds, deployment.PeerPort)
 	go gateway.task.run()
-	pool := peer.NewPool(ctx, peer.Options{Metrics: options.Metrics, Dial: options.Dial})
 	watch := &watchTask{
-		gateway: gateway, ctx: ctx, leader: control.NewLeaderClient(pool, seeds, deployment.PeerPort), seeds: seeds, seedUpdates: make(chan []search.Instance, 1),
-		following: peer.NewFollowing(deployment.Instance), pool: pool, copyDelay: minCopyRetryDelay,
+		gateway: gateway, ctx: ctx, leader: gateway.leader, seeds: seeds, seedUpdates: make(chan []search.Instance, 1),
+		following: peer.NewFollowing(deployment.Instance), pool: gateway.pool, copyDelay: minCopyRetryDelay,
 	}
 	gateway.seedUpdates = watch.seedUpdates
 	go watch.run()
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -80,10 +80,14 @@
 	conn *upstream.Conn
 }
 
+// allowanceMessage carries the leader's answer to a report on the retry budgets.
+type allowanceMessage struct{ event placement.Event }
+
 // stopMessage reports that the entry stops.
 type stopMessage struct{ plan placement.StopPlan }
 
 func (stopMessage) message()         {}
+func (allowanceMessage) message()    {}
 func (arrivedMessage) message()      {}
 func (disconnectedMessage) message() {}
 func (viewMessage) message()         {}
@@ -209,6 +213,8 @@
 	case noticeMessage:
 		t.countInvalidRest(m.notice)
 		t.step(placement.NoticeReceived{Upstream: m.key, Notice: m.notice})
+	case allowanceMessage:
+		t.step(m.event)
 	case attemptEndedMessage:
 		t.releaseConn(m.key, m.conn)
 		t.attemptEnded(m)
@@ -254,6 +260,8 @@
 		t.startProbe(e)
 	case placement.StartAttempt:
 		t.startAttempt(e)
+	case placement.AskAllowance:
+		t.askAllowance(e)
 	case placement.CancelAttempt:
 		if cancel := t.cancels[e.Attempt]; cancel != nil {
 			cancel()
--- a/peer/message.go
+++ b/peer/message.go
@@ -18,6 +18,7 @@
 import (
 	"fmt"
 
+	"github.com/oriolepost/oriolepost/allowance"
 	"github.com/oriolepost/oriolepost/catalog"
 	"github.com/oriolepost/oriolepost/entry"
 	"github.com/oriolepost/oriolepost/fleet"
@@ -174,6 +175,11 @@
 // not know the group, and those that know only the seeds ask it. It has no response.
 type GroupNotice struct{ Group Group }
 
+// AllowanceRequest carries an entry's report to the owner of the limits on sums over all
+// entries, who is at the leader. A relay passes it on.
+type AllowanceRequest struct{ Report allowance.Report }
+
+func (AllowanceRequest) request() {}
 func (AnnounceRequest) request()  {}
 func (GroupNotice) request()      {}
 func (CopyRequest) request()      {}
@@ -310,17 +316,21 @@
 	Control []string `json:"control,omitempty"`
 }
 
-func (ReadResponse) response()     {}
-func (WatchResponse) response()    {}
-func (CopyResponse) response()     {}
-func (JoinResponse) response()     {}
-func (Nothing) response()          {}
-func (ReportResponse) response()   {}
-func (ProposeResponse) response()  {}
-func (BorrowResponse) response()   {}
-func (IdentifyResponse) response() {}
-func (ConfirmResponse) response()  {}
-func (StatusResponse) response()   {}
+// AllowanceResponse answers an AllowanceRequest.
+type AllowanceResponse struct{ Reply allowance.Reply }
+
+func (AllowanceResponse) response() {}
+func (ReadResponse) response()      {}
+func (WatchResponse) response()     {}
+func (CopyResponse) response()      {}
+func (JoinResponse) response()      {}
+func (Nothing) response()           {}
+func (ReportResponse) response()    {}
+func (ProposeResponse) response()   {}
+func (BorrowResponse) response()    {}
+func (IdentifyResponse) response()  {}
+func (ConfirmResponse) response()   {}
+func (StatusResponse) response()    {}
 
 // RefusedError is the error response of an instance that refused a request.
 type RefusedError struct {
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -7,6 +7,7 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/oriolepost/oriolepost/allowance"
 	"github.com/oriolepost/oriolepost/jsonform"
 	"github.com/oriolepost/oriolepost/slot"
 )
@@ -29,6 +30,7 @@
 	methodWatch     = "watch"
 	methodCopy      = "copy"
 	methodGroup     = "group"
+	methodAllowance = "allowance"
 )
 
 // replicaParams is the JSON form of a ReplicaMessage.
@@ -94,6 +96,8 @@
 		return methodCopy, request, false, nil
 	case GroupNotice:
 		return methodGroup, request.Group, true, nil
+	case AllowanceRequest:
+		return methodAllowance, request.Report, false, nil
 	}
 	return "", nil, false, fmt.Errorf("request %T has no method", request)
 }
@@ -134,6 +138,8 @@
 		return CopyRequest{}, nil
 	case methodGroup:
 		return decode(params, func(g Group) Request { return GroupNotice{g} })
+	case methodAllowance:
+		return decode(params, func(r allowance.Report) Request { return AllowanceRequest{r} })
 	}
 	return nil, &RefusedError{Code: CodeMalformed, Reason: fmt.Sprintf("method %q is not known", method)}
 }
@@ -199,6 +205,8 @@
 		return proposeResult{Result: e}, err
 	case JoinResponse:
 		return response.Group, nil
+	case AllowanceResponse:
+		return response.Reply, nil
 	case Nothing, ReportResponse, BorrowResponse, IdentifyResponse, ConfirmResponse, StatusResponse, ReadResponse, WatchResponse, CopyResponse:
 		return response, nil
 	}
@@ -228,6 +236,8 @@
 		return decode(result, func(r CopyResponse) Response { return r })
 	case JoinRequest:
 		return decode(result, func(g Group) Response { return JoinResponse{g} })
+	case AllowanceRequest:
+		return decode(result, func(r allowance.Reply) Response { return AllowanceResponse{r} })
 	case AnnounceRequest, RenewRequest, ReplicaMessage, ReturnRequest, ReportNowRequest, GroupNotice:
 		return Nothing{}, nil
 	}
--- a/placement/attempt.go
+++ b/placement/attempt.go
@@ -66,7 +66,12 @@
 			s.expire(now, pending)
 			continue
 		}
-		if pending.queued && !now.Before(pending.queueDeadline) {
+		if !pending.tokenUntil.IsZero() && !now.Before(pending.tokenUntil) {
+			pending.tokenUntil = time.Time{}
+			s.refuse(now, pending, NotRun{Reason: ReasonBudget})
+			continue
+		}
+		if pending.queued && !awaitsToken(pending) && !now.Before(pending.queueDeadline) {
 			s.handleQueueTimeout(now, pending)
 		}
 		if s.requests[id] != nil && !pending.hedgeAt.IsZero() && !now.Before(pending.hedgeAt) {
--- a/placement/place.go
+++ b/placement/place.go
@@ -52,7 +52,7 @@
 func (s *State) handleArrival(now time.Time, r Request) {
 	pending := &pendingRequest{request: r, attempts: map[AttemptID]*attempt{}, tried: map[Key]bool{}}
 	s.requests[r.ID] = pending
-	s.retryBudget(now, r.Service).CountRequest(now)
+	s.retryBudget(now, r.Service).CountRequest(now, s.holder)
 	s.lowestPriority[r.Service] = max(s.lowestPriority[r.Service], r.Route.Priority)
 	if highest, known := s.highestPriority[r.Service]; !known || r.Route.Priority < highest {
 		s.highestPriority[r.Service] = r.Route.Priority
@@ -293,14 +293,20 @@
 
 // startAttempt sends a request to an upstream. If an earlier attempt may have
 // reached an upstream, this one takes a token from the retry budget, and the
-// request is refused if there is none. It is also refused if this entry stops too
+// request waits or is refused if there is none. It is also refused if this entry stops too
 // soon.
 func (s *State) startAttempt(now time.Time, pending *pendingRequest, u *Upstream) {
 	if !s.mayStart(now, pending) {
 		s.refuse(now, pending, NotRun{Reason: ReasonStopping})
 		return
 	}
+	if pending.attemptsSent > 0 && awaitsToken(pending) {
+		return
+	}
 	if pending.attemptsSent > 0 && !s.spendRetry(now, pending) {
+		if s.awaitToken(now, pending) {
+			return
+		}
 		s.refuse(now, pending, NotRun{Reason: ReasonBudget})
 		return
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -42,6 +42,7 @@
 	"slices"
 	"time"
 
+	"github.com/oriolepost/oriolepost/allowance"
 	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/retry"
 	"github.com/oriolepost/oriolepost/route"
@@ -60,6 +61,8 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetrySlack  float64
+	// PooledRetries is true if the leader is asked for a part of the retry budgets.
+	PooledRetries bool
 	// ColdFactor and ColdSlack turn a service's cold rate (requests per second)
 	// into the limit that must hold in any second, summed over all entries: the
 	// rate times ColdFactor, plus ColdSlack.
@@ -136,6 +139,10 @@
 	pastObjective bool
 	queueDeadline time.Time
 	hedgeAt       time.Time
+	// tokenUntil is until when the request waits for the leader to grant a retry; zero if
+	// it does not. tokenAwaited is true once it has waited.
+	tokenUntil   time.Time
+	tokenAwaited bool
 }
 
 type attempt struct {
@@ -177,8 +184,11 @@
 	highestPriority map[string]int
 	requests        map[RequestID]*pendingRequest
 	requestOf       map[AttemptID]RequestID
-	retryBudgets    map[string]*retry.Window
+	retryBudgets    map[string]*retry.Pooled
 	retrySlack      retry.Slack
+	holder          *allowance.Holder
+	// formerLeaderUntil is until when the leader counts as one of a former version.
+	formerLeaderUntil time.Time
 	// expectedTimes holds the expected service time by route.
 	expectedTimes map[string]time.Duration
 	// responseTimes holds the response times by route, after the first response.
@@ -191,11 +201,15 @@
 // New returns the state of an entry that has not received a view yet. All
 // random choices are drawn from random.
 func New(cfg Config, random *rand.Rand) *State {
+	run := uint64(0)
+	if cfg.PooledRetries {
+		run = random.Uint64()
+	}
 	return &State{
 		Config: cfg, random: random, leaving: Leaving{Marked: map[Key]bool{}}, rests: map[Key]*Rest{}, limits: map[Key]*Limit{},
 		Upstreams: map[string]*Upstream{}, Services: map[string]route.Service{},
 		byService: map[string][]*Upstream{}, queues: map[string]*waitQueue{}, lowestPriority: map[string]int{}, highestPriority: map[string]int{}, requests: map[RequestID]*pendingRequest{},
-		requestOf: map[AttemptID]RequestID{}, retryBudgets: map[string]*retry.Window{}, retrySlack: retry.Slack{Total: cfg.RetrySlack, Length: cfg.RetryWindow},
+		requestOf: map[AttemptID]RequestID{}, retryBudgets: map[string]*retry.Pooled{}, holder: newHolder(cfg, run), retrySlack: retry.Slack{Total: cfg.RetrySlack, Length: cfg.RetryWindow},
 		expectedTimes: map[string]time.Duration{}, responseTimes: map[string]ResponseTime{},
 	}
 }
@@ -221,9 +235,14 @@
 		s.handleEntryIndex(now, e)
 	case StopBegan:
 		s.handleStop(e)
+	case AllowanceAnswered:
+		s.handleAllowance(now, e.Reply)
+	case AllowanceFailed:
+		s.handleAllowanceFailure(now, e)
 	case TimerExpired:
 		s.handleTick(now)
 	}
+	s.askAllowance(now)
 	return s.effects
 }
 
@@ -244,10 +263,14 @@
 	for _, pending := range s.requests {
 		wakeBy(pending.request.Deadline)
 		wakeBy(pending.hedgeAt)
-		if pending.queued {
+		wakeBy(pending.tokenUntil)
+		if pending.queued && !awaitsToken(pending) {
 			wakeBy(pending.queueDeadline)
 		}
 	}
+	if s.Config.PooledRetries {
+		wakeBy(s.holder.NextWake())
+	}
 	for _, rest := range s.rests {
 		if rest.EndedAt.IsZero() {
 			wakeBy(rest.Until)
@@ -386,18 +409,6 @@
 // key.
 func (s *State) hashDraw(key string) float64 { return float64(s.hash(key)>>11) / (1 << 53) }
 
-// retryBudget returns the retry budget of a service, with this entry's present share of the
-// slack.
-func (s *State) retryBudget(now time.Time, service string) *retry.Window {
-	w := s.retryBudgets[service]
-	if w == nil {
-		w = &retry.Window{Ratio: s.Config.RetryRatio, Length: s.Config.RetryWindow, Draw: s.hashDraw(service)}
-		s.retryBudgets[service] = w
-	}
-	w.SlackShare = s.retrySlack.Share(now)
-	return w
-}
-
 func compareKeys(a, b Key) int {
 	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.BornMS, b.BornMS))
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/oriolepost/oriolepost/allowance"
 	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/placement"
 	"github.com/oriolepost/oriolepost/route"
@@ -33,16 +34,17 @@
 
 var _ = script.Describe("steps", "testdata/steps/*.txt", func() script.Handler {
 	s := &steps{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
-	s.restart()
+	s.restart(false)
 	return s.run
 })
 
 // restart replaces the entry by one that knows nothing.
-func (s *steps) restart() {
+func (s *steps) restart(pooled bool) {
 	s.attempts = map[placement.AttemptID]placement.Key{}
 	s.unansweredProbes = nil
 	s.state = placement.New(placement.Config{
 		Name: "e1", Domain: "palermo", RetryRatio: 0.2, RetryWindow: retryWindow, RetrySlack: 80, ColdFactor: 1.5, ColdSlack: 5,
+		PooledRetries: pooled,
 	}, rand.New(rand.NewPCG(1, 1)))
 }
 
@@ -91,8 +93,14 @@
 	case "caller_disconnected":
 		return s.step(placement.CallerDisconnected{Request: placement.RequestID(c.Int("id", 1))})
 	case "restart":
-		s.restart()
+		s.restart(c.Bool("pooled"))
 		return ""
+	case "granted":
+		return s.step(placement.AllowanceAnswered{Reply: allowance.Reply{Owner: "1", Items: []allowance.Grant{{
+			Key: allowance.RetryKey("booking"), Tokens: c.Int("tokens", 0), LifetimeMS: 1000, AskAfterMS: int64(c.Int("ask_after", 0)),
+		}}}})
+	case "not_granted":
+		return s.step(placement.AllowanceFailed{Unsupported: c.Bool("unsupported")})
 	case "tick":
 		return s.step(placement.TimerExpired{})
 	}
@@ -207,6 +215,9 @@
 		return "probe " + e.Upstream.ID
 	case placement.StartAttempt:
 		return fmt.Sprintf("start request=%d attempt=%d at %s repeat=%v", e.Request, e.Attempt, e.Upstream.ID, e.Repeat)
+	case placement.AskAllowance:
+		item := e.Report.Items[0]
+		return fmt.Sprintf("ask %s wanted=%d held=%d spent=%d", item.Key, item.Wanted, item.Held, item.Spent)
 	case placement.CancelAttempt:
 		return fmt.Sprintf("cancel attempt=%d", e.Attempt)
 	case placement.Finish:
--- a/placement/repeat.go
+++ b/placement/repeat.go
@@ -19,5 +19,5 @@
 	if s.highestPriority[service] < s.lowestPriority[service] && pending.request.Route.Priority == s.lowestPriority[service] {
 		share = lowPriorityRetryShare
 	}
-	return s.retryBudget(now, service).Spend(now, share)
+	return s.retryBudget(now, service).Spend(now, s.holder, s.Config.RetryRatio, s.retrySlack.Share(now), share)
 }
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -484,7 +484,7 @@
 			r.cancel(entry, e.Attempt)
 		case placement.Finish:
 			r.finish(e)
-		case placement.UpstreamRemoved, placement.UpstreamLeaving, placement.RestStarted, placement.RestEnded, placement.LimitStarted, placement.LimitEnded:
+		case placement.UpstreamRemoved, placement.UpstreamLeaving, placement.RestStarted, placement.RestEnded, placement.LimitStarted, placement.LimitEnded, placement.AskAllowance:
 		}
 	}
 }
