allowance: quotas from token buckets, with standing rates

A quota needs a bound on a sum like the retry budget, but every request takes a token. Tokens of a bucket now count against it until they are reported, the lifetime follows from what the bound tolerates, and a holder with demand gets a standing rate for the time in which the owner is lost; the sum of the rates stays within that of the bucket, and a new owner opens only after they end.

--- a/allowance/allowance.go
+++ b/allowance/allowance.go
@@ -36,8 +36,10 @@
 	Slack  float64
 }
 
-// Bucket limits the tokens to Rate a second, and Burst at once.
-type Bucket struct{ Rate, Burst float64 }
+// Bucket limits the tokens to Rate a second, and Burst at once. In no period may more than
+// Tolerance be spent beyond that. The longer granted tokens are valid, the fewer reports are
+// needed, but what is granted within a lifetime may be spent on top of the limit.
+type Bucket struct{ Rate, Burst, Tolerance float64 }
 
 func (Window) limit() {}
 func (Bucket) limit() {}
@@ -52,11 +54,15 @@
 	// SafetyFactor keeps what a window allows below its limit, which is checked on arrivals
 	// at the upstreams: these may bunch up on the network.
 	SafetyFactor = 0.92
-	// windowLifetime and bucketLifetime are how long granted tokens are valid. A bucket's
-	// limit may be exceeded by what is granted within a lifetime, which the tenth that a
-	// quota of 5 s may be exceeded has to cover.
-	windowLifetime = 1200 * time.Millisecond
-	bucketLifetime = 300 * time.Millisecond
+	// windowLifetime is how long the tokens of a [Window] are valid, and minBucketLifetime
+	// and maxBucketLifetime limit the lifetime of those of a [Bucket]. An answer comes
+	// within a few milliseconds, or from a busy leader up to 1.1 s later.
+	windowLifetime    = 1200 * time.Millisecond
+	minBucketLifetime = 100 * time.Millisecond
+	maxBucketLifetime = 2 * time.Second
+	// toleranceShare is the part of a bucket's tolerance that the lifetime uses up. The
+	// rest is for the delay between a decision and the request's arrival.
+	toleranceShare = 0.6
 	// standingLifetime is how long a holder of a bucket's tokens goes on at its standing
 	// rate after they have expired. An election takes about a second.
 	standingLifetime = 2 * time.Second
@@ -127,10 +133,21 @@
 	LifetimeMS int64 `json:"lifetime_ms"`
 	// AskAfterMS is the time after which asking again may succeed, if not all was granted.
 	AskAfterMS int64 `json:"ask_after_ms,omitempty"`
-	// StandingPerS is the rate at which the holder may go on for StandingMS once the
-	// tokens have expired.
+	// StandingPerS is the rate at which the holder may go on for StandingMS while it has
+	// lost the owner, or if the owner is Closed: it can't grant yet because of what its
+	// predecessor has granted.
 	StandingPerS float64 `json:"standing_per_s,omitempty"`
 	StandingMS   int64   `json:"standing_ms,omitempty"`
+	Closed       bool    `json:"closed,omitempty"`
+}
+
+// lifetime returns how long the tokens of a bucket are valid.
+func (b Bucket) lifetime() time.Duration {
+	if b.Rate <= 0 {
+		return minBucketLifetime
+	}
+	seconds := min(toleranceShare*b.Tolerance/b.Rate, maxBucketLifetime.Seconds())
+	return max(time.Duration(seconds*float64(time.Second)), minBucketLifetime)
 }
 
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/allowance/holder.go
+++ b/allowance/holder.go
@@ -1,6 +1,7 @@
 package allowance
 
 import (
+	"hash/fnv"
 	"maps"
 	"slices"
 	"time"
@@ -12,6 +13,9 @@
 	// prefetchFrom is how many tokens a holder must have spent since its last report to
 	// ask for more before they run out. A single one is no sign of further demand.
 	prefetchFrom = 2
+	// standingReturn is the time after which a holder without demand returns its standing
+	// rates. It is shorter than their lifetime by the time for an answer.
+	standingReturn = time.Second
 	// firstBatch is how many tokens a holder asks for that has spent none yet.
 	firstBatch = 4
 )
@@ -32,6 +36,9 @@
 	asked  bool
 	sentAt time.Time
 	askAt  time.Time
+	// answeredAt is when the owner last answered, and lostAt when it first failed to since
+	// then; zero if it did not.
+	answeredAt, lostAt time.Time
 }
 
 // held is the state of one key.
@@ -52,11 +59,15 @@
 	reserve       float64
 	// askAt is when asking for more may succeed.
 	askAt time.Time
-	// standing is the rate at which the holder goes on between expiresAt and
-	// standingUntil, and standingSpent how many it has spent so.
+	// standing is the rate at which the holder goes on until standingUntil while it has lost
+	// the owner, and standingSpent how many it has spent so. draw rounds the fraction of
+	// that number, as in package retry.
 	standing      float64
 	standingUntil time.Time
 	standingSpent float64
+	draw          float64
+	// lostAt is when the holder began to rely on the standing rate; zero if it does not.
+	lostAt time.Time
 }
 
 // NewHolder returns a holder without tokens. The name must be unique to one run of an
@@ -106,7 +117,10 @@
 func (h *Holder) key(key string) *held {
 	k := h.keys[key]
 	if k == nil {
-		k = &held{reportedThrough: -1}
+		hash := fnv.New64a()
+		_, _ = hash.Write([]byte(h.name + "/" + key))
+		// The multiplication spreads the last bytes over the high bits.
+		k = &held{reportedThrough: -1, draw: float64(hash.Sum64()*0x9e3779b97f4a7c15>>11) / (1 << 53)}
 		h.keys[key] = k
 	}
 	return k
@@ -125,6 +139,9 @@
 	h.Age(now)
 	k := h.key(key)
 	h.active[key] = k
+	if k.askAt.IsZero() {
+		k.askAt = now
+	}
 	switch d := demand.(type) {
 	case Urgent:
 		k.urgent = true
@@ -134,7 +151,7 @@
 	switch {
 	case k.tokens > 0 && now.Before(k.expiresAt):
 		k.tokens--
-	case k.takeStanding(now):
+	case k.takeStanding(now, h.lostAt):
 	default:
 		k.missed++
 		return false
@@ -145,12 +162,20 @@
 	return true
 }
 
+// Left returns how many granted tokens are left.
+func (h *Holder) Left(now time.Time, key string) int {
+	if k := h.keys[key]; k != nil && now.Before(k.expiresAt) {
+		return k.tokens
+	}
+	return 0
+}
+
 // takeStanding spends a token of the standing rate.
-func (k *held) takeStanding(now time.Time) bool {
-	if now.Before(k.expiresAt) || !now.Before(k.standingUntil) {
-		return false
+func (k *held) takeStanding(now, lostAt time.Time) bool {
+	if !k.lostAt.IsZero() {
+		lostAt = k.lostAt
 	}
-	if k.standingSpent+1 > k.standing*now.Sub(k.expiresAt).Seconds() {
+	if lostAt.IsZero() || !now.Before(k.standingUntil) || k.standingSpent+k.draw >= k.standing*now.Sub(lostAt).Seconds() {
 		return false
 	}
 	k.standingSpent++
@@ -164,7 +189,7 @@
 	}
 	for _, key := range slices.Sorted(maps.Keys(h.active)) {
 		k := h.active[key]
-		if !k.due(now) {
+		if !k.due(now, h.answeredAt) {
 			if k.idle(now) {
 				delete(h.active, key)
 			}
@@ -182,18 +207,21 @@
 }
 
 // due reports whether a key has something to report: demand, or tokens to return.
-func (k *held) due(now time.Time) bool {
-	at, ok := k.dueAt()
+func (k *held) due(now, answeredAt time.Time) bool {
+	at, ok := k.dueAt(answeredAt)
 	return ok && !now.Before(at)
 }
 
 // dueAt returns when a key next has something to report, or false if it has nothing.
-func (k *held) dueAt() (at time.Time, ok bool) {
+func (k *held) dueAt(answeredAt time.Time) (at time.Time, ok bool) {
 	switch {
-	case k.missed > 0 || k.taken >= prefetchFrom && k.tokens < k.taken:
+	case k.missed > 0 || k.standingSpent > 0 || k.taken >= prefetchFrom && k.tokens < k.taken:
 		return k.askAt, true
-	case k.tokens > 0 || k.standing > 0:
+	case k.tokens > 0:
 		return k.expiresAt, true
+	case k.standing > 0:
+		// The owner must hear of this holder again, or it assumes that the rate is used.
+		return answeredAt.Add(standingReturn), true
 	}
 	return time.Time{}, false
 }
@@ -246,7 +274,7 @@
 		return next
 	}
 	for _, k := range h.active {
-		if at, ok := k.dueAt(); ok && (next.IsZero() || at.Before(next)) {
+		if at, ok := k.dueAt(h.answeredAt); ok && (next.IsZero() || at.Before(next)) {
 			next = at
 		}
 	}
@@ -263,6 +291,7 @@
 	}
 	h.asked = false
 	h.askAt = now.Add(milliseconds(r.AskAfterMS))
+	h.answeredAt, h.lostAt = now, time.Time{}
 	// The counts of the report are of use to a new owner only with what it followed.
 	usable := h.owner == "" || r.Owner == h.owner
 	if !usable {
@@ -278,7 +307,10 @@
 		}
 		k.tokens += g.Tokens
 		k.expiresAt = h.sentAt.Add(milliseconds(g.LifetimeMS))
-		k.standing, k.standingUntil, k.standingSpent = g.StandingPerS, k.expiresAt.Add(milliseconds(g.StandingMS)), 0
+		if k.lostAt = (time.Time{}); g.Closed {
+			k.lostAt = now
+		}
+		k.standing, k.standingUntil, k.standingSpent = g.StandingPerS, h.sentAt.Add(milliseconds(g.StandingMS)), 0
 		k.askAt = now.Add(milliseconds(g.AskAfterMS))
 		h.active[g.Key] = k
 	}
@@ -288,4 +320,7 @@
 func (h *Holder) Failed(now time.Time) {
 	h.asked = false
 	h.askAt = now.Add(failedAskDelay)
+	if h.lostAt.IsZero() {
+		h.lostAt = now
+	}
 }
--- a/allowance/meter.go
+++ b/allowance/meter.go
@@ -1,6 +1,9 @@
 package allowance
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // windowMeter is the account of a [Window].
 type windowMeter struct {
@@ -27,11 +30,13 @@
 	m.requests.add(m.part(created.Add(time.Duration(part+1)*m.partLength())), n)
 }
 
-func (m *windowMeter) charge(at time.Time, tokens int) { m.spent.add(m.part(at), tokens) }
+func (m *windowMeter) charge(at time.Time, tokens float64) {
+	m.spent.add(m.part(at), int(math.Ceil(tokens)))
+}
 
-func (m *windowMeter) refund(chargedAt time.Time, tokens int) {
+func (m *windowMeter) refund(chargedAt time.Time, tokens float64) {
 	if part := m.part(chargedAt); tokens > 0 && m.spent.at(part) > 0 {
-		m.spent.add(part, -tokens)
+		m.spent.add(part, -int(math.Ceil(tokens)))
 	}
 }
 
@@ -59,27 +64,41 @@
 	})
 }
 
-// bucketMeter is the account of a [Bucket]. Tokens are taken out of the bucket when they
-// are granted, and those that were not spent are put back.
+// bucketMeter is the account of a [Bucket]. Outstanding tokens are still in the level, and
+// the bucket fills as if they were not.
 type bucketMeter struct {
 	limit Bucket
+	// opens is the beginning of the account. What holders spend before, at the standing
+	// rates that they had, belongs to that of the former owner.
+	opens time.Time
 	level float64
 	at    time.Time
 }
 
 func (*bucketMeter) meter() {}
 
-// setLimit fills the bucket up to now at the former rate, and sets the limit. A new bucket
-// is empty: what a former owner has granted is not known.
-func (m *bucketMeter) setLimit(now time.Time, l Bucket) {
-	m.level = min(m.level+m.limit.Rate*now.Sub(m.at).Seconds(), m.limit.Burst)
-	m.at, m.limit = now, l
-	m.level = min(m.level, l.Burst)
+// setLimit fills the bucket up to now at the former rate, and sets the limit. At its time
+// at the beginning, a bucket is empty: what a former owner has granted is not known.
+func (m *bucketMeter) setLimit(now time.Time, l Bucket, outstanding int) {
+	if now.After(m.at) {
+		m.level = min(m.level+m.limit.Rate*now.Sub(m.at).Seconds(), m.limit.Burst+float64(outstanding))
+		m.at = now
+	}
+	m.limit = l
+	m.level = min(m.level, l.Burst+float64(outstanding))
 }
 
-func (m *bucketMeter) charge(_ time.Time, tokens int) { m.level -= float64(tokens) }
+func (m *bucketMeter) charge(at time.Time, tokens float64) {
+	if !at.Before(m.opens) {
+		m.level -= tokens
+	}
+}
 
-func (m *bucketMeter) refund(_ time.Time, tokens int) { m.level += float64(tokens) }
+func (m *bucketMeter) refund(chargedAt time.Time, tokens float64) {
+	if !chargedAt.Before(m.opens) {
+		m.level += tokens
+	}
+}
 
 func (m *bucketMeter) available(_ time.Time, outstanding int, reserve float64) float64 {
 	return m.level - float64(outstanding) - reserve*m.limit.Burst
--- a/allowance/owner.go
+++ b/allowance/owner.go
@@ -6,11 +6,12 @@
 )
 
 const (
-	// askIntervalPerHolder, minAskInterval and maxAskInterval determine how often a holder
-	// may ask, so that a leader with a quarter of a core gets at most 1,000 reports a second.
-	askIntervalPerHolder = time.Millisecond
-	minAskInterval       = 20 * time.Millisecond
-	maxAskInterval       = time.Second
+	// A holder may ask again at once, until the owner gets freeReports a second. Above that
+	// it has to wait, so that a leader with a quarter of a core gets maxReports at most.
+	freeReports = 1000.0
+	maxReports  = 2000.0
+	// unknownAskInterval is the pause before asking again for a key that has no limit.
+	unknownAskInterval = time.Second
 	// refusedAskInterval is the shortest time after which asking again may succeed when
 	// nothing is left.
 	refusedAskInterval = 250 * time.Millisecond
@@ -22,12 +23,13 @@
 	// expiryGrace is how long after their end the owner still keeps tokens as unspent, so
 	// that the report in which a holder returns them is in time.
 	expiryGrace = 100 * time.Millisecond
-	// recentInterval is how long a holder counts as one that asks. It is longer than
-	// maxAskInterval, with the time for an answer.
+	// recentInterval is how long a holder counts as one that asks. It is longer than any
+	// pause between its reports, with the time for an answer.
 	recentInterval = 2500 * time.Millisecond
-	// sustainedInterval is the longest time between two reports of a holder with
-	// sustained demand.
-	sustainedInterval = time.Second
+	// demandTime is the time over which the demand of a holder is averaged, and
+	// minStanding the demand a second from which it gets a standing rate.
+	demandTime  = 2 * time.Second
+	minStanding = 1.0
 )
 
 // Owner grants tokens to the holders of all entries. It is owned by one task.
@@ -44,8 +46,11 @@
 	survivors         bool
 	pools             map[string]*pool
 	holders           map[string]*holderState
-	// recent is the number of holders that have reported lately.
-	recent int
+	// recent is the number of holders that have reported lately, and reports the number of
+	// reports a second as of reportsAt, a moving average.
+	recent    int
+	reports   float64
+	reportsAt time.Time
 }
 
 // holderState is what the owner knows of one holder.
@@ -71,10 +76,12 @@
 	shares      map[string]*share
 	outstanding int
 	expiring    []expiry
+	// lapsing has the standing rates in the order in which they end.
+	lapsing []expiry
 	// standing is the sum of the standing rates.
 	standing float64
 	// askers is an estimate of the number of holders with demand, as of askersAt: the
-	// reports with demand, which decay over the interval at which a holder asks.
+	// reports with demand, which decay over refusedAskInterval.
 	askers   float64
 	askersAt time.Time
 }
@@ -86,12 +93,16 @@
 	spent          uint64
 	tokens         int
 	expiresAt      time.Time
-	standing       float64
-	// assumed is what was charged as spent when the tokens expired without a report, at
-	// assumedAt.
-	assumed   int
+	// demand is a moving average of the tokens wanted a second, as of demandAt.
+	demand   float64
+	demandAt time.Time
+	// standing is the rate at which the holder goes on if it loses the owner.
+	standing      float64
+	standingUntil time.Time
+	// assumed is what was charged as spent when the tokens or the standing rate expired
+	// without a report, at assumedAt.
+	assumed   float64
 	assumedAt time.Time
-	reportAt  time.Time
 }
 
 type expiry struct {
@@ -108,8 +119,8 @@
 	// which a reserve, a part of the limit, is to be kept.
 	available(now time.Time, outstanding int, reserve float64) float64
 	// charge records tokens as spent, and refund that some were not after all.
-	charge(at time.Time, tokens int)
-	refund(chargedAt time.Time, tokens int)
+	charge(at time.Time, tokens float64)
+	refund(chargedAt time.Time, tokens float64)
 }
 
 // Handle takes a report and returns the reply to it.
@@ -120,6 +131,8 @@
 		o.holders[r.Holder] = h
 		o.recent++
 	}
+	o.reports = o.reports*math.Exp(-now.Sub(o.reportsAt).Seconds()) + 1
+	o.reportsAt = now
 	reply := Reply{Owner: o.Name, AskAfterMS: o.askInterval().Milliseconds()}
 	// A report that a newer one has overtaken is void: its holder has given it up.
 	if r.Sequence <= h.sequence {
@@ -135,12 +148,12 @@
 func (o *Owner) handleItem(now time.Time, r Report, item ReportItem) Grant {
 	limit, known := o.Limit(item.Key)
 	if !known {
-		return Grant{Key: item.Key, AskAfterMS: maxAskInterval.Milliseconds()}
+		return Grant{Key: item.Key, AskAfterMS: unknownAskInterval.Milliseconds()}
 	}
 	p := o.pool(now, item.Key, limit)
-	p.expire(now)
-	s, demand := p.settle(now, r.Holder, item)
-	p.countAsker(now, item, o.askInterval())
+	p.expire(now, o.holders)
+	s := p.settle(now, r.Holder, item)
+	p.countAsker(now, item)
 	switch l := limit.(type) {
 	case Window:
 		age := milliseconds(r.AgeMS)
@@ -152,10 +165,9 @@
 		}
 		return p.grant(now, r.Holder, item, windowLifetime, o.opensForWindow(l))
 	case Bucket:
-		s.standing = p.standingRate(item, demand, l.Rate)
-		p.standing += s.standing
-		g := p.grant(now, r.Holder, item, bucketLifetime, o.since.Add(bucketLifetime+standingLifetime+handover))
-		g.StandingPerS, g.StandingMS = s.standing, standingLifetime.Milliseconds()
+		p.setStanding(now, r.Holder, item, l.Rate)
+		g := p.grant(now, r.Holder, item, l.lifetime(), o.opensForBucket(l))
+		g.StandingPerS, g.StandingMS, g.Closed = s.standing, standingLifetime.Milliseconds(), now.Before(o.opensForBucket(l))
 		return g
 	}
 	return Grant{Key: item.Key}
@@ -171,6 +183,12 @@
 	return time.Time{}
 }
 
+// opensForBucket returns when the tokens of a predecessor can no longer be spent, nor what
+// its holders go on with. The bucket fills from then on.
+func (o *Owner) opensForBucket(l Bucket) time.Time {
+	return o.since.Add(handover + l.lifetime() + standingLifetime)
+}
+
 func (o *Owner) pool(now time.Time, key string, limit Limit) *pool {
 	p := o.pools[key]
 	if p == nil {
@@ -188,35 +206,47 @@
 	case Bucket:
 		m, ok := p.meter.(*bucketMeter)
 		if !ok {
-			m = &bucketMeter{at: now}
+			m = &bucketMeter{opens: o.opensForBucket(l), at: o.opensForBucket(l), limit: l}
 			p.meter = m
 		}
-		m.setLimit(now, l)
+		m.setLimit(now, l, p.outstanding)
 	}
 	return p
 }
 
-// expire charges the tokens that have expired without a report.
-func (p *pool) expire(now time.Time) {
-	for len(p.expiring) > 0 && !now.Before(p.expiring[0].at) {
+// expire charges the tokens that have expired without a report, and what the holders may
+// have spent at their standing rates since they were last heard of.
+func (p *pool) expire(now time.Time, holders map[string]*holderState) {
+	for ; len(p.expiring) > 0 && !now.Before(p.expiring[0].at); p.expiring = p.expiring[1:] {
 		e := p.expiring[0]
-		p.expiring = p.expiring[1:]
-		s := p.shares[e.holder]
-		if s == nil || s.tokens == 0 && s.standing == 0 || !s.expiresAt.Equal(e.at) {
-			continue
+		if s := p.shares[e.holder]; s != nil && s.tokens > 0 && s.expiresAt.Equal(e.at) {
+			p.outstanding -= s.tokens
+			p.assume(s, e.at, float64(s.tokens))
+			s.tokens = 0
 		}
-		p.outstanding -= s.tokens
-		s.assumed, s.assumedAt = s.tokens+int(math.Ceil(s.standing*standingLifetime.Seconds())), e.at
-		p.meter.charge(e.at, s.assumed)
-		p.standing -= s.standing
-		s.tokens, s.standing = 0, 0
 	}
+	for ; len(p.lapsing) > 0 && !now.Before(p.lapsing[0].at); p.lapsing = p.lapsing[1:] {
+		e := p.lapsing[0]
+		if s := p.shares[e.holder]; s != nil && s.standing > 0 && s.standingUntil.Equal(e.at) {
+			if h := holders[e.holder]; h != nil && h.seenAt.Before(e.at) {
+				p.assume(s, e.at, s.standing*e.at.Sub(h.seenAt).Seconds())
+			}
+			p.standing -= s.standing
+			s.standing = 0
+		}
+	}
+}
+
+// assume charges tokens that a holder may have spent.
+func (p *pool) assume(s *share, at time.Time, tokens float64) {
+	p.meter.refund(s.assumedAt, s.assumed)
+	s.assumed, s.assumedAt = s.assumed+tokens, at
+	p.meter.charge(at, s.assumed)
 }
 
-// settle replaces what was assumed of a holder by what it reports. It also returns how many
-// tokens a second the holder wants; zero if it did not ask shortly before.
-func (p *pool) settle(now time.Time, holder string, item ReportItem) (s *share, demand float64) {
-	s = p.shares[holder]
+// settle replaces what was assumed of a holder by what it reports.
+func (p *pool) settle(now time.Time, holder string, item ReportItem) *share {
+	s := p.shares[holder]
 	if s == nil {
 		// What was spent before is the concern of former reports, or of a former owner.
 		s = &share{countedThrough: -1, spent: item.Spent, tokens: item.Held}
@@ -224,23 +254,28 @@
 		p.outstanding += item.Held
 	}
 	p.outstanding -= s.tokens
-	p.standing -= s.standing
 	p.meter.refund(s.assumedAt, s.assumed)
-	p.meter.charge(now.Add(-milliseconds(max(0, item.SpentAgoMS))), int(item.Spent-min(item.Spent, s.spent)))
-	if since := now.Sub(s.reportAt); since > 0 && since < sustainedInterval {
-		demand = float64(item.Wanted) / since.Seconds()
-	}
-	s.spent, s.tokens, s.standing, s.assumed, s.reportAt = item.Spent, item.Held, 0, 0, now
+	p.meter.charge(now.Add(-milliseconds(max(0, item.SpentAgoMS))), float64(item.Spent-min(item.Spent, s.spent)))
+	s.demand = s.demand*math.Exp(-now.Sub(s.demandAt).Seconds()/demandTime.Seconds()) + float64(item.Wanted)/demandTime.Seconds()
+	s.spent, s.tokens, s.assumed, s.demandAt = item.Spent, item.Held, 0, now
 	p.outstanding += s.tokens
-	return s, demand
+	return s
 }
 
-// standingRate returns the rate at which a holder may go on if it loses the owner. The sum
-// of these rates is at most that of the bucket. A holder that has a rate and demand keeps
-// it, as after a change of the owner. One with a single request now and then gets none,
-// since it would have to return it.
-func (p *pool) standingRate(item ReportItem, demand, rate float64) float64 {
-	return max(0, min(max(item.StandingPerS, demand), rate-p.standing))
+// setStanding sets the rate at which a holder may go on if it loses the owner. The sum of
+// these rates is at most that of the bucket. A holder that has a rate and demand keeps it,
+// as after a change of the owner. One with a request now and then gets none: it would have
+// to send a report to return it.
+func (p *pool) setStanding(now time.Time, holder string, item ReportItem, rate float64) {
+	s := p.shares[holder]
+	p.standing -= s.standing
+	s.standing = 0
+	if wanted := max(s.demand, item.StandingPerS); item.Wanted > 0 && wanted >= minStanding {
+		s.standing = max(0, min(wanted, rate-p.standing))
+		s.standingUntil = now.Add(standingLifetime + expiryGrace)
+		p.lapsing = append(p.lapsing, expiry{holder: holder, at: s.standingUntil})
+	}
+	p.standing += s.standing
 }
 
 // count counts the requests of a holder that was created at a time.
@@ -259,8 +294,8 @@
 }
 
 // countAsker updates the estimate of the number of holders with demand.
-func (p *pool) countAsker(now time.Time, item ReportItem, interval time.Duration) {
-	p.askers *= math.Exp(-float64(now.Sub(p.askersAt)) / float64(interval))
+func (p *pool) countAsker(now time.Time, item ReportItem) {
+	p.askers *= math.Exp(-float64(now.Sub(p.askersAt)) / float64(refusedAskInterval))
 	p.askersAt = now
 	if item.Wanted > 0 {
 		p.askers++
@@ -271,30 +306,33 @@
 func (p *pool) grant(now time.Time, holder string, item ReportItem, lifetime time.Duration, opens time.Time) Grant {
 	s := p.shares[holder]
 	g := Grant{Key: item.Key, LifetimeMS: lifetime.Milliseconds()}
-	if left := p.meter.available(now, p.outstanding, item.Reserve); !now.Before(opens) && left >= 1 {
+	left := p.meter.available(now, p.outstanding, item.Reserve)
+	if !now.Before(opens) && left >= 1 {
 		g.Tokens = min(max(0, item.Wanted), max(1, int(left/max(minShares, p.askers/askersPerShare))))
 	}
-	if g.Tokens < item.Wanted {
-		g.AskAfterMS = max(refusedAskInterval, min(opens.Sub(now), maxAskInterval)).Milliseconds()
+	if g.Tokens < item.Wanted && left-float64(g.Tokens) < 1 {
+		g.AskAfterMS = max(refusedAskInterval, min(opens.Sub(now), time.Second)).Milliseconds()
 	}
 	s.tokens += g.Tokens
 	p.outstanding += g.Tokens
 	s.expiresAt = now.Add(lifetime + expiryGrace)
-	if s.tokens > 0 || s.standing > 0 {
+	if s.tokens > 0 {
 		p.expiring = append(p.expiring, expiry{holder: holder, at: s.expiresAt})
 	}
 	return g
 }
 
+// askInterval returns the pause before a holder's next report.
 func (o *Owner) askInterval() time.Duration {
-	return min(max(time.Duration(o.recent)*askIntervalPerHolder, minAskInterval), maxAskInterval)
+	load := min(max(0, (o.reports-freeReports)/(maxReports-freeReports)), 1)
+	return time.Duration(load * float64(o.recent) / maxReports * float64(time.Second))
 }
 
 // Prune forgets the holders that have not reported for a time longer than any of their
 // tokens, and than their requests count.
 func (o *Owner) Prune(now time.Time, lifetime time.Duration) {
 	for _, p := range o.pools {
-		p.expire(now)
+		p.expire(now, o.holders)
 	}
 	o.recent = 0
 	for name, h := range o.holders {
