--- a/allowance/allowance.go
+++ b/allowance/allowance.go
@@ -75,10 +75,10 @@
 	handover = 500 * time.Millisecond
 	// partsPerWindow is the number of parts into which a window is divided.
 	partsPerWindow = 80
-	// countedParts is how many parts of a window the requests are counted for. A report
-	// gives the end of a part, and arrives up to a part later, so that a request may
-	// appear later than it was by up to three parts.
-	countedParts = partsPerWindow - 3
+	// countedParts is how many parts of a window the requests are counted for. A request
+	// counts as of the end of its part, and a report may arrive up to a part later. A window
+	// begins and ends within a part.
+	countedParts = partsPerWindow - 4
 	// historyParts is how many parts of requests matter: two windows.
 	historyParts = 2 * partsPerWindow
 )
--- a/allowance/holder.go
+++ b/allowance/holder.go
@@ -90,7 +90,7 @@
 		return 0
 	}
 	past := historyOf(&h.key(key).counts, h.part(now))
-	return lowestAhead(func(ahead int) int { return past.within(partsPerWindow/2 - ahead) })
+	return lowestAhead(func(ahead int) int { return past.within(partsPerWindow/2 - ahead + 1) })
 }
 
 // Demand is what a token is wanted for.
--- a/allowance/meter.go
+++ b/allowance/meter.go
@@ -59,8 +59,8 @@
 	return lowestAhead(func(ahead int) int {
 		return max(
 			h.within(-ahead),
-			h.within(partsPerWindow/2-ahead),
-			h.within(partsPerWindow-ahead))
+			h.within(partsPerWindow/2-ahead+1),
+			h.within(partsPerWindow-ahead+1))
 	})
 }
 
