--- a/control/control_test.go
+++ b/control/control_test.go
@@ -141,6 +141,8 @@
 		return b.bind(testCase, name)
 	case "incarnation":
 		return b.call(testCase, name, peer.IncarnationRequest{Upstream: testCase.Args["id"]})
+	case "ask":
+		return b.ask(testCase)
 	case "read":
 		return b.call(testCase, name, peer.ReadRequest{})
 	case "announce":
@@ -187,8 +189,12 @@
 
 // servicesOf returns the services of a configuration.
 func servicesOf(testCase script.Case) []route.Service {
+	names := testCase.List("services")
+	if len(names) == 0 {
+		names = []string{"booking"}
+	}
 	var services []route.Service
-	for _, name := range testCase.List("services") {
+	for _, name := range names {
 		services = append(services, route.Service{Name: name})
 	}
 	return services
@@ -210,6 +216,7 @@
 	started, err := control.Start(ctx, settings.Deployment{
 		Instance: name, IP: addresses[name], Domain: name, PeerPort: b.port, Seeds: seeds(),
 		DataFolder: filepath.Join(b.folder, name), FirstStart: first, LostInstances: lost,
+		Bounds: settings.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 60},
 	}, control.Options{
 		Log: &log.Logger{Handler: sendTo(errorLog), Level: log.ErrorLevel}, Metrics: set,
 		Dial:       func(ctx context.Context, address string) (net.Conn, error) { return b.dial(ctx, name, address) },
--- a/control/message.go
+++ b/control/message.go
@@ -47,6 +47,11 @@
 
 type copyMessage struct{ answer chan<- answer }
 
+type allowanceMessage struct {
+	request peer.AllowanceRequest
+	answer  chan<- answer
+}
+
 type joinMessage struct {
 	identity replica.Identity
 	answer   chan<- answer
@@ -84,6 +89,7 @@
 func (identifyMessage) message()    {}
 func (bootstrapMessage) message()   {}
 func (transferMessage) message()    {}
+func (allowanceMessage) message()   {}
 
 // answer is the outcome of a request.
 type answer struct {
@@ -115,7 +121,7 @@
 	switch message.(type) {
 	case replicaMessage, renewMessage, groupMessage:
 		return peer.Nothing{}, nil
-	case proposeMessage, readMessage, incarnationMessage, announceMessage, watchMessage, copyMessage, joinMessage, joinEndedMessage, relayAnswerMessage, seedsMessage, identifyMessage, bootstrapMessage, transferMessage, suspectMessage, suspectsPassedOnMessage, quarantineProbeMessage:
+	case proposeMessage, readMessage, incarnationMessage, announceMessage, watchMessage, copyMessage, joinMessage, joinEndedMessage, relayAnswerMessage, seedsMessage, identifyMessage, bootstrapMessage, transferMessage, suspectMessage, suspectsPassedOnMessage, quarantineProbeMessage, allowanceMessage:
 	}
 	select {
 	case a := <-reply:
@@ -160,6 +166,8 @@
 		return suspectMessage{request, reply}, nil
 	case peer.QuarantineProbeRequest:
 		return quarantineProbeMessage{request, reply}, nil
+	case peer.AllowanceRequest:
+		return allowanceMessage{request, reply}, nil
 	case peer.GroupNotice:
 		return groupMessage{request.Group}, nil
 	case peer.IdentifyRequest:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -88,6 +88,10 @@
 	configured  chan struct{}
 	stopping    atomic.Bool
 	seedUpdates chan<- []search.Instance
+	// pool has the connections to the control instances, and leader is the search for the
+	// one that this entry follows.
+	pool   *peer.Pool
+	leader *peer.LeaderClient
 }
 
 // controlContact is an answer of the leader to a watch.
@@ -118,10 +122,11 @@
 	gateway.lastContact.Store(&controlContact{at: timer.Now()})
 	pool := peer.NewPool(ctx, peer.Options{Metrics: options.Metrics, Dial: options.Dial})
 	leader := control.NewLeaderClient(pool, seeds, deployment.PeerPort)
+	gateway.pool, gateway.leader = pool, leader
 	reports := newReportTask(ctx, pool, leader, options.Metrics)
 	gateway.task = newTask(ctx, gateway, placement.New(placement.Config{
 		Name: deployment.Instance, Domain: deployment.Domain, RetryRatio: deployment.Bounds.RetryRatio, RetryWindow: deployment.Bounds.RetryWindow,
-		RetrySlack: deployment.Bounds.RetrySlack, ColdFactor: deployment.Bounds.ColdFactor, ColdSlack: deployment.Bounds.ColdSlack,
+		RetrySlack: deployment.Bounds.RetrySlack, PooledRetries: deployment.Bounds.RetryRatio > 0 || deployment.Bounds.RetrySlack > 0, ColdFactor: deployment.Bounds.ColdFactor, ColdSlack: deployment.Bounds.ColdSlack,
 	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), reports)
 	go gateway.task.run()
 	go reports.run()
--- a/peer/message.go
+++ b/peer/message.go
@@ -18,6 +18,7 @@
 import (
 	"fmt"
 
+	"github.com/oriolepost/oriolepost/allowance"
 	"github.com/oriolepost/oriolepost/catalog"
 	"github.com/oriolepost/oriolepost/entry"
 	"github.com/oriolepost/oriolepost/fleet"
@@ -223,6 +224,12 @@
 func (SuspectRequest) request()         {}
 func (QuarantineProbeRequest) request() {}
 
+// AllowanceRequest carries an entry's report to the owner of the limits on sums over all
+// entries, who is at the leader. A relay passes it on.
+type AllowanceRequest struct{ Report allowance.Report }
+
+func (AllowanceRequest) request() {}
+
 // Response is the response to a request.
 //
 //sumtype:decl
@@ -392,6 +399,11 @@
 func (StatusResponse) response()          {}
 func (QuarantineProbeResponse) response() {}
 
+// AllowanceResponse answers an AllowanceRequest.
+type AllowanceResponse struct{ Reply allowance.Reply }
+
+func (AllowanceResponse) response() {}
+
 // RefusedError is the error response of an instance that refused a request.
 type RefusedError struct {
 	// Code is one of the Code constants.
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -7,6 +7,7 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/oriolepost/oriolepost/allowance"
 	"github.com/oriolepost/oriolepost/jsonform"
 	"github.com/oriolepost/oriolepost/slot"
 )
@@ -32,6 +33,7 @@
 	methodIncarnation     = "incarnation"
 	methodSuspect         = "suspect"
 	methodQuarantineProbe = "quarantine_probe"
+	methodAllowance       = "allowance"
 )
 
 // replicaParams is the JSON form of a ReplicaMessage.
@@ -103,6 +105,8 @@
 		return methodSuspect, request, false, nil
 	case QuarantineProbeRequest:
 		return methodQuarantineProbe, request, false, nil
+	case AllowanceRequest:
+		return methodAllowance, request.Report, false, nil
 	}
 	return "", nil, false, fmt.Errorf("request %T has no method", request)
 }
@@ -149,6 +153,8 @@
 		return decode(params, func(r SuspectRequest) Request { return r })
 	case methodQuarantineProbe:
 		return decode(params, func(r QuarantineProbeRequest) Request { return r })
+	case methodAllowance:
+		return decode(params, func(r allowance.Report) Request { return AllowanceRequest{r} })
 	}
 	return nil, &RefusedError{Code: CodeMalformed, Reason: fmt.Sprintf("method %q is not known", method)}
 }
@@ -214,6 +220,8 @@
 		return proposeResult{Result: e}, err
 	case JoinResponse:
 		return response.Group, nil
+	case AllowanceResponse:
+		return response.Reply, nil
 	case Nothing, ReportResponse, BorrowResponse, IdentifyResponse, ConfirmResponse, StatusResponse, ReadResponse, IncarnationResponse, WatchResponse, CopyResponse, QuarantineProbeResponse:
 		return response, nil
 	}
@@ -247,6 +255,8 @@
 		return decode(result, func(g Group) Response { return JoinResponse{g} })
 	case QuarantineProbeRequest:
 		return decode(result, func(r QuarantineProbeResponse) Response { return r })
+	case AllowanceRequest:
+		return decode(result, func(r allowance.Reply) Response { return AllowanceResponse{r} })
 	case AnnounceRequest, SuspectRequest, RenewRequest, ReplicaMessage, ReturnRequest, ReportNowRequest, GroupNotice:
 		return Nothing{}, nil
 	}
--- a/placement/repeat.go
+++ b/placement/repeat.go
@@ -25,7 +25,7 @@
 	if s.highestPriority[service] < s.lowestPriority[service] && pending.request.priority() == s.lowestPriority[service] {
 		share = lowPriorityRetryShare
 	}
-	return s.retryBudget(now, service).Spend(now, share)
+	return s.retryBudget(now, service).Spend(now, s.holder, s.Config.RetryRatio, s.retrySlack.Share(now), share)
 }
 
 // noteReset counts an attempt whose connection broke: its upstream may have crashed under
