control, catalog, platform: roll-outs are ordered, decided and read

Change: record.BeginRollout and EndRollout with their results; the catalog keeps the newest roll-out and the versions in use of each service; the leader feeds a judge with the counts in watches, publishes a split for each service in the view and proposes the end; relays pass counts on merged; the calls Rollouts.Begin and Rollouts.Read, and the bounds exposure_share, exposure_slack and rollback_ms.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -55,6 +55,10 @@
 	// Upstreams maps the ID of each recorded upstream to its newest recorded
 	// incarnation.
 	Upstreams map[string]fleet.Upstream `json:"upstreams,omitempty"`
+	// Rollouts maps each service name to its newest roll-out, and Versions to the versions
+	// that are in use.
+	Rollouts map[string]Rollout  `json:"rollouts,omitempty"`
+	Versions map[string]Versions `json:"versions,omitempty"`
 }
 
 // MaxRetiredUpstreams is the maximum number of retired upstreams that are kept. An
@@ -79,6 +83,8 @@
 		OutDomains:     map[string]bool{},
 		DrainedServers: map[string]bool{},
 		Upstreams:      map[string]fleet.Upstream{},
+		Rollouts:       map[string]Rollout{},
+		Versions:       map[string]Versions{},
 	}
 }
 
@@ -98,6 +104,11 @@
 	clone.Original = c.Original
 	clone.Retired = slices.Clone(c.Retired)
 	maps.Copy(clone.Upstreams, c.Upstreams)
+	maps.Copy(clone.Rollouts, c.Rollouts)
+	for k, v := range c.Versions {
+		v.InUse = slices.Clone(v.InUse)
+		clone.Versions[k] = v
+	}
 	return clone
 }
 
@@ -137,7 +148,7 @@
 		return cmd.ChangeID, true
 	case record.SetServer:
 		return cmd.ChangeID, true
-	case record.PutConfiguration, record.Retire, record.Enroll, record.Withdraw:
+	case record.PutConfiguration, record.Retire, record.Enroll, record.Withdraw, record.BeginRollout, record.EndRollout:
 		return "", true
 	case record.Noop, record.Claim, record.Settle, record.Release:
 		return "", false
@@ -163,6 +174,10 @@
 		for _, id := range cmd.Upstreams {
 			delete(c.Upstreams, id)
 		}
+	case record.BeginRollout:
+		return c.beginRollout(index, cmd)
+	case record.EndRollout:
+		c.endRollout(index, cmd)
 	case record.Noop, record.Claim, record.Settle, record.Release:
 		return nil
 	}
@@ -185,6 +200,7 @@
 	for _, u := range e.Upstreams {
 		if known, ok := c.Upstreams[u.ID]; !ok || known.StartMS <= u.StartMS {
 			c.Upstreams[u.ID] = u
+			c.learnVersion(u, e.AtMS)
 		}
 	}
 }
@@ -243,7 +259,7 @@
 		change.VersionConflict = &r
 	case record.HostConflict:
 		change.HostConflict = &r
-	case record.Claimed, record.InProgress, record.Replay, record.KeyMismatch, record.LedgerFull:
+	case record.RolloutConflict, record.UnknownService, record.Claimed, record.InProgress, record.Replay, record.KeyMismatch, record.LedgerFull:
 		return
 	}
 	c.Changes = append(c.Changes, change)
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -8,7 +8,9 @@
 	"github.com/onsi/gomega"
 
 	"github.com/oriolepost/oriolepost/catalog"
+	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/record"
+	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/script"
 	"github.com/oriolepost/oriolepost/service"
 )
@@ -37,6 +39,23 @@
 				catalogState.Apply(index+uint64(i), record.SetServer{ChangeID: fmt.Sprint("many-", i), Server: "s", Drained: i%2 == 0})
 			}
 			return fmt.Sprintf("stored %d", len(catalogState.Changes))
+		case "services":
+			configuration := route.Configuration{Version: index}
+			for _, name := range testCase.List("names") {
+				configuration.Services = append(configuration.Services, route.Service{Name: name})
+			}
+			return show(catalogState.Apply(index, record.PutConfiguration{Configuration: configuration}))
+		case "enroll", "withdraw":
+			return changeUpstream(catalogState, index, testCase)
+		case "begin":
+			return show(catalogState.Apply(index, record.BeginRollout{AtMS: 1000, Service: testCase.Args["name"], Target: testCase.Args["target"], LengthMS: 12000}))
+		case "end":
+			return show(catalogState.Apply(index, record.EndRollout{
+				Service: testCase.Args["name"], Index: uint64(testCase.Int("begun", 0)), Completed: testCase.Bool("completed"), Reason: testCase.Args["reason"],
+			}))
+		case "rollout":
+			name := testCase.Args["name"]
+			return fmt.Sprintf("%+v in use %v", catalogState.Rollouts[name], catalogState.Versions[name].InUse)
 		case "show":
 			return fmt.Sprintf("index %d, out %v, drained %v, versions %v", catalogState.Index, catalogState.OutDomains, catalogState.DrainedServers, versions(catalogState))
 		}
@@ -44,6 +63,19 @@
 	}
 })
 
+// changeUpstream records an upstream of the service booking, or removes it, and returns the
+// versions in use.
+func changeUpstream(c *catalog.Catalog, index uint64, testCase script.Case) string {
+	id := testCase.Args["name"]
+	if testCase.Command == "withdraw" {
+		c.Apply(index, record.Withdraw{Upstreams: []string{id}})
+	} else {
+		u := fleet.Upstream{ID: id, Service: "booking", Version: testCase.Args["version"], StartMS: 1}
+		c.Apply(index, record.Enroll{Upstreams: []fleet.Upstream{u}, AtMS: int64(testCase.Int("at", 0))})
+	}
+	return fmt.Sprintf("in use %v", c.Versions["booking"].InUse)
+}
+
 func show(r record.Result) string { return fmt.Sprintf("%T%+v", r, r) }
 
 func versions(c *catalog.Catalog) map[string]uint64 {
--- a/control/apply.go
+++ b/control/apply.go
@@ -46,6 +46,8 @@
 		t.enrolling = false
 		t.scheduleRecording(time.Now())
 	case proposed.answer == nil:
+	case err == nil && proposed.rolloutOf != "":
+		proposed.answer <- answer{response: t.rolloutOf(proposed.rolloutOf)}
 	case err != nil:
 		proposed.answer <- answer{err: err}
 	case proposed.read:
@@ -74,7 +76,14 @@
 		for _, u := range command.Upstreams {
 			t.fleet.Restore(time.Now(), u)
 		}
+		t.rollouts.stepAt = time.Time{}
 		return
+	case record.BeginRollout:
+		fields["change"], fields["service"], fields["target"], fields["length_ms"] = "rollout_begun", command.Service, command.Target, command.LengthMS
+		t.rollouts.stepAt = time.Time{}
+	case record.EndRollout:
+		fields["change"], fields["service"], fields["completed"], fields["reason"] = "rollout_ended", command.Service, command.Completed, command.Reason
+		t.rollouts.stepAt = time.Time{}
 	case record.Withdraw:
 		t.fleet.Remove(command.Upstreams)
 		fields["change"], fields["upstreams"] = "withdrawn", command.Upstreams
--- a/control/members.go
+++ b/control/members.go
@@ -96,7 +96,7 @@
 	t.recordAt = now.Add(housekeepingInterval)
 	var missing []fleet.Upstream
 	for id, member := range t.fleet.Members {
-		if known, ok := t.state.Catalog.Upstreams[id]; !ok || known.StartMS < member.StartMS {
+		if known, ok := t.state.Catalog.Upstreams[id]; !ok || known.StartMS < member.StartMS || known.StartMS == member.StartMS && known.Version != member.Version {
 			missing = append(missing, member.Upstream)
 		}
 	}
--- a/control/message.go
+++ b/control/message.go
@@ -25,6 +25,11 @@
 
 type readMessage struct{ answer chan<- answer }
 
+type rolloutMessage struct {
+	service string
+	answer  chan<- answer
+}
+
 type announceMessage struct {
 	request peer.AnnounceRequest
 	answer  chan<- answer
@@ -64,6 +69,7 @@
 func (replicaMessage) message()   {}
 func (proposeMessage) message()   {}
 func (readMessage) message()      {}
+func (rolloutMessage) message()   {}
 func (announceMessage) message()  {}
 func (renewMessage) message()     {}
 func (watchMessage) message()     {}
@@ -106,7 +112,7 @@
 	switch message.(type) {
 	case replicaMessage, renewMessage, groupMessage:
 		return peer.Nothing{}, nil
-	case proposeMessage, readMessage, announceMessage, watchMessage, copyMessage, joinMessage, joinEndedMessage, relayAnswerMessage, seedsMessage, identifyMessage, bootstrapMessage, transferMessage:
+	case proposeMessage, readMessage, rolloutMessage, announceMessage, watchMessage, copyMessage, joinMessage, joinEndedMessage, relayAnswerMessage, seedsMessage, identifyMessage, bootstrapMessage, transferMessage:
 	}
 	select {
 	case a := <-reply:
@@ -137,6 +143,8 @@
 		return proposeMessage{request.Command, data, reply}, err
 	case peer.ReadRequest:
 		return readMessage{reply}, nil
+	case peer.RolloutRequest:
+		return rolloutMessage{request.Service, reply}, nil
 	case peer.AnnounceRequest:
 		return announceMessage{request, reply}, nil
 	case peer.RenewRequest:
--- a/control/relay.go
+++ b/control/relay.go
@@ -12,6 +12,7 @@
 	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/replica"
+	"github.com/oriolepost/oriolepost/rollout"
 	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/timer"
 	"github.com/oriolepost/oriolepost/watcher"
@@ -67,7 +68,9 @@
 type relayAnswerMessage struct {
 	response       peer.WatchResponse
 	sent, received timer.Stamp
-	err            error
+	// counts is what the watch reported.
+	counts *peer.Counts
+	err    error
 }
 
 func (relayAnswerMessage) message() {}
@@ -83,6 +86,7 @@
 	t.relay.reported = t.watchers.Names()
 	request := t.relay.following.Request
 	request.Relay = &peer.Relay{Entries: t.relay.reported}
+	request.Counts = t.rollouts.takeCollected()
 	go func() {
 		ctx, cancel := context.WithTimeout(t.ctx, peer.WatchDuration(request.Followers))
 		defer cancel()
@@ -93,7 +97,7 @@
 			err = fmt.Errorf("answer to a watch is %T", response)
 		}
 		select {
-		case t.mailbox <- postedMessage{relayAnswerMessage{update, sent, timer.Now(), err}, time.Now()}:
+		case t.mailbox <- postedMessage{relayAnswerMessage{update, sent, timer.Now(), request.Counts, err}, time.Now()}:
 		case <-t.ctx.Done():
 		}
 	}()
@@ -115,6 +119,7 @@
 		view, err = r.following.Take(m.response)
 	}
 	if err != nil {
+		t.rollouts.collect(m.counts)
 		t.metrics.GetOrCreateCounter("oriolepost_watch_errors_total").Inc()
 		r.watchAt = now.Add(r.retryDelay/2 + time.Duration(t.random.Int64N(int64(r.retryDelay))))
 		r.retryDelay = min(2*r.retryDelay, maxRelayRetryDelay)
@@ -253,6 +258,7 @@
 	outDomains    []string
 	control       []string
 	configuration *route.Configuration
+	splits        []rollout.Split
 }
 
 // published returns the view of this leader, or that of the leader that it follows.
@@ -260,7 +266,7 @@
 	if r := t.relay; !t.leads() {
 		return published{
 			source: r.source, epoch: r.following.Request.Epoch, revision: r.fleet.Revision + r.changes, fleet: r.fleet, complete: r.view.FleetComplete,
-			outDomains: r.view.OutDomains, control: r.view.Control, configuration: r.configuration,
+			outDomains: r.view.OutDomains, control: r.view.Control, configuration: r.configuration, splits: r.view.Splits,
 		}
 	}
 	return t.ownView(now)
@@ -270,7 +276,7 @@
 func (t *task) ownView(now time.Time) published {
 	p := published{
 		epoch: t.replica.Term, revision: t.revision(), fleet: t.fleet, complete: t.fleetComplete(now),
-		outDomains: slices.Sorted(maps.Keys(t.state.Catalog.OutDomains)), configuration: t.state.Catalog.Configuration,
+		outDomains: slices.Sorted(maps.Keys(t.state.Catalog.OutDomains)), configuration: t.state.Catalog.Configuration, splits: t.splits(now),
 	}
 	for _, id := range append(slices.Clone(t.replica.Members.Voters), t.replica.Members.Learners...) {
 		p.control = append(p.control, replica.InstanceOf(id))
--- a/control/task.go
+++ b/control/task.go
@@ -124,6 +124,8 @@
 	// committedChanges counts the applied commands and restored snapshots.
 	committedChanges uint64
 
+	rollouts rollouts
+
 	plan replica.MembershipPlan
 	// standbys holds, by replica ID, the instances that sent this leader a join
 	// request.
@@ -149,6 +151,8 @@
 	answer chan<- answer
 	// read is true when the answer is the configuration.
 	read bool
+	// rolloutOf is the service whose roll-out is the answer; empty for others.
+	rolloutOf string
 	// enrolls is true for a command that records upstreams.
 	enrolls bool
 }
@@ -163,6 +167,7 @@
 		proposals: proposal.NewProposals[pendingProposal](),
 		fullViews: map[fullViewKey]encodedView{}, comparisons: map[comparison]encodedView{}, watchers: watcher.New(), roster: watcher.NewRoster(), relaysSeen: map[string]relaySeen{}, watches: map[string]watchMessage{}, differences: map[peer.WatchRequest]encodedView{}, standbys: map[string]replica.Identity{},
 	}
+	t.rollouts = newRollouts(deployment.Bounds)
 	t.plan = replica.MembershipPlan{Target: deployment.Voters(), ReplaceAfter: replaceVoterAfter, Domains: map[string]string{}}
 	if err := t.restore(folder.Saved.Snapshot); err != nil {
 		return nil, err
@@ -250,6 +255,9 @@
 		if err := t.recordMissing(now); err != nil {
 			return err
 		}
+		if err := t.stepRollouts(now); err != nil {
+			return err
+		}
 		t.forwardPending(now)
 		t.followLeader(now)
 		t.releaseHeldWatches(now)
@@ -266,6 +274,9 @@
 	if due := t.replica.NextWake(); due.Before(next) {
 		next = due
 	}
+	if t.leads() && t.rollouts.stepAt.Before(next) {
+		next = t.rollouts.stepAt
+	}
 	if len(t.heldWatches) > 0 && t.heldUntil.Before(next) {
 		next = t.heldUntil
 	}
@@ -314,6 +325,8 @@
 		return t.propose(now, message.data, pendingProposal{answer: message.answer})
 	case readMessage:
 		return t.propose(now, nil, pendingProposal{answer: message.answer, read: true})
+	case rolloutMessage:
+		return t.propose(now, nil, pendingProposal{answer: message.answer, rolloutOf: message.service})
 	case announceMessage:
 		return t.announce(now, message)
 	case renewMessage:
--- a/control/view.go
+++ b/control/view.go
@@ -45,7 +45,7 @@
 		return t.compare(now, p, request)
 	}
 	key := request
-	key.Entry, key.Index, key.Count, key.Followers, key.Relay = "", 0, 0, 0, nil
+	key.Entry, key.Index, key.Count, key.Followers, key.Relay, key.Counts = "", 0, 0, 0, nil, nil
 	if known, ok := t.differences[key]; ok && now.Sub(known.encodedAt) <= fullViewLifetime {
 		return known
 	}
@@ -234,7 +234,7 @@
 // view returns a view without upstreams, and with the configuration if it is newer
 // than the entry's.
 func (p published) view(version uint64) peer.View {
-	view := peer.View{FleetRevision: p.fleet.Revision, FleetComplete: p.complete, OutDomains: p.outDomains, Control: p.control}
+	view := peer.View{FleetRevision: p.fleet.Revision, FleetComplete: p.complete, OutDomains: p.outDomains, Control: p.control, Splits: p.splits}
 	if p.configuration != nil && p.configuration.Version > version {
 		view.Configuration = p.configuration
 	}
--- a/control/watch.go
+++ b/control/watch.go
@@ -78,7 +78,10 @@
 // registerWatch keeps a watch and refuses an earlier one of the same entry.
 func (t *task) registerWatch(now time.Time, message watchMessage) {
 	name := message.request.Entry
-	replaced := t.watchers.Put(now, name, t.published(now).standing(message.request), peer.WatchTimeout(message.request.Followers))
+	t.takeCounts(now, message.request.Counts)
+	message.request.Counts = nil
+	p := t.published(now)
+	replaced := t.watchers.Put(now, name, p.standing(message.request), p.watchTimeout(message.request.Followers))
 	if replaced {
 		t.watches[name].answer <- answer{err: &peer.RefusedError{Code: peer.CodeBusy, Reason: "a newer watch came"}}
 	}
@@ -187,7 +190,7 @@
 }
 
 // revision counts the changes of everything that entries follow.
-func (t *task) revision() uint64 { return t.fleet.Revision + t.committedChanges }
+func (t *task) revision() uint64 { return t.fleet.Revision + t.committedChanges + t.rollouts.revision }
 
 // refuseWatches refuses all pending watches, so that the entries look for the
 // new leader, and forgets those that follow this instance.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -46,6 +46,8 @@
 	Domain string `json:"failure_domain"`
 	// Slots is the number of requests that the upstream handles at a time.
 	Slots int `json:"slots"`
+	// Version is the version of the upstream's software, and empty if it names none.
+	Version string `json:"version,omitempty"`
 	// StartMS is the start time in Unix milliseconds. It distinguishes the
 	// incarnations that share an id or an address.
 	StartMS int64 `json:"born_ms"`
@@ -200,7 +202,7 @@
 	old.LastContact = now
 	upstream.Draining = upstream.Draining || old.Draining
 	same := old.Address == upstream.Address && old.Service == upstream.Service && old.Domain == upstream.Domain &&
-		old.Slots == upstream.Slots && old.Draining == upstream.Draining
+		old.Slots == upstream.Slots && old.Version == upstream.Version && old.Draining == upstream.Draining
 	colder := upstream.ColdMS > 0 && coldUntil.After(old.ColdUntil.Add(coldEndTolerance))
 	if same && !colder {
 		old.Sequence = upstream.Sequence
--- a/jsonform/envelope.go
+++ b/jsonform/envelope.go
@@ -79,6 +79,10 @@
 		return "enroll"
 	case record.Withdraw:
 		return "withdraw"
+	case record.BeginRollout:
+		return "begin_rollout"
+	case record.EndRollout:
+		return "end_rollout"
 	case record.Claim:
 		return "claim"
 	case record.Settle:
@@ -120,6 +124,10 @@
 		return decodeVariant(envelope, func(c record.Enroll) record.Command { return c })
 	case "withdraw":
 		return decodeVariant(envelope, func(c record.Withdraw) record.Command { return c })
+	case "begin_rollout":
+		return decodeVariant(envelope, func(c record.BeginRollout) record.Command { return c })
+	case "end_rollout":
+		return decodeVariant(envelope, func(c record.EndRollout) record.Command { return c })
 	case "claim":
 		return decodeVariant(envelope, func(c record.Claim) record.Command { return c })
 	case "settle":
@@ -141,6 +149,10 @@
 		return "version_conflict"
 	case record.HostConflict:
 		return "host_conflict"
+	case record.RolloutConflict:
+		return "rollout_conflict"
+	case record.UnknownService:
+		return "unknown_service"
 	case record.Claimed:
 		return "claimed"
 	case record.InProgress:
@@ -164,6 +176,10 @@
 		return decodeVariant(envelope, func(r record.VersionConflict) record.Result { return r })
 	case "host_conflict":
 		return decodeVariant(envelope, func(r record.HostConflict) record.Result { return r })
+	case "rollout_conflict":
+		return decodeVariant(envelope, func(r record.RolloutConflict) record.Result { return r })
+	case "unknown_service":
+		return record.UnknownService{}, nil
 	case "claimed":
 		return record.Claimed{}, nil
 	case "in_progress":
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -72,7 +72,7 @@
 		s := l.serviceLedgerAt(cmd.Service, cmd.AtMS, bounds)
 		return s.release(cmd)
 	case record.Noop, record.PutDocument, record.SetDomain, record.SetServer, record.PutConfiguration, record.Retire,
-		record.Enroll, record.Withdraw:
+		record.Enroll, record.Withdraw, record.BeginRollout, record.EndRollout:
 		return nil
 	}
 	return nil
--- a/operator/server.go
+++ b/operator/server.go
@@ -300,7 +300,7 @@
 			Status: http.StatusConflict, Code: "host_conflict",
 			Detail: fmt.Sprintf("host %q belongs to service %q", r.Host, r.Service),
 		}
-	case record.Claimed, record.InProgress, record.Replay, record.KeyMismatch, record.LedgerFull:
+	case record.RolloutConflict, record.UnknownService, record.Claimed, record.InProgress, record.Replay, record.KeyMismatch, record.LedgerFull:
 	}
 	return record.Done{}, fmt.Errorf("propose: unexpected result %T", proposed.Result)
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -23,6 +23,7 @@
 	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/record"
 	"github.com/oriolepost/oriolepost/replica"
+	"github.com/oriolepost/oriolepost/rollout"
 	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/slot"
 )
@@ -111,6 +112,11 @@
 // ReadRequest asks the leader for the newest configuration.
 type ReadRequest struct{}
 
+// RolloutRequest asks the leader for the newest roll-out of a service.
+type RolloutRequest struct {
+	Service string `json:"service"`
+}
+
 // WatchRequest asks the leader for the changes since a view. The response comes
 // when there is a change, or after a timeout.
 type WatchRequest struct {
@@ -143,6 +149,14 @@
 	Digest string `json:"digest,omitempty"`
 	// Relay is set if a relay sends the watch, which then is not an entry.
 	Relay *Relay `json:"relay,omitempty"`
+	// Counts is what the entry, or the entries of the relay, counted in running roll-outs
+	// since the last watch that was answered.
+	Counts *Counts `json:"counts,omitempty"`
+}
+
+// Counts holds a report for each running roll-out in which something was counted.
+type Counts struct {
+	Reports []rollout.Report `json:"reports"`
 }
 
 // Relay is what a relay reports to the leader: a control instance that passes the leader's
@@ -179,6 +193,7 @@
 func (CopyRequest) request()      {}
 func (RenewRequest) request()     {}
 func (ReadRequest) request()      {}
+func (RolloutRequest) request()   {}
 func (WatchRequest) request()     {}
 func (ReplicaMessage) request()   {}
 func (ReportRequest) request()    {}
@@ -252,6 +267,11 @@
 	Original []byte `json:"original,omitempty"`
 }
 
+// RolloutResponse answers a RolloutRequest. Rollout is nil if the service has had none.
+type RolloutResponse struct {
+	Rollout *catalog.Rollout `json:"rollout,omitempty"`
+}
+
 // WatchResponse answers a WatchRequest.
 type WatchResponse struct {
 	// Epoch is the leader's term. Revisions of different epochs are not
@@ -308,9 +328,13 @@
 	// Control lists the names of the control instances, which store the
 	// replicated log.
 	Control []string `json:"control,omitempty"`
+	// Splits say which versions of services entries may use. A service without a split has
+	// no restriction.
+	Splits []rollout.Split `json:"splits,omitempty"`
 }
 
 func (ReadResponse) response()     {}
+func (RolloutResponse) response()  {}
 func (WatchResponse) response()    {}
 func (CopyResponse) response()     {}
 func (JoinResponse) response()     {}
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -26,6 +26,7 @@
 	methodAnnounce  = "announce"
 	methodRenew     = "renew"
 	methodRead      = "read"
+	methodRollout   = "rollout"
 	methodWatch     = "watch"
 	methodCopy      = "copy"
 	methodGroup     = "group"
@@ -88,6 +89,8 @@
 		return methodRenew, request, true, nil
 	case ReadRequest:
 		return methodRead, request, false, nil
+	case RolloutRequest:
+		return methodRollout, request, false, nil
 	case WatchRequest:
 		return methodWatch, request, false, nil
 	case CopyRequest:
@@ -128,6 +131,8 @@
 		return decode(params, func(r RenewRequest) Request { return r })
 	case methodRead:
 		return ReadRequest{}, nil
+	case methodRollout:
+		return decode(params, func(r RolloutRequest) Request { return r })
 	case methodWatch:
 		return decode(params, func(r WatchRequest) Request { return r })
 	case methodCopy:
@@ -199,7 +204,7 @@
 		return proposeResult{Result: e}, err
 	case JoinResponse:
 		return response.Group, nil
-	case Nothing, ReportResponse, BorrowResponse, IdentifyResponse, ConfirmResponse, StatusResponse, ReadResponse, WatchResponse, CopyResponse:
+	case Nothing, ReportResponse, BorrowResponse, IdentifyResponse, ConfirmResponse, StatusResponse, ReadResponse, RolloutResponse, WatchResponse, CopyResponse:
 		return response, nil
 	}
 	return nil, fmt.Errorf("response %T has no form", response)
@@ -222,6 +227,8 @@
 		return decode(result, func(r ConfirmResponse) Response { return r })
 	case ReadRequest:
 		return decode(result, func(r ReadResponse) Response { return r })
+	case RolloutRequest:
+		return decode(result, func(r RolloutResponse) Response { return r })
 	case WatchRequest:
 		return decode(result, func(r WatchResponse) Response { return r })
 	case CopyRequest:
--- a/record/record.go
+++ b/record/record.go
@@ -74,6 +74,9 @@
 // again.
 type Enroll struct {
 	Upstreams []fleet.Upstream `json:"upstreams"`
+	// AtMS is the proposer's wall clock in Unix milliseconds. It is zero in logs of earlier
+	// versions.
+	AtMS int64 `json:"at_ms,omitempty"`
 }
 
 // Withdraw removes upstreams whose announcements have expired.
@@ -81,6 +84,27 @@
 	Upstreams []string `json:"upstreams"`
 }
 
+// BeginRollout begins the roll-out of a version of a service, unless another one runs for
+// the service. For the version of the service's last roll-out it changes nothing.
+type BeginRollout struct {
+	// AtMS is the proposer's wall clock in Unix milliseconds.
+	AtMS    int64  `json:"at_ms"`
+	Service string `json:"service"`
+	Target  string `json:"target"`
+	// LengthMS is the time until the deadline, in milliseconds.
+	LengthMS int64 `json:"length_ms"`
+}
+
+// EndRollout ends a running roll-out.
+type EndRollout struct {
+	Service string `json:"service"`
+	// Index is the log index at which the roll-out began.
+	Index uint64 `json:"index"`
+	// Completed is false if the roll-out is rolled back, for a Reason.
+	Completed bool   `json:"completed"`
+	Reason    string `json:"reason,omitempty"`
+}
+
 // Claim reserves an idempotency key for one claimant.
 type Claim struct {
 	// AtMS is the proposer's wall clock in Unix milliseconds.
@@ -122,6 +146,8 @@
 func (Enroll) command()           {}
 func (Withdraw) command()         {}
 func (Retire) command()           {}
+func (BeginRollout) command()     {}
+func (EndRollout) command()       {}
 func (Claim) command()            {}
 func (Settle) command()           {}
 func (Release) command()          {}
@@ -168,6 +194,17 @@
 	Service string `json:"service"`
 }
 
+// RolloutConflict means that the roll-out was not begun, because another one runs for the
+// service.
+type RolloutConflict struct {
+	// Target is the version of the running roll-out.
+	Target string `json:"target"`
+}
+
+// UnknownService means that the roll-out was not begun, because the configuration does not
+// name the service.
+type UnknownService struct{}
+
 // Claimed means that the claimant holds the key and may run the request.
 type Claimed struct{}
 
@@ -190,6 +227,8 @@
 func (Done) result()            {}
 func (VersionConflict) result() {}
 func (HostConflict) result()    {}
+func (RolloutConflict) result() {}
+func (UnknownService) result()  {}
 func (Claimed) result()         {}
 func (InProgress) result()      {}
 func (Replay) result()          {}
--- a/settings/deployment.go
+++ b/settings/deployment.go
@@ -59,6 +59,14 @@
 	// ColdSlack.
 	ColdFactor float64
 	ColdSlack  float64
+	// ExposureShare and ExposureSlack limit the requests that a bad version of a service may
+	// get in its roll-out: the share of the service's requests until the deadline, plus the
+	// slack. A share above zero also keeps versions that no roll-out has named from getting
+	// requests. RollBack is the time after the fiftieth bad response from which a bad version
+	// gets no more requests.
+	ExposureShare float64
+	ExposureSlack float64
+	RollBack      time.Duration
 }
 
 // Voters returns the number of voters that is needed for a majority to remain
--- a/state/state.go
+++ b/state/state.go
@@ -36,7 +36,7 @@
 	case record.Noop:
 		return record.Done{Index: index}
 	case record.PutDocument, record.SetDomain, record.SetServer, record.PutConfiguration, record.Retire,
-		record.Enroll, record.Withdraw:
+		record.Enroll, record.Withdraw, record.BeginRollout, record.EndRollout:
 		return s.Catalog.Apply(index, cmd)
 	case record.Claim:
 		return s.Ledger.Apply(cmd, s.Catalog.Documents[c.Service].Idempotency)
