--- a/gateway/task.go
+++ b/gateway/task.go
@@ -11,6 +11,7 @@
 	"github.com/oriolepost/oriolepost/ingress"
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/placement"
+	"github.com/oriolepost/oriolepost/rollout"
 	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/upstream"
 )
@@ -80,10 +81,14 @@
 	conn *upstream.Conn
 }
 
+// countsMessage asks for what was counted in the running roll-outs since the last one.
+type countsMessage struct{ reply chan<- []rollout.Report }
+
 // stopMessage reports that the entry stops.
 type stopMessage struct{ plan placement.StopPlan }
 
 func (stopMessage) message()         {}
+func (countsMessage) message()       {}
 func (arrivedMessage) message()      {}
 func (disconnectedMessage) message() {}
 func (viewMessage) message()         {}
@@ -198,6 +203,8 @@
 				t.respond(id, upstream.Response{})
 			}
 		}
+	case countsMessage:
+		m.reply <- t.placement.TakeCounts()
 	case stopMessage:
 		t.step(placement.StopBegan{Plan: m.plan})
 	case viewMessage:
@@ -314,7 +321,7 @@
 func (t *task) applyView(message viewMessage) {
 	view := message.view
 	event := placement.ViewReceived{
-		Full: view.Full, FleetComplete: view.FleetComplete, Upstreams: view.Upstreams, Removed: view.Removed, OutDomains: view.OutDomains,
+		Full: view.Full, FleetComplete: view.FleetComplete, Upstreams: view.Upstreams, Removed: view.Removed, OutDomains: view.OutDomains, Splits: view.Splits,
 	}
 	if configuration := view.Configuration; configuration != nil && (t.gateway.table.Load() == nil || configuration.Version > t.gateway.configurationVersion()) {
 		table := route.NewTable(*configuration)
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -11,6 +11,7 @@
 	"github.com/oriolepost/oriolepost/control"
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/placement"
+	"github.com/oriolepost/oriolepost/rollout"
 	"github.com/oriolepost/oriolepost/search"
 	"github.com/oriolepost/oriolepost/timer"
 )
@@ -39,6 +40,10 @@
 	// connected is false until the first answer, and after contact with the
 	// control instances was lost.
 	connected bool
+	// rolloutsRun is true if the newest view has a running roll-out, and counts is what was
+	// counted in them and not reported by a watch that was answered.
+	rolloutsRun bool
+	counts      *peer.Counts
 	// searchLogAt is the earliest time of the next log line about the search for the
 	// leader.
 	searchLogAt time.Time
@@ -76,10 +81,14 @@
 func (w *watchTask) watch() (peer.WatchResponse, error) {
 	ctx, cancel := context.WithTimeout(w.ctx, w.watchDuration())
 	defer cancel()
-	response, err := w.leader.Call(ctx, w.following.Request)
+	w.takeCounts()
+	request := w.following.Request
+	request.Counts = w.counts
+	response, err := w.leader.Call(ctx, request)
 	if err != nil {
 		return peer.WatchResponse{}, err
 	}
+	w.counts = nil
 	update, ok := response.(peer.WatchResponse)
 	if !ok || update.Epoch < w.following.Request.Epoch {
 		return peer.WatchResponse{}, &peer.RefusedError{Code: peer.CodeNotLeader, Reason: "an older leader answered"}
@@ -87,6 +96,27 @@
 	return update, nil
 }
 
+// takeCounts takes the counts of the entry task for the next watch, unless former ones are
+// not reported yet.
+func (w *watchTask) takeCounts() {
+	if !w.rolloutsRun || w.counts != nil {
+		return
+	}
+	reply := make(chan []rollout.Report, 1)
+	select {
+	case w.gateway.task.mailbox <- countsMessage{reply}:
+	case <-w.ctx.Done():
+		return
+	}
+	select {
+	case reports := <-reply:
+		if len(reports) > 0 {
+			w.counts = &peer.Counts{Reports: reports}
+		}
+	case <-w.ctx.Done():
+	}
+}
+
 // watchDuration returns the limit for a watch. Before the first view it is short, so
 // that the search for a copy soon follows.
 func (w *watchTask) watchDuration() time.Duration {
@@ -141,6 +171,7 @@
 	if view != nil {
 		message.view, message.epoch, message.revision = view, response.Epoch, response.Revision
 		w.learnControlInstances(*view)
+		w.rolloutsRun = slices.ContainsFunc(view.Splits, func(s rollout.Split) bool { return s.ID != 0 })
 	}
 	received := timer.Now()
 	age := time.Duration(response.AgeMS) * time.Millisecond
--- a/placement/attempt.go
+++ b/placement/attempt.go
@@ -133,13 +133,16 @@
 	pending := s.requests[id]
 	a := pending.attempts[e.Attempt]
 	delete(pending.attempts, e.Attempt)
+	s.countEnd(now, pending.request.Service, a, e.Outcome)
 	if u := s.upstream(a.upstream); u != nil {
 		delete(u.InFlight, e.Attempt)
 		s.updateUpstreamStats(now, u, a, pending, e)
 	}
 	s.resolve(now, pending, e)
-	if q := s.queues[pending.request.Service]; q != nil && len(q.waiting) > 0 {
-		s.dispatch(now, q)
+	for _, q := range s.queuesOf(pending.request.Service) {
+		if len(q.waiting) > 0 {
+			s.dispatch(now, q)
+		}
 	}
 }
 
@@ -273,6 +276,13 @@
 	}
 }
 
+// countCanceled counts the attempts that are about to be canceled because the request ends.
+func (s *State) countCanceled(now time.Time, pending *pendingRequest) {
+	for _, a := range pending.attempts {
+		s.countEnd(now, pending.request.Service, a, Unknown{Reason: ReasonCanceled})
+	}
+}
+
 func (s *State) cancelAttempts(pending *pendingRequest) {
 	for _, id := range slices.Sorted(maps.Keys(pending.attempts)) {
 		if u := s.upstream(pending.attempts[id].upstream); u != nil {
@@ -292,6 +302,7 @@
 		pending.outcome = o
 	}
 	s.dequeue(pending)
+	s.countCanceled(now, pending)
 	s.cancelAttempts(pending)
 	delete(s.requests, pending.request.ID)
 	resting, leaving := s.countUnavailable(now, pending.request.Service)
--- a/placement/event.go
+++ b/placement/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/oriolepost/oriolepost/fleet"
+	"github.com/oriolepost/oriolepost/rollout"
 	"github.com/oriolepost/oriolepost/route"
 )
 
@@ -110,6 +111,8 @@
 	Upstreams           []fleet.Upstream
 	Removed             []string
 	OutDomains          []string
+	// Splits are those of all services that have one.
+	Splits []rollout.Split
 	// Services holds the services of the configuration by name; nil if unchanged.
 	Services map[string]route.Service
 }
--- a/placement/place.go
+++ b/placement/place.go
@@ -62,6 +62,7 @@
 		return
 	}
 	s.probeLimited(now, r.Service)
+	pending.trial = s.drawTrial(now, r)
 	s.place(now, pending)
 }
 
@@ -72,24 +73,34 @@
 		s.refuse(now, pending, NotRun{Reason: ReasonStopping})
 		return
 	}
-	if s.countEligible(now, pending.request.Service) == 0 {
+	if pending.trial && s.countEligibleOf(now, s.trialUpstreams(now, pending.request.Service)) == 0 {
+		pending.trial = false
+	}
+	if !pending.trial && s.countEligible(now, pending.request.Service) == 0 {
 		s.refuse(now, pending, s.noUpstreamAvailable(now, pending))
 		return
 	}
-	q := s.queue(pending.request.Service)
+	q := s.queueOf(pending)
 	pending.queued = true
 	pending.pastObjective = now.Add(s.expectedTime(pending.request)).After(pending.request.objectiveDeadline())
 	pending.queueDeadline = s.limitByStop(pending, s.queueDeadline(now, pending))
+	if latest := now.Add(maxTrialWait); pending.trial && latest.Before(pending.queueDeadline) {
+		pending.queueDeadline = latest
+	}
 	q.insert(pending)
 	s.dispatch(now, q)
 	s.probeForQueue(now, q)
 }
 
-// countEligible returns the number of upstreams of a service that may get
+// countEligible returns the number of upstreams of a service that may get ordinary
 // requests.
 func (s *State) countEligible(now time.Time, service string) int {
+	return s.countEligibleOf(now, s.byService[service])
+}
+
+func (s *State) countEligibleOf(now time.Time, list []*Upstream) int {
 	n := 0
-	for _, u := range s.byService[service] {
+	for _, u := range list {
 		if s.eligible(now, u) {
 			n++
 		}
@@ -209,6 +220,10 @@
 		s.refuse(now, pending, NotRun{Reason: ReasonStopping})
 		return
 	}
+	if pending.trial && len(pending.attempts) == 0 {
+		s.leaveTrial(now, pending)
+		return
+	}
 	if s.noLoadReport(now, pending) {
 		pending.queueDeadline = s.limitByStop(pending, now.Add(minQueueTime))
 		return
@@ -232,7 +247,7 @@
 func (s *State) noLoadReport(now time.Time, pending *pendingRequest) bool {
 	waited := now.Sub(pending.request.ArrivedAt)
 	return len(pending.attempts) == 0 && waited < maxNoLoadReportWait && now.Add(minQueueTime+s.expectedTime(pending.request)).Before(pending.request.Deadline) &&
-		s.queue(pending.request.Service).lastAnswerAt.Before(pending.request.ArrivedAt)
+		s.queueOf(pending).lastAnswerAt.Before(pending.request.ArrivedAt)
 }
 
 // costLimit returns the highest cost that is accepted at this stage of the
@@ -254,7 +269,7 @@
 // already sent to are considered only for a retry, and only if no other is
 // eligible.
 func (s *State) cheapest(now time.Time, pending *pendingRequest) (best *Upstream, bestCost float64) {
-	list := s.byService[pending.request.Service]
+	list := s.candidates(now, pending.request.Service, pending.trial)
 	mayReuse := len(pending.attempts) == 0 && len(pending.tried) > 0 && !slices.ContainsFunc(list, func(u *Upstream) bool {
 		return !pending.tried[KeyOf(u.Info)] && s.eligible(now, u)
 	})
@@ -287,7 +302,7 @@
 func (s *State) dequeue(pending *pendingRequest) {
 	if pending.queued {
 		pending.queued = false
-		s.queue(pending.request.Service).remove(pending)
+		s.queueOf(pending).remove(pending)
 	}
 }
 
@@ -313,7 +328,11 @@
 	id := s.nextAttempt
 	key := KeyOf(u.Info)
 	expected := time.Duration(basis.Cost * float64(s.expectedTime(pending.request)))
-	pending.attempts[id] = &attempt{upstream: key, startedAt: now, expected: expected}
+	sent := &attempt{upstream: key, startedAt: now, expected: expected}
+	sent.key, sent.counts = s.countSent(pending, u)
+	pending.attempts[id] = sent
+	// Retries and hedges go to the other versions, as long as these get requests.
+	pending.trial = pending.trial && s.splits[pending.request.Service].Share >= 1
 	pending.tried[key] = true
 	pending.attemptsStarted++
 	pending.attemptsSent++
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -44,6 +44,7 @@
 
 	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/retry"
+	"github.com/oriolepost/oriolepost/rollout"
 	"github.com/oriolepost/oriolepost/route"
 )
 
@@ -136,6 +137,8 @@
 	pastObjective bool
 	queueDeadline time.Time
 	hedgeAt       time.Time
+	// trial is true if the next attempt is to go to the target of a roll-out.
+	trial bool
 }
 
 type attempt struct {
@@ -144,6 +147,9 @@
 	// expected is the time to the response that was expected when the upstream was
 	// chosen: its cost times the expected service time of the route.
 	expected time.Duration
+	// key is the key under which the end is counted in a roll-out, if it counts.
+	key    rollout.ItemKey
+	counts bool
 }
 
 // State is the placement state of one entry. It is owned by one task and not
@@ -165,8 +171,12 @@
 	// removed, as an older view may list it again.
 	rests map[Key]*Rest
 	// limits holds the limits by incarnation, and is kept in the same way.
-	limits     map[Key]*Limit
-	byService  map[string][]*Upstream
+	limits    map[Key]*Limit
+	byService map[string][]*Upstream
+	// splits holds the splits by service, and trials the running roll-outs. Where a split
+	// keeps upstreams from ordinary requests, byService does not have them.
+	splits     map[string]rollout.Split
+	trials     map[string]*trial
 	outDomains []string
 	// domainCount is the number of failure domains that have upstreams.
 	domainCount int
@@ -274,6 +284,7 @@
 // are dropped only if it is full and its fleet complete.
 func (s *State) handleView(now time.Time, v ViewReceived) {
 	s.outDomains = v.OutDomains
+	s.setSplits(v.Splits)
 	if v.Services != nil {
 		s.Services = v.Services
 	}
@@ -335,7 +346,9 @@
 		s.byService[u.Info.Service] = append(s.byService[u.Info.Service], u)
 	}
 	s.domainCount = len(domains)
-	for _, list := range s.byService {
+	for service, list := range s.byService {
+		list = s.splitByVersion(service, list)
+		s.byService[service] = list
 		slices.SortFunc(list, func(a, b *Upstream) int { return cmp.Compare(a.Info.ID, b.Info.ID) })
 		s.assignSubsets(list)
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/placement"
+	"github.com/oriolepost/oriolepost/rollout"
 	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/script"
 )
@@ -93,6 +94,8 @@
 	case "restart":
 		s.restart()
 		return ""
+	case "counts":
+		return s.counts()
 	case "tick":
 		return s.step(placement.TimerExpired{})
 	}
@@ -136,11 +139,34 @@
 			u.ColdMS = int64(n)
 		}
 		u.Draining = cold == "draining"
+		for _, version := range c.List("versions") {
+			if of, name, _ := strings.Cut(version, ":"); of == id {
+				u.Version = name
+			}
+		}
 		v.Upstreams = append(v.Upstreams, u)
 	}
+	if c.Args["in_use"]+c.Args["target"] != "" {
+		split := rollout.Split{Service: "booking", InUse: c.List("in_use"), Target: c.Args["target"], ID: uint64(c.Int("rollout", 0)), Halted: c.Bool("halted")}
+		if share, ok := c.Args["share"]; ok {
+			split.Share = number(share)
+		}
+		v.Splits = []rollout.Split{split}
+	}
 	return s.step(v)
 }
 
+// counts returns what the entry counted in roll-outs, without the response times.
+func (s *steps) counts() string {
+	var lines []string
+	for _, report := range s.state.TakeCounts() {
+		for _, i := range report.Items {
+			lines = append(lines, fmt.Sprintf("rollout=%d halted=%v route=%s upstream=%s sent=%d answers=%d failures=%d", report.ID, report.Halted, i.Route, i.Upstream, i.Sent, i.Answers, i.Failures))
+		}
+	}
+	return strings.Join(lines, "\n")
+}
+
 // stepAfterNotice reports what the upstream says about itself, if it does, and then an
 // event, unless it is nil.
 func (s *steps) stepAfterNotice(c script.Case, key placement.Key, e placement.Event) string {
--- a/placement/probe.go
+++ b/placement/probe.go
@@ -28,6 +28,8 @@
 // state of the probe sweep that looks for one.
 type waitQueue struct {
 	service string
+	// trial is true for the requests that wait for the target of a roll-out.
+	trial bool
 	// waiting holds the requests in the order in which they are sent.
 	waiting []*pendingRequest
 	// probed holds the upstreams probed in this sweep, and unanswered those of the
@@ -50,12 +52,16 @@
 func (s *State) queue(service string) *waitQueue {
 	q := s.queues[service]
 	if q == nil {
-		q = &waitQueue{service: service, probed: map[Key]bool{}, unanswered: map[Key]bool{}}
+		q = newWaitQueue(service)
 		s.queues[service] = q
 	}
 	return q
 }
 
+func newWaitQueue(service string) *waitQueue {
+	return &waitQueue{service: service, probed: map[Key]bool{}, unanswered: map[Key]bool{}}
+}
+
 // probeForQueue begins the next probe round if requests are waiting and the
 // round is due.
 func (s *State) probeForQueue(now time.Time, q *waitQueue) {
@@ -117,7 +123,7 @@
 // whose answers the round waits for.
 func (s *State) sendProbes(now time.Time, q *waitQueue) int {
 	var candidates []*Upstream
-	for _, u := range s.byService[q.service] {
+	for _, u := range s.candidates(now, q.service, q.trial) {
 		if s.eligible(now, u) && !s.hasFreshLoad(now, u) && !u.atReturnLimit(now) && !q.probed[KeyOf(u.Info)] {
 			candidates = append(candidates, u)
 		}
@@ -201,14 +207,15 @@
 			u.ColdUntil = now.Add(e.Cold)
 		}
 	}
-	q := s.queue(u.Info.Service)
-	if !e.Failed {
-		q.lastAnswerAt = now
-	}
-	s.dispatch(now, q)
-	delete(q.unanswered, e.Upstream)
-	if len(q.unanswered) == 0 && len(q.waiting) > 0 && !q.sweepDone {
-		s.nextProbeRound(now, q)
+	for _, q := range s.queuesOf(u.Info.Service) {
+		if !e.Failed {
+			q.lastAnswerAt = now
+		}
+		s.dispatch(now, q)
+		delete(q.unanswered, e.Upstream)
+		if len(q.unanswered) == 0 && len(q.waiting) > 0 && !q.sweepDone {
+			s.nextProbeRound(now, q)
+		}
 	}
 }
 
