gateway: tests of a good, a failing and a slow version from end to end

Cause: the parts of a roll-out were tested each by itself only. Change: a command of the gateway's tests that orders a roll-out on a control instance and sends requests through an entry until it has ended.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -89,7 +89,7 @@
 	// all slots are in use), unsigned_404 (respond with that status and without a
 	// signature), repeat (refuse one request, and write the refusal
 	// once more before each response to a further request on its connection),
-	// leaving (announce it in each response), answer_leaving (in each but those to
+	// failing (respond with status 500), leaving (announce it in each response), answer_leaving (in each but those to
 	// health checks), trickle_leaving (the same, with a pause of 700 ms before the
 	// body), rest (refuse each request and ask for 3 s of rest) or signed_rest (the
 	// same, as a response of its own) or limited (name a limit of no request a second).
@@ -146,6 +146,8 @@
 		return ""
 	case "configure":
 		return b.propose(record.PutConfiguration{Configuration: configuration(uint64(testCase.Int("version", 1)), time.Duration(testCase.Int("timeout", 2000))*time.Millisecond), Original: []byte("x")})
+	case "roll_out":
+		return b.rollOut(testCase)
 	case "upstream":
 		return b.upstream(testCase)
 	case "announce":
@@ -372,6 +374,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		_, _ = io.WriteString(w, "from "+u.id)
 		return
+	case "failing":
+		w.Header().Set("Signature", "s")
+		w.WriteHeader(http.StatusInternalServerError)
+		return
 	case "reset":
 		conn, _, err := http.NewResponseController(w).Hijack()
 		if err == nil {
@@ -428,12 +434,64 @@
 	return b.call(peer.AnnounceRequest{
 		Upstream: fleet.Upstream{
 			ID: u.id, Service: "booking", Address: u.address, Domain: "palermo", Slots: 6, StartMS: 1,
-			Draining: testCase.Bool("draining"), ColdMS: int64(testCase.Int("cold", 0)),
+			Version: testCase.Args["version"], Draining: testCase.Bool("draining"), ColdMS: int64(testCase.Int("cold", 0)),
 		},
 		Sequence: b.sequence,
 	})
 }
 
+// rollOut orders a roll-out, and sends requests until it has ended. The result has the state,
+// and whether all requests were answered with success, and the new version, whose upstreams'
+// ids begin with its name, got no more requests than a bad one may get.
+func (b *fixture) rollOut(testCase script.Case) string {
+	target, length := testCase.Args["target"], testCase.Int("length", 5000)
+	begin := record.BeginRollout{AtMS: time.Now().UnixMilli(), Service: "booking", Target: target, LengthMS: int64(length)}
+	gomega.Expect(b.propose(begin)).To(gomega.Equal("acknowledged"))
+	responses := make(chan string, length)
+	sent := 0
+	state := "running"
+	ticker := time.NewTicker(time.Duration(testCase.Int("pause", 10)) * time.Millisecond)
+	defer ticker.Stop()
+	for ; state == "running" && sent < length; sent++ {
+		<-ticker.C
+		request, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/view/%d", b.caller, sent), http.NoBody)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		request.Host = "booking"
+		request.Header.Set("Request-Id", fmt.Sprint("rollout-", sent))
+		request.Header.Set("Deadline", "2000")
+		go func() { responses <- b.send(request) }()
+		if sent%10 == 0 {
+			state = b.rolloutState()
+		}
+	}
+	exposed, failed := int64(0), 0
+	for id, u := range b.upstreams {
+		if strings.HasPrefix(id, target) {
+			exposed += u.requests.Load()
+		}
+	}
+	for range sent {
+		if text := <-responses; !strings.HasPrefix(text, "200") {
+			failed++
+		}
+	}
+	return fmt.Sprintf("%s, failed requests: %d, within the exposure of a bad version: %v", state, failed, float64(exposed) <= 0.1*float64(sent)+50)
+}
+
+func (b *fixture) rolloutState() string {
+	ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
+	defer cancel()
+	response, err := b.control.Call(ctx, peer.RolloutRequest{Service: "booking"})
+	read, ok := response.(peer.RolloutResponse)
+	switch {
+	case err != nil || !ok || read.Rollout == nil || read.Rollout.Running():
+		return "running"
+	case read.Rollout.Completed:
+		return "completed"
+	}
+	return "rolled back"
+}
+
 // request sends a request and returns the response. With id it runs in the
 // background, and the command answer returns the response. With disconnect_ms
 // the caller closes the connection after so many milliseconds. With count the
