control: test of an order, its repetition, a conflict and a full restart

Cause: no test showed that a version is held before an order names it, and that an order survives the loss of all processes.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -121,17 +121,21 @@
 		return ""
 	case "configure":
 		return b.call(testCase, name, peer.ProposeRequest{Command: record.PutConfiguration{
-			Configuration: route.Configuration{Version: uint64(testCase.Int("version", 0))},
+			Configuration: route.Configuration{Version: uint64(testCase.Int("version", 0)), Services: servicesOf(testCase)},
 			Original:      append([]byte(testCase.Args["text"]), incompressible(testCase.Int("bytes", 0))...),
 		}})
 	case "domain":
 		return b.call(testCase, name, peer.ProposeRequest{Command: record.SetDomain{Domain: testCase.Args["domain"], Out: testCase.Bool("out")}})
+	case "begin":
+		return b.beginRollout(testCase, name)
+	case "rollout":
+		return b.readRollout(testCase, name)
 	case "read":
 		return b.call(testCase, name, peer.ReadRequest{})
 	case "announce":
 		u := fleet.Upstream{
 			ID: testCase.Args["id"], Service: "booking", Address: cmp.Or(testCase.Args["address"], "10.0.0.1:80"), Domain: "palermo", Slots: 6,
-			StartMS: int64(testCase.Int("born", 1)), Draining: testCase.Bool("draining"),
+			StartMS: int64(testCase.Int("born", 1)), Version: testCase.Args["version"], Draining: testCase.Bool("draining"),
 		}
 		return b.call(testCase, name, peer.AnnounceRequest{Upstream: u, Sequence: uint64(testCase.Int("sequence", 1)), Leaving: testCase.Bool("leaving")})
 	case "watch":
@@ -172,6 +176,7 @@
 	started, err := control.Start(ctx, settings.Deployment{
 		Instance: name, IP: addresses[name], Domain: name, PeerPort: b.port, Seeds: seeds(),
 		DataFolder: filepath.Join(b.folder, name), FirstStart: first, LostInstances: lost,
+		Bounds: settings.Bounds{ExposureShare: 0.1, ExposureSlack: 50},
 	}, control.Options{
 		Log: &log.Logger{Handler: discard.Default, Level: log.ErrorLevel}, Metrics: set,
 		Dial:       func(ctx context.Context, address string) (net.Conn, error) { return b.dial(ctx, name, address) },
@@ -460,6 +465,9 @@
 	for _, u := range v.Upstreams {
 		lines = append(lines, fmt.Sprintf("%s born=%d draining=%v", u.ID, u.StartMS, u.Draining))
 	}
+	for _, split := range v.Splits {
+		lines = append(lines, splitText(split))
+	}
 	if len(v.Removed) > 0 {
 		lines = append(lines, "removed "+strings.Join(v.Removed, " "))
 	}
--- /dev/null
+++ b/control/rollout_test.go
@@ -0,0 +1,72 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/oriolepost/oriolepost/peer"
+	"github.com/oriolepost/oriolepost/record"
+	"github.com/oriolepost/oriolepost/rollout"
+	"github.com/oriolepost/oriolepost/route"
+	"github.com/oriolepost/oriolepost/script"
+	"github.com/oriolepost/oriolepost/timer"
+)
+
+// rolloutPollInterval is the interval between two reads of a roll-out. Each read is an entry
+// of the log.
+const rolloutPollInterval = 50 * time.Millisecond
+
+// servicesOf returns the services with the names of a test case.
+func servicesOf(testCase script.Case) []route.Service {
+	var services []route.Service
+	for _, name := range testCase.List("services") {
+		services = append(services, route.Service{Name: name})
+	}
+	return services
+}
+
+// beginRollout orders a roll-out and returns the result.
+func (b *fixture) beginRollout(testCase script.Case, name string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	response, err := b.instances[name].control.Call(ctx, peer.ProposeRequest{Command: record.BeginRollout{
+		AtMS: time.Now().UnixMilli(), Service: testCase.Args["service"], Target: testCase.Args["target"], LengthMS: int64(testCase.Int("length", 1000)),
+	}})
+	proposed, ok := response.(peer.ProposeResponse)
+	if err != nil || !ok {
+		return "refused"
+	}
+	if conflict, ok := proposed.Result.(record.RolloutConflict); ok {
+		return "conflict with " + conflict.Target
+	}
+	if _, ok := proposed.Result.(record.UnknownService); ok {
+		return "unknown service"
+	}
+	return "acknowledged"
+}
+
+// readRollout returns the state of the roll-out of the service booking. It reads again until
+// the state has the prefix given by expect.
+func (b *fixture) readRollout(testCase script.Case, name string) string {
+	deadline := time.Now().Add(callTimeout)
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		response, err := b.instances[name].control.Call(ctx, peer.RolloutRequest{Service: "booking"})
+		cancel()
+		text := "refused"
+		if read, ok := response.(peer.RolloutResponse); ok && err == nil && read.Rollout != nil {
+			text = fmt.Sprintf("running=%v completed=%v target=%s %s", read.Rollout.Running(), read.Rollout.Completed, read.Rollout.Target, read.Rollout.Reason)
+		}
+		if strings.HasPrefix(text, testCase.Args["expect"]) || time.Now().After(deadline) {
+			return strings.TrimSpace(text)
+		}
+		timer.Pause(context.Background(), rolloutPollInterval)
+	}
+}
+
+// splitText returns the text of a split. Its share is not exact, as it depends on the time.
+func splitText(s rollout.Split) string {
+	return fmt.Sprintf("split in_use=%v target=%s running=%v gets_requests=%v", s.InUse, s.Target, s.ID != 0, s.Share > 0)
+}
