--- a/rollout/counts.go
+++ b/rollout/counts.go
@@ -32,17 +32,26 @@
 	// Sent counts the requests that were sent, and Answers those that ended, with a
 	// response or without. Failures are among them.
 	Sent, Answers, Failures int64
-	// Times holds the response times in milliseconds.
-	Times *hdrhistogram.Histogram
+	// Times holds the number of responses by response time in milliseconds. The times are
+	// the lowest values of the buckets of a histogram. Most tallies have a few of them only.
+	Times map[int64]int64
 }
 
-func newTally() *Tally { return &Tally{Times: hdrhistogram.New(1, maxTime.Milliseconds(), timeDigits)} }
+func newTally() *Tally { return &Tally{Times: map[int64]int64{}} }
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxTime.Milliseconds(), timeDigits)
+}
 
 // Counter counts the requests of a service during a roll-out. It is owned by one task.
-type Counter struct{ Tallies map[ItemKey]*Tally }
+type Counter struct {
+	Tallies map[ItemKey]*Tally
+	// scratch finds the bucket of a response time.
+	scratch *hdrhistogram.Histogram
+}
 
 // NewCounter returns an empty counter.
-func NewCounter() *Counter { return &Counter{Tallies: map[ItemKey]*Tally{}} }
+func NewCounter() *Counter { return &Counter{Tallies: map[ItemKey]*Tally{}, scratch: newHistogram()} }
 
 // tally returns the tally for a key. Beyond maxItems, all upstreams share one item of their route.
 func (c *Counter) tally(k ItemKey) *Tally {
@@ -69,8 +78,10 @@
 		t.Failures++
 		return
 	}
+	c.scratch.Reset()
 	// A value within the range is always recorded.
-	_ = t.Times.RecordValue(min(max(1, took.Milliseconds()), maxTime.Milliseconds()))
+	_ = c.scratch.RecordValue(min(max(1, took.Milliseconds()), maxTime.Milliseconds()))
+	t.Times[c.scratch.Min()]++
 }
 
 // TimeCount is a number of responses that took about a time.
@@ -108,10 +119,8 @@
 	for _, k := range keys {
 		t := c.Tallies[k]
 		item := Item{Route: k.Route, Upstream: k.Upstream, Sent: t.Sent, Answers: t.Answers, Failures: t.Failures}
-		for _, bar := range t.Times.Distribution() {
-			if bar.Count > 0 {
-				item.Times = append(item.Times, TimeCount{MS: bar.From, Count: bar.Count})
-			}
+		for _, ms := range slices.Sorted(maps.Keys(t.Times)) {
+			item.Times = append(item.Times, TimeCount{MS: ms, Count: t.Times[ms]})
 		}
 		items = append(items, item)
 	}
@@ -129,8 +138,8 @@
 		t := c.tally(ItemKey{item.Route, item.Upstream})
 		t.Sent, t.Answers, t.Failures = t.Sent+item.Sent, t.Answers+item.Answers, t.Failures+item.Failures
 		for _, time := range item.Times {
-			if time.Count > 0 {
-				_ = t.Times.RecordValues(time.MS, time.Count)
+			if time.Count > 0 && time.MS > 0 && time.MS <= maxTime.Milliseconds() {
+				t.Times[time.MS] += time.Count
 			}
 		}
 	}
@@ -142,7 +151,9 @@
 	for k, t := range c.Tallies {
 		if matches(k) {
 			sum.Sent, sum.Answers, sum.Failures = sum.Sent+t.Sent, sum.Answers+t.Answers, sum.Failures+t.Failures
-			sum.Times.Merge(t.Times)
+			for ms, count := range t.Times {
+				sum.Times[ms] += count
+			}
 		}
 	}
 	return sum
@@ -160,13 +171,33 @@
 func ofTarget(k ItemKey) bool { return k.Upstream != "" }
 func ofOthers(k ItemKey) bool { return k.Upstream == "" }
 
-// slow returns the number of responses that took longer than a number of milliseconds.
-func (t *Tally) slow(ms int64) int64 {
-	var slow int64
-	for _, bar := range t.Times.Distribution() {
-		if bar.From > ms {
-			slow += bar.Count
+// timed returns the number of responses that have a time, and slow that of those that took
+// longer than a number of milliseconds.
+func (t *Tally) timed(ms int64) (timed, slow int64) {
+	for took, count := range t.Times {
+		timed += count
+		if took > ms {
+			slow += count
 		}
 	}
-	return slow
+	return timed, slow
+}
+
+// mean returns the mean response time in milliseconds, and zero without responses.
+func (t *Tally) mean() float64 {
+	sum, timed := 0.0, int64(0)
+	for took, count := range t.Times {
+		sum, timed = sum+float64(took*count), timed+count
+	}
+	return sum / float64(max(1, timed))
+}
+
+// median returns the median response time in milliseconds.
+func (t *Tally) median() int64 {
+	times := newHistogram()
+	for took, count := range t.Times {
+		// The times are within the range.
+		_ = times.RecordValues(took, count)
+	}
+	return times.ValueAtQuantile(50)
 }
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"maps"
 	"math"
 	"slices"
 )
@@ -26,6 +27,10 @@
 	// slowFactor is the multiple of the median response time from which a response is
 	// slow. Service times vary by a third, and a bad version takes several times as long.
 	slowFactor = 2.0
+	// minSlowMS is the least excess over the median, in milliseconds, of a slow response. The
+	// round trip to another failure domain takes 3 ms, which is several times the service
+	// time of a fast service.
+	minSlowMS = 10
 	// minBaseline is the number of responses of a route by the others below which the
 	// comparison is made over all routes only.
 	minBaseline = 10
@@ -61,24 +66,25 @@
 // slow response is that of its route.
 func (c *Counter) Examine() Evidence {
 	evidence := Evidence{Tail: 1}
-	all := map[string]comparison{}
+	routes := c.baselines()
+	worst := worstUpstreams{map[string]int64{}, map[string]int64{}}
+	for k, t := range c.Tallies {
+		if ofTarget(k) {
+			c.addTarget(routes, worst, k, t)
+		}
+	}
+	failed, slow := excess(worst.failures), excess(worst.slow)
 	failures, slowness := newTests()
-	worst := newWorst()
-	for _, route := range c.Routes() {
-		compared := c.compare(route, worst)
-		all[route] = compared
+	for _, route := range slices.Sorted(maps.Keys(routes)) {
+		compared := routes[route]
 		failures.add(compared.failures)
 		slowness.add(compared.slowness)
 		evidence.Bad += compared.failures.bad + compared.slowness.bad
-	}
-	failed, slow := excess(worst.failures), excess(worst.slow)
-	evidence.take("", failures.tail(failed), slowness.tail(slow))
-	for route, compared := range all {
-		if compared.failures.baseline < minBaseline {
-			continue
+		if compared.failures.baseline >= minBaseline {
+			evidence.take(route, compared.failures.tail(failed), compared.slowness.tail(slow))
 		}
-		evidence.take(route, compared.failures.tail(failed), compared.slowness.tail(slow))
 	}
+	evidence.take("", failures.tail(failed), slowness.tail(slow))
 	return evidence
 }
 
@@ -117,36 +123,52 @@
 }
 
 // comparison holds the tests of one route.
-type comparison struct{ failures, slowness test }
+type comparison struct {
+	failures, slowness test
+	// slowMS is the response time in milliseconds above which a response is slow.
+	slowMS int64
+}
+
+func newComparison() *comparison {
+	compared := &comparison{slowMS: math.MaxInt64}
+	compared.failures, compared.slowness = newTests()
+	return compared
+}
 
 // worstUpstreams holds, by upstream of the new version, the bad responses.
 type worstUpstreams struct{ failures, slow map[string]int64 }
 
-func newWorst() worstUpstreams { return worstUpstreams{map[string]int64{}, map[string]int64{}} }
-
-// compare returns the tests of one route, and adds the bad responses of each upstream of
-// the new version to those of other routes.
-func (c *Counter) compare(route string, worst worstUpstreams) comparison {
-	others := c.Sum(func(k ItemKey) bool { return k.Route == route && ofOthers(k) })
-	compared := comparison{}
-	compared.failures, compared.slowness = newTests()
-	compared.failures.baselineBad, compared.failures.baseline = others.Failures, others.Answers
-	threshold := int64(math.MaxInt64)
-	if others.Times.TotalCount() > 0 {
-		threshold = int64(slowFactor * float64(others.Times.ValueAtQuantile(50)))
-		compared.slowness.baseline, compared.slowness.baselineBad = others.Times.TotalCount(), others.slow(threshold)
-	}
+// baselines returns, by route, the tests with the counts of the others.
+func (c *Counter) baselines() map[string]*comparison {
+	routes := map[string]*comparison{}
 	for k, t := range c.Tallies {
-		if k.Route != route || !ofTarget(k) {
+		if !ofOthers(k) {
 			continue
 		}
-		slow := t.slow(threshold)
-		compared.failures.bad, compared.failures.total = compared.failures.bad+t.Failures, compared.failures.total+t.Answers
-		compared.slowness.bad, compared.slowness.total = compared.slowness.bad+slow, compared.slowness.total+t.Times.TotalCount()
-		worst.failures[k.Upstream] += t.Failures
-		worst.slow[k.Upstream] += slow
+		compared := newComparison()
+		routes[k.Route] = compared
+		compared.failures.baselineBad, compared.failures.baseline = t.Failures, t.Answers
+		if len(t.Times) > 0 {
+			median := t.median()
+			compared.slowMS = max(int64(slowFactor*float64(median)), median+minSlowMS)
+			compared.slowness.baseline, compared.slowness.baselineBad = t.timed(compared.slowMS)
+		}
 	}
-	return compared
+	return routes
+}
+
+// addTarget adds the counts of a route at one upstream of the new version.
+func (c *Counter) addTarget(routes map[string]*comparison, worst worstUpstreams, k ItemKey, t *Tally) {
+	compared := routes[k.Route]
+	if compared == nil {
+		compared = newComparison()
+		routes[k.Route] = compared
+	}
+	timed, slow := t.timed(compared.slowMS)
+	compared.failures.bad, compared.failures.total = compared.failures.bad+t.Failures, compared.failures.total+t.Answers
+	compared.slowness.bad, compared.slowness.total = compared.slowness.bad+slow, compared.slowness.total+timed
+	worst.failures[k.Upstream] += t.Failures
+	worst.slow[k.Upstream] += slow
 }
 
 // excess returns by how much the upstream with the most bad responses exceeds the one with
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -184,7 +184,6 @@
 func (j *Judge) try(now time.Time, fleet Fleet) Decision {
 	stepAt := j.endAt().Add(-stepLength - switchLength)
 	latest := j.Order.Deadline.Add(-endMargin)
-	obstacle := j.obstacle(now, fleet)
 	if fleet.Warm == 0 {
 		j.Phase = Waiting{}
 		j.setShare(0, false)
@@ -200,6 +199,10 @@
 		if fleet.Warm > 0 {
 			j.Phase = Trying{}
 		}
+		return GoOn{}
+	}
+	obstacle := j.obstacle(now, fleet)
+	switch {
 	case obstacle == "" && now.Before(latest.Add(-minSwitchLength)):
 		j.beginStep(now)
 	case !now.Before(latest):
@@ -278,6 +281,6 @@
 	if float64(fleet.WarmSlots) >= sameSlots*float64(fleet.OtherSlots) {
 		return true
 	}
-	busy := j.rate(now) * j.counts.Sum(ofOthers).Times.Mean() / 1000
+	busy := j.rate(now) * j.counts.Sum(ofOthers).mean() / 1000
 	return busy > 0 && busy <= maxSlotUse*float64(fleet.WarmSlots)
 }
