--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -26,6 +26,11 @@
 	minRouteAnswers  = 5
 	minRouteRatio    = 0.02
 	maxTrialInterval = 6
+	// maxBad is the number of bad responses after which a doubtful version may get requests
+	// for a limited time only, and doubtRatio the part of that time for which the doubt may
+	// last. The reports and the decision take the rest.
+	maxBad     = 50
+	doubtRatio = 4
 	// maxSlotUse is the ratio of the slots of the new version that the load may need.
 	// Above two thirds, service times rise. sameSlots is the ratio of the slots of the
 	// other versions that is enough at any load.
@@ -97,6 +102,8 @@
 	// all versions, since the first report.
 	exposed, requests int64
 	firstReportAt     time.Time
+	// maxBadAt is when the maxBad-th bad response was reported; zero before.
+	maxBadAt time.Time
 	// predecessorHalted is true once an entry has reported a halted split.
 	predecessorHalted bool
 }
@@ -154,6 +161,12 @@
 		}
 		return j.end(RollBack{Reason: fmt.Sprintf("%s on %s", j.Evidence.Reason, where)})
 	}
+	if j.Evidence.Bad >= maxBad && j.maxBadAt.IsZero() {
+		j.maxBadAt = now
+	}
+	if j.Evidence.Doubtful() && !j.maxBadAt.IsZero() && now.Sub(j.maxBadAt) >= j.Terms.RollBack/doubtRatio {
+		return j.end(RollBack{Reason: fmt.Sprintf("doubt about %s, with %d bad responses", j.Evidence.Reason, j.Evidence.Bad)})
+	}
 	switch phase := j.Phase.(type) {
 	case Waiting, Trying, Holding:
 		return j.try(now, fleet)
