--- a/control/control_test.go
+++ b/control/control_test.go
@@ -151,7 +151,7 @@
 	case "connect_entries":
 		return b.connectEntries(testCase, name)
 	case "follow":
-		b.follow(testCase.Int("entries", 1))
+		b.follow(testCase.Int("entries", 1), syntheticLoad{perSecond: testCase.Int("load", 0), failing: testCase.Int("failing", 0)})
 		return ""
 	case "followers":
 		return b.awaitFollowers(testCase)
--- a/control/follower_test.go
+++ b/control/follower_test.go
@@ -19,6 +19,7 @@
 // follower is an entry that follows the leader or a relay, as package gateway does.
 type follower struct {
 	last atomic.Pointer[followed]
+	load syntheticLoad
 }
 
 // followed is what a follower had after its last answer.
@@ -32,13 +33,13 @@
 
 // follow starts followers, which run until the end of the test file. They reach all
 // instances, also those that are cut off from the others.
-func (b *fixture) follow(entries int) {
+func (b *fixture) follow(entries int, load syntheticLoad) {
 	list, err := control.Seeds(settings.Deployment{PeerPort: b.port, Seeds: seeds()})
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	ginkgo.DeferCleanup(cancel)
 	for i := range entries {
-		f := &follower{}
+		f := &follower{load: load}
 		f.last.Store(&followed{})
 		b.followers = append(b.followers, f)
 		client := control.NewLeaderClient(peer.NewPool(ctx, peer.Options{}), list, b.port)
@@ -49,7 +50,9 @@
 func (f *follower) run(ctx context.Context, client *peer.LeaderClient, name string) {
 	following := peer.NewFollowing(name)
 	upstreams := map[string]bool{}
+	requests := newSyntheticRequests(f.load, name)
 	for ctx.Err() == nil {
+		following.Request.Counts = requests.next(time.Now())
 		attempt, cancel := context.WithTimeout(ctx, peer.WatchDuration(following.Request.Followers))
 		response, err := client.Call(attempt, following.Request)
 		cancel()
@@ -58,11 +61,13 @@
 			timer.Pause(ctx, 50*time.Millisecond)
 			continue
 		}
+		requests.reported()
 		view, err := following.Take(answer)
 		if err != nil || answer.DigestWanted {
 			continue
 		}
 		if view != nil {
+			requests.follow(view.Splits)
 			for _, u := range view.Upstreams {
 				upstreams[u.ID] = true
 			}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -440,7 +440,8 @@
 	})
 }
 
-// rollOut orders a roll-out, and sends requests until it has ended. The result has the state,
+// rollOut orders a roll-out, and sends requests until it has ended. Once it is completed, the
+// other upstreams break all connections, and half a second of requests follows. The result has the state,
 // and whether all requests were answered with success, and the new version, whose upstreams'
 // ids begin with its name, got no more requests than a bad one may get.
 func (b *fixture) rollOut(testCase script.Case) string {
@@ -452,7 +453,8 @@
 	state := "running"
 	ticker := time.NewTicker(time.Duration(testCase.Int("pause", 10)) * time.Millisecond)
 	defer ticker.Stop()
-	for ; state == "running" && sent < length; sent++ {
+	last := length
+	for ; sent < last; sent++ {
 		<-ticker.C
 		request, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/view/%d", b.caller, sent), http.NoBody)
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
@@ -460,8 +462,11 @@
 		request.Header.Set("Request-Id", fmt.Sprint("rollout-", sent))
 		request.Header.Set("Deadline", "2000")
 		go func() { responses <- b.send(request) }()
-		if sent%10 == 0 {
-			state = b.rolloutState()
+		if state == "running" && sent%10 == 0 {
+			if state = b.rolloutState(); state != "running" {
+				last = sent + testCase.Int("further", 50)
+				b.stopOthers(state, target)
+			}
 		}
 	}
 	exposed, failed := int64(0), 0
@@ -478,6 +483,16 @@
 	return fmt.Sprintf("%s, failed requests: %d, within the exposure of a bad version: %v", state, failed, float64(exposed) <= 0.1*float64(sent)+50)
 }
 
+// stopOthers makes the upstreams of other versions break all connections after a completed
+// roll-out.
+func (b *fixture) stopOthers(state, target string) {
+	for id, u := range b.upstreams {
+		if state == "completed" && !strings.HasPrefix(id, target) {
+			u.mode.Store("reset")
+		}
+	}
+}
+
 func (b *fixture) rolloutState() string {
 	ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
 	defer cancel()
