--- a/control/control_test.go
+++ b/control/control_test.go
@@ -143,12 +143,16 @@
 		return b.call(testCase, name, peer.IncarnationRequest{Upstream: testCase.Args["id"]})
 	case "ask":
 		return b.ask(testCase)
+	case "begin":
+		return b.beginRollout(testCase, name)
+	case "rollout":
+		return b.readRollout(testCase, name)
 	case "read":
 		return b.call(testCase, name, peer.ReadRequest{})
 	case "announce":
 		u := fleet.Upstream{
 			ID: testCase.Args["id"], Service: cmp.Or(testCase.Args["service"], "booking"), Address: cmp.Or(testCase.Args["address"], "10.0.0.1:80"), Domain: "palermo", Slots: 6,
-			StartMS: int64(testCase.Int("born", 1)), Draining: testCase.Bool("draining"),
+			StartMS: int64(testCase.Int("born", 1)), Version: testCase.Args["version"], Draining: testCase.Bool("draining"),
 		}
 		return b.call(testCase, name, peer.AnnounceRequest{Upstream: u, Sequence: uint64(testCase.Int("sequence", 1)), Leaving: testCase.Bool("leaving")})
 	case "watch":
@@ -177,7 +181,7 @@
 	case "connect_entries":
 		return b.connectEntries(testCase, name)
 	case "follow":
-		b.follow(testCase.Int("entries", 1))
+		b.follow(testCase.Int("entries", 1), syntheticLoad{perSecond: testCase.Int("load", 0), failing: testCase.Int("failing", 0)})
 		return ""
 	case "followers":
 		return b.awaitFollowers(testCase)
@@ -216,7 +220,7 @@
 	started, err := control.Start(ctx, settings.Deployment{
 		Instance: name, IP: addresses[name], Domain: name, PeerPort: b.port, Seeds: seeds(),
 		DataFolder: filepath.Join(b.folder, name), FirstStart: first, LostInstances: lost,
-		Bounds: settings.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 60},
+		Bounds: settings.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 60, ExposureShare: 0.1, ExposureSlack: 50},
 	}, control.Options{
 		Log: &log.Logger{Handler: sendTo(errorLog), Level: log.ErrorLevel}, Metrics: set,
 		Dial:       func(ctx context.Context, address string) (net.Conn, error) { return b.dial(ctx, name, address) },
@@ -614,6 +618,9 @@
 	for _, u := range v.Upstreams {
 		lines = append(lines, fmt.Sprintf("%s born=%d draining=%v", u.ID, u.StartMS, u.Draining))
 	}
+	for _, split := range v.Splits {
+		lines = append(lines, splitText(split))
+	}
 	if len(v.Removed) > 0 {
 		lines = append(lines, "removed "+strings.Join(v.Removed, " "))
 	}
--- a/control/message.go
+++ b/control/message.go
@@ -33,6 +33,11 @@
 	answer   chan<- answer
 }
 
+type rolloutMessage struct {
+	service string
+	answer  chan<- answer
+}
+
 type announceMessage struct {
 	request peer.AnnounceRequest
 	answer  chan<- answer
@@ -90,6 +95,7 @@
 func (bootstrapMessage) message()   {}
 func (transferMessage) message()    {}
 func (allowanceMessage) message()   {}
+func (rolloutMessage) message()     {}
 
 // answer is the outcome of a request.
 type answer struct {
@@ -121,7 +127,7 @@
 	switch message.(type) {
 	case replicaMessage, renewMessage, groupMessage:
 		return peer.Nothing{}, nil
-	case proposeMessage, readMessage, incarnationMessage, announceMessage, watchMessage, copyMessage, joinMessage, joinEndedMessage, relayAnswerMessage, seedsMessage, identifyMessage, bootstrapMessage, transferMessage, suspectMessage, suspectsPassedOnMessage, quarantineProbeMessage, allowanceMessage:
+	case proposeMessage, readMessage, incarnationMessage, announceMessage, watchMessage, copyMessage, joinMessage, joinEndedMessage, relayAnswerMessage, seedsMessage, identifyMessage, bootstrapMessage, transferMessage, suspectMessage, suspectsPassedOnMessage, quarantineProbeMessage, allowanceMessage, rolloutMessage:
 	}
 	select {
 	case a := <-reply:
@@ -154,6 +160,8 @@
 		return readMessage{request.IndexOnly, reply}, nil
 	case peer.IncarnationRequest:
 		return incarnationMessage{request.Upstream, reply}, nil
+	case peer.RolloutRequest:
+		return rolloutMessage{request.Service, reply}, nil
 	case peer.AnnounceRequest:
 		return announceMessage{request, reply}, nil
 	case peer.RenewRequest:
--- a/control/relay.go
+++ b/control/relay.go
@@ -12,6 +12,7 @@
 	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/replica"
+	"github.com/oriolepost/oriolepost/rollout"
 	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/timer"
 	"github.com/oriolepost/oriolepost/watcher"
@@ -72,7 +73,9 @@
 type relayAnswerMessage struct {
 	response       peer.WatchResponse
 	sent, received timer.Stamp
-	err            error
+	// counts is what the watch reported.
+	counts *peer.Counts
+	err    error
 }
 
 func (relayAnswerMessage) message() {}
@@ -88,6 +91,7 @@
 	t.relay.reported = t.watchers.Names()
 	request := t.relay.following.Request
 	request.Relay = &peer.Relay{Entries: t.relay.reported}
+	request.Counts = t.rollouts.takeCollected()
 	go func() {
 		ctx, cancel := context.WithTimeout(t.ctx, peer.WatchDuration(request.Followers))
 		defer cancel()
@@ -98,7 +102,7 @@
 			err = fmt.Errorf("answer to a watch is %T", response)
 		}
 		select {
-		case t.mailbox <- postedMessage{relayAnswerMessage{update, sent, timer.Now(), err}, time.Now()}:
+		case t.mailbox <- postedMessage{relayAnswerMessage{update, sent, timer.Now(), request.Counts, err}, time.Now()}:
 		case <-t.ctx.Done():
 		}
 	}()
@@ -120,6 +124,7 @@
 		view, err = r.following.Take(m.response)
 	}
 	if err != nil {
+		t.rollouts.collect(m.counts)
 		t.metrics.GetOrCreateCounter("oriolepost_watch_errors_total").Inc()
 		r.watchAt = now.Add(r.retryDelay/2 + time.Duration(t.random.Int64N(int64(r.retryDelay))))
 		r.retryDelay = min(2*r.retryDelay, maxRelayRetryDelay)
@@ -266,6 +271,7 @@
 	control       []string
 	configuration *route.Configuration
 	quarantine    listedQuarantine
+	splits        []rollout.Split
 }
 
 // published returns the view of this leader, or that of the leader that it follows.
@@ -273,7 +279,7 @@
 	if r := t.relay; !t.leads() {
 		return published{
 			source: r.source, epoch: r.following.Request.Epoch, revision: r.fleet.Revision + r.changes, fleet: r.fleet, complete: r.view.FleetComplete,
-			outDomains: r.view.OutDomains, control: r.view.Control, configuration: r.configuration, quarantine: r.quarantine,
+			outDomains: r.view.OutDomains, control: r.view.Control, configuration: r.configuration, quarantine: r.quarantine, splits: r.view.Splits,
 		}
 	}
 	return t.ownView(now)
@@ -283,7 +289,7 @@
 func (t *task) ownView(now time.Time) published {
 	p := published{
 		epoch: t.replica.Term, revision: t.revision(), fleet: t.fleet, complete: t.fleetComplete(now),
-		outDomains: slices.Sorted(maps.Keys(t.state.Catalog.OutDomains)), configuration: t.state.Catalog.Configuration, quarantine: t.relay.quarantine,
+		outDomains: slices.Sorted(maps.Keys(t.state.Catalog.OutDomains)), configuration: t.state.Catalog.Configuration, quarantine: t.relay.quarantine, splits: t.splits(now),
 	}
 	if t.leads() {
 		p.quarantine = t.ownQuarantine(now)
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -12,6 +12,7 @@
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/placement"
 	"github.com/oriolepost/oriolepost/quarantine"
+	"github.com/oriolepost/oriolepost/rollout"
 	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/upstream"
 )
@@ -87,13 +88,18 @@
 }
 
 // allowanceMessage carries the leader's answer to a report on the retry budgets.
-type allowanceMessage struct{ event placement.Event }
+type (
+	allowanceMessage struct{ event placement.Event }
+	// countsMessage asks for what was counted in the running roll-outs since the last one.
+	countsMessage struct{ reply chan<- []rollout.Report }
+)
 
 // stopMessage reports that the entry stops.
 type stopMessage struct{ plan placement.StopPlan }
 
 func (stopMessage) message()         {}
 func (allowanceMessage) message()    {}
+func (countsMessage) message()       {}
 func (arrivedMessage) message()      {}
 func (disconnectedMessage) message() {}
 func (viewMessage) message()         {}
@@ -216,6 +222,8 @@
 				t.respond(id, upstream.Response{})
 			}
 		}
+	case countsMessage:
+		m.reply <- t.placement.TakeCounts()
 	case stopMessage:
 		t.step(placement.StopBegan{Plan: m.plan})
 	case viewMessage:
@@ -349,7 +357,7 @@
 func (t *task) applyView(message viewMessage) {
 	view := message.view
 	event := placement.ViewReceived{
-		Full: view.Full, FleetComplete: view.FleetComplete, Upstreams: view.Upstreams, Removed: view.Removed, OutDomains: view.OutDomains,
+		Full: view.Full, FleetComplete: view.FleetComplete, Upstreams: view.Upstreams, Removed: view.Removed, OutDomains: view.OutDomains, Splits: view.Splits,
 	}
 	if configuration := view.Configuration; configuration != nil && (t.gateway.table.Load() == nil || configuration.Version > t.gateway.configurationVersion()) {
 		table := route.NewTable(*configuration)
--- a/peer/message.go
+++ b/peer/message.go
@@ -25,6 +25,7 @@
 	"github.com/oriolepost/oriolepost/quarantine"
 	"github.com/oriolepost/oriolepost/record"
 	"github.com/oriolepost/oriolepost/replica"
+	"github.com/oriolepost/oriolepost/rollout"
 	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/slot"
 )
@@ -123,6 +124,11 @@
 	Upstream string `json:"upstream"`
 }
 
+// RolloutRequest asks the leader for the newest roll-out of a service.
+type RolloutRequest struct {
+	Service string `json:"service"`
+}
+
 // WatchRequest asks the leader for the changes since a view. The response comes
 // when there is a change, or after a timeout.
 type WatchRequest struct {
@@ -157,6 +163,14 @@
 	Quarantine string `json:"quarantine,omitempty"`
 	// Relay is set if a relay sends the watch, which then is not an entry.
 	Relay *Relay `json:"relay,omitempty"`
+	// Counts is what the entry, or the entries of the relay, counted in running roll-outs
+	// since the last watch that was answered.
+	Counts *Counts `json:"counts,omitempty"`
+}
+
+// Counts holds a report for each running roll-out in which something was counted.
+type Counts struct {
+	Reports []rollout.Report `json:"reports"`
 }
 
 // Relay is what a relay reports to the leader: a control instance that passes the leader's
@@ -229,6 +243,7 @@
 type AllowanceRequest struct{ Report allowance.Report }
 
 func (AllowanceRequest) request() {}
+func (RolloutRequest) request()   {}
 
 // Response is the response to a request.
 //
@@ -305,6 +320,11 @@
 	StartMS int64 `json:"born_ms"`
 }
 
+// RolloutResponse answers a RolloutRequest. Rollout is nil if the service has had none.
+type RolloutResponse struct {
+	Rollout *catalog.Rollout `json:"rollout,omitempty"`
+}
+
 // WatchResponse answers a WatchRequest.
 type WatchResponse struct {
 	// Epoch is the leader's term. Revisions of different epochs are not
@@ -383,8 +403,13 @@
 	Control []string `json:"control,omitempty"`
 	// Quarantine is set when it is another one than the entry's.
 	Quarantine *Quarantine `json:"quarantine,omitempty"`
+	// Splits say which versions of services entries may use. A service without a split has
+	// no restriction.
+	Splits []rollout.Split `json:"splits,omitempty"`
 }
 
+func (RolloutResponse) response() {}
+
 func (ReadResponse) response()            {}
 func (IncarnationResponse) response()     {}
 func (WatchResponse) response()           {}
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -34,6 +34,7 @@
 	methodSuspect         = "suspect"
 	methodQuarantineProbe = "quarantine_probe"
 	methodAllowance       = "allowance"
+	methodRollout         = "rollout"
 )
 
 // replicaParams is the JSON form of a ReplicaMessage.
@@ -95,6 +96,8 @@
 		return methodRead, request, false, nil
 	case IncarnationRequest:
 		return methodIncarnation, request, false, nil
+	case RolloutRequest:
+		return methodRollout, request, false, nil
 	case WatchRequest:
 		return methodWatch, request, false, nil
 	case CopyRequest:
@@ -143,6 +146,8 @@
 		return decode(params, func(r ReadRequest) Request { return r })
 	case methodIncarnation:
 		return decode(params, func(r IncarnationRequest) Request { return r })
+	case methodRollout:
+		return decode(params, func(r RolloutRequest) Request { return r })
 	case methodWatch:
 		return decode(params, func(r WatchRequest) Request { return r })
 	case methodCopy:
@@ -222,7 +227,7 @@
 		return response.Group, nil
 	case AllowanceResponse:
 		return response.Reply, nil
-	case Nothing, ReportResponse, BorrowResponse, IdentifyResponse, ConfirmResponse, StatusResponse, ReadResponse, IncarnationResponse, WatchResponse, CopyResponse, QuarantineProbeResponse:
+	case Nothing, ReportResponse, BorrowResponse, IdentifyResponse, ConfirmResponse, StatusResponse, ReadResponse, IncarnationResponse, WatchResponse, CopyResponse, QuarantineProbeResponse, RolloutResponse:
 		return response, nil
 	}
 	return nil, fmt.Errorf("response %T has no form", response)
@@ -247,6 +252,8 @@
 		return decode(result, func(r ReadResponse) Response { return r })
 	case IncarnationRequest:
 		return decode(result, func(r IncarnationResponse) Response { return r })
+	case RolloutRequest:
+		return decode(result, func(r RolloutResponse) Response { return r })
 	case WatchRequest:
 		return decode(result, func(r WatchResponse) Response { return r })
 	case CopyRequest:
--- a/placement/event.go
+++ b/placement/event.go
@@ -5,6 +5,7 @@
 
 	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/quarantine"
+	"github.com/oriolepost/oriolepost/rollout"
 	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/workspace"
 )
@@ -129,6 +130,8 @@
 	Upstreams           []fleet.Upstream
 	Removed             []string
 	OutDomains          []string
+	// Splits are those of all services that have one.
+	Splits []rollout.Split
 	// Services holds the services of the configuration by name; nil if unchanged.
 	Services map[string]route.Service
 }
--- a/settings/deployment.go
+++ b/settings/deployment.go
@@ -63,6 +63,14 @@
 	// key, from which on no instance may run a request with it, in contact with the others
 	// or not. Zero means that only instances in contact are bound.
 	Revocation time.Duration
+	// ExposureShare and ExposureSlack limit the requests that a bad version of a service may
+	// get in its roll-out: the share of the service's requests until the deadline, plus the
+	// slack. A share above zero also keeps versions that no roll-out has named from getting
+	// requests. RollBack is the time after the fiftieth bad response from which a bad version
+	// gets no more requests.
+	ExposureShare float64
+	ExposureSlack float64
+	RollBack      time.Duration
 }
 
 // Voters returns the number of voters that is needed for a majority to remain
