control: a repeated configuration gets no further entry in the log

Cause: whoever waits for an order sends it again after 0.7 s without an answer, and each time the leader appended it. Change: proposal.Orders. The same configuration that is under way takes further waiters, and one whose version, or a higher one, is committed is answered at once; it would change nothing. Other commands, whose order matters, are as before.

--- a/control/apply.go
+++ b/control/apply.go
@@ -42,6 +42,10 @@
 // records upstreams has no caller; its end allows the next one.
 func (t *task) completeProposal(proposed pendingProposal, err error, result record.Result) {
 	switch {
+	case proposed.order != nil:
+		for _, waiter := range t.orders.Ended(*proposed.order) {
+			t.completeProposal(pendingProposal{answer: waiter}, err, result)
+		}
 	case proposed.enrolls:
 		t.enrolling = false
 		t.scheduleRecording(time.Now())
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -120,10 +120,9 @@
 		timer.Pause(context.Background(), time.Duration(testCase.Int("ms", 0))*time.Millisecond)
 		return ""
 	case "configure":
-		return b.call(testCase, name, peer.ProposeRequest{Command: record.PutConfiguration{
-			Configuration: route.Configuration{Version: uint64(testCase.Int("version", 0)), Services: servicesOf(testCase)},
-			Original:      append([]byte(testCase.Args["text"]), incompressible(testCase.Int("bytes", 0))...),
-		}})
+		return b.call(testCase, name, configureRequest(testCase))
+	case "configure_again":
+		return b.configureAgain(testCase)
 	case "domain":
 		return b.call(testCase, name, peer.ProposeRequest{Command: record.SetDomain{Domain: testCase.Args["domain"], Out: testCase.Bool("out")}})
 	case "read":
@@ -157,6 +156,27 @@
 	return "unknown command"
 }
 
+func configureRequest(testCase script.Case) peer.Request {
+	return peer.ProposeRequest{Command: record.PutConfiguration{
+		Configuration: route.Configuration{Version: uint64(testCase.Int("version", 0)), Services: servicesOf(testCase)},
+		Original:      append([]byte(testCase.Args["text"]), incompressible(testCase.Int("bytes", 0))...),
+	}}
+}
+
+// configureAgain sends the same order to several instances, one after the other, and
+// returns the number of entries that it got in the log.
+func (b *fixture) configureAgain(testCase script.Case) string {
+	indexes := map[uint64]bool{}
+	for _, name := range testCase.List("at") {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		response, err := b.instances[name].control.Call(ctx, configureRequest(testCase))
+		cancel()
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		indexes[response.(peer.ProposeResponse).Result.(record.Done).Index] = true
+	}
+	return fmt.Sprintf("entries: %d", len(indexes))
+}
+
 // servicesOf returns the services of a configuration.
 func servicesOf(testCase script.Case) []route.Service {
 	var services []route.Service
--- a/control/task.go
+++ b/control/task.go
@@ -77,6 +77,7 @@
 	random       *rand.Rand
 
 	proposals *proposal.Proposals[pendingProposal]
+	orders    *proposal.Orders[chan<- answer]
 	role      replica.RoleChanged
 
 	// watchers decides when the watches of entries are answered. watches holds the
@@ -154,6 +155,8 @@
 	read bool
 	// enrolls is true for a command that records upstreams.
 	enrolls bool
+	// order is the key of a configuration, whose waiters are in task.orders.
+	order *proposal.OrderKey
 }
 
 func newTask(ctx context.Context, deployment settings.Deployment, options Options, folder *disk.Folder, pool *peer.Pool, leader *peer.LeaderClient, seeds []search.Instance) (*task, error) {
@@ -164,6 +167,7 @@
 		backlog:   backlog{handled: map[string]int{}},
 		random:    rand.New(rand.NewPCG(rand.Uint64(), ipHash(deployment.IP))),
 		proposals: proposal.NewProposals[pendingProposal](),
+		orders:    proposal.NewOrders[chan<- answer](),
 		fullViews: map[fullViewKey]encodedView{}, comparisons: map[comparison]encodedView{}, watchers: watcher.New(), roster: watcher.NewRoster(), relaysSeen: map[string]relaySeen{}, watches: map[string]watchMessage{}, differences: map[peer.WatchRequest]encodedView{}, standbys: map[string]replica.Identity{},
 	}
 	t.plan = replica.MembershipPlan{Target: deployment.Voters(), ReplaceAfter: replaceVoterAfter, Domains: map[string]string{}}
@@ -315,7 +319,7 @@
 	case replicaMessage:
 		return t.replica.Step(now, message.event)
 	case proposeMessage:
-		return t.propose(now, message.data, pendingProposal{answer: message.answer})
+		return t.proposeCommand(now, message)
 	case readMessage:
 		return t.propose(now, nil, pendingProposal{answer: message.answer, read: true})
 	case announceMessage:
@@ -356,6 +360,27 @@
 	return t.replica.Step(now, replica.Propose{Token: t.proposals.Add(p), Data: data})
 }
 
+// proposeCommand proposes a command, or a configuration unless that repeats another one.
+func (t *task) proposeCommand(now time.Time, message proposeMessage) []replica.Effect {
+	put, ok := message.command.(record.PutConfiguration)
+	if !ok || !t.leads() {
+		return t.propose(now, message.data, pendingProposal{answer: message.answer})
+	}
+	committed := uint64(0)
+	if inForce := t.state.Catalog.Configuration; inForce != nil {
+		committed = inForce.Version
+	}
+	key := proposal.KeyOf(message.data)
+	switch t.orders.Add(key, put.Configuration.Version, committed, message.answer) {
+	case proposal.DecisionPropose:
+		return t.propose(now, message.data, pendingProposal{order: &key})
+	case proposal.DecisionInForce:
+		message.answer <- answer{response: peer.ProposeResponse{Result: record.Done{Index: t.state.Catalog.Index, Version: committed}}}
+	case proposal.DecisionWait:
+	}
+	return nil
+}
+
 // perform saves and syncs the effects, and only then sends messages and applies
 // entries.
 func (t *task) perform(effects []replica.Effect) error {
