proofs: an example of fixed ports runs on a loopback IP of its test process

Change: cluster.OwnHost returns 127.0.9.N for the block of ports that the process has claimed until it ends; run-system.sh takes it as EXAMPLE_HOST and uses 127.0.0.1 without it. The checks of the scenario are the same.

--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -171,6 +171,16 @@
 	return nil, fmt.Errorf("found only %d of the %d free ports needed in the port block of this process", len(addresses), n)
 }
 
+// OwnHost returns a loopback IP that no other process gets from it while this one runs,
+// for programs with fixed ports. It belongs to the port block of this process.
+func OwnHost() (string, error) {
+	block, err := claimPortBlock()
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("127.0.9.%d", 1+(block.first-firstPort)/portsPerBlock), nil
+}
+
 // instanceSettings returns the settings of instance i.
 func (c Config) instanceSettings(i int, addresses []string) settings.Settings {
 	instance := settings.Defaults()
--- a/examples/run-system.sh
+++ b/examples/run-system.sh
@@ -1,11 +1,16 @@
 #!/usr/bin/env bash
 # Starts an example system on loopback, sends calls to it for some seconds, and stops it. Each example's start.sh
 # sources this script and sets the variables: name, domains, services ("NAME:SERVERS ..."), operator, platforms, targets.
+# The ports are fixed. EXAMPLE_HOST is the loopback address to use instead of 127.0.0.1, so that two can run at once.
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 seconds="${1:-20}"
 rate="${2:-500}"
 max_tries=50
+host="${EXAMPLE_HOST:-127.0.0.1}"
+operator="${operator//127.0.0.1/$host}"
+platforms="${platforms//127.0.0.1/$host}"
+targets="${targets//127.0.0.1/$host}"
 work="$(mktemp -d)"
 program="$work/oriolepost"
 go build -o "$program" ./cmd/oriolepost
@@ -20,7 +25,7 @@
 
 for file in examples/"$name"/*.json; do
   settings="$work/$(basename "$file")"
-  sed "s#data/$name#$work/data#" "$file" > "$settings"
+  sed "s#data/$name#$work/data#; s#127\.0\.0\.1:#$host:#g" "$file" > "$settings"
   "$program" node --settings "$settings" 2>> "$work/nodes.log" &
   pids+=($!)
 done
--- a/proofs/proofs_test.go
+++ b/proofs/proofs_test.go
@@ -44,6 +44,8 @@
 // the variables A1, A2 and so on.
 const addressesPerScenario = 40
 
+// setup sets the variables of a scenario. HOST is a loopback IP that no other test process
+// has, for examples with fixed ports.
 func setup(e *testscript.Env) error {
 	root, err := filepath.Abs("..")
 	if err != nil {
@@ -56,5 +58,10 @@
 	for i, a := range addresses {
 		e.Setenv(fmt.Sprintf("A%d", i+1), a)
 	}
+	if err != nil {
+		return err
+	}
+	host, err := cluster.OwnHost()
+	e.Setenv("HOST", host)
 	return err
 }
