faultsoak: a process gets SIGHUP or SIGTERM only when it runs

Cause: the injector sends SIGHUP right after it has started a process. Change: the task of a process holds both signals until the process has written something; handlers are registered while its packages are initialized. The time limit after SIGTERM counts from the request, as before.

--- a/faultsoak/faultsoak_test.go
+++ b/faultsoak/faultsoak_test.go
@@ -5,16 +5,21 @@
 	"context"
 	"flag"
 	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"github.com/oriolepost/oriolepost/cluster"
 	"github.com/oriolepost/oriolepost/script"
+	"github.com/oriolepost/oriolepost/settings"
 )
 
 var (
@@ -35,9 +40,7 @@
 // runSeed builds the program into a folder and returns a handler that runs it with the
 // seed of a case.
 func runSeed(folder string) script.Handler {
-	program := filepath.Join(folder, "oriolepost")
-	out, err := exec.Command("go", "build", "-o", program, "../cmd/oriolepost").CombinedOutput()
-	gomega.Expect(err).NotTo(gomega.HaveOccurred(), string(out))
+	program := buildProgram(folder)
 	return func(c script.Case) string {
 		cfg := Defaults()
 		cfg.Program, cfg.Seed, cfg.Control = program, uint64(c.Int("seed", 1)), c.Int("control", cfg.Control)
@@ -52,6 +55,58 @@
 	}
 }
 
+func buildProgram(folder string) string {
+	program := filepath.Join(folder, "oriolepost")
+	out, err := exec.Command("go", "build", "-o", program, "../cmd/oriolepost").CombinedOutput()
+	gomega.Expect(err).NotTo(gomega.HaveOccurred(), string(out))
+	return program
+}
+
+// Sends signals to a process that was started right before.
+var _ = script.Describe("a process gets a signal only when it runs", "testdata/signals.txt", func() script.Handler {
+	folder := ginkgo.GinkgoT().TempDir()
+	program := buildProgram(folder)
+	return func(c script.Case) string { return signalAtStart(folder, program, c) }
+})
+
+// signalAtStart starts an instance a number of times, each time sends signals to it at
+// once, and returns how often it ended by itself, and the failures.
+func signalAtStart(folder, program string, c script.Case) string {
+	free, err := cluster.FreeAddresses(1)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	host, err := cluster.OwnHost()
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	port, err := strconv.Atoi(strings.TrimPrefix(free[0], "127.0.0.1:"))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	o := startObserver()
+	p := startProcess(program, folder, settings.Deployment{
+		Instance: "core-1", Domain: "a", IP: host, PeerPort: port, Control: fmt.Sprintf("%s:%d", host, port+1), Seeds: []string{host + ":1"},
+		DataFolder: filepath.Join(folder, "data"), FirstStart: true,
+	}, o)
+	for range c.Int("times", 1) {
+		p.mailbox <- startMessage{}
+		for _, name := range c.List("signals") {
+			p.mailbox <- signalMessage{map[string]syscall.Signal{"hup": syscall.SIGHUP, "term": syscall.SIGTERM}[name]}
+		}
+	}
+	ended := make(chan struct{})
+	p.mailbox <- startMessage{}
+	p.mailbox <- shutdownMessage{ended}
+	<-ended
+	starts, failures := 0, ""
+	for _, e := range o.stop() {
+		if _, ok := e.(ProcessStarted); ok {
+			starts++
+		}
+		if f, ok := e.(Failure); ok {
+			failures += f.Reason + "\n"
+		}
+	}
+	data, err := os.ReadFile(filepath.Join(folder, "core-1.log"))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return fmt.Sprintf("%sstarts=%d stopped by themselves=%d", failures, starts, strings.Count(string(data), `"instance stopped"`))
+}
+
 // fixture collects the events of a test file and judges them.
 type fixture struct{ history []Event }
 
--- a/faultsoak/process.go
+++ b/faultsoak/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -57,6 +58,11 @@
 	stopRequested bool
 	// killTimer fires stopTimeout after SIGTERM.
 	killTimer <-chan time.Time
+	// running is closed at the first output of the process. It is nil when there is no
+	// process, and when that is known to run.
+	running chan struct{}
+	// held are the signals that wait until the process runs.
+	held []syscall.Signal
 }
 
 const (
@@ -84,6 +90,8 @@
 			}
 		case err := <-p.exited:
 			p.handleExit(err)
+		case <-p.running:
+			p.sendHeld()
 		case <-p.killTimer:
 			p.observer.record(Failure{Name: p.settings.Instance, Reason: "did not exit within the stop timeout of 6 s after SIGTERM"})
 			p.signal(syscall.SIGKILL)
@@ -117,6 +125,9 @@
 	return false
 }
 
+// signal sends a signal to the process. One that the process handles, SIGHUP or SIGTERM,
+// is held until the process runs: between its start and the first instructions of the
+// program no handler is registered, and the default of the operating system ends it.
 func (p *process) signal(s syscall.Signal) {
 	if p.command == nil {
 		return
@@ -127,9 +138,38 @@
 		_ = p.command.Process.Signal(syscall.SIGCONT)
 	}
 	p.stopRequested = p.stopRequested || s == syscall.SIGTERM || s == syscall.SIGKILL
+	if p.running != nil && (s == syscall.SIGHUP || s == syscall.SIGTERM) {
+		p.held = append(p.held, s)
+		return
+	}
 	_ = p.command.Process.Signal(s)
 }
 
+// sendHeld sends the signals that were held until the process runs.
+func (p *process) sendHeld() {
+	for _, s := range p.held {
+		_ = p.command.Process.Signal(s)
+	}
+	p.running, p.held = nil, nil
+}
+
+// firstOutput is an output that closes running at the first write. The program registers
+// its handlers while its packages are initialized, which is before it can write.
+type firstOutput struct {
+	io.Writer
+	running chan struct{}
+	written bool
+}
+
+// Write implements io.Writer. One goroutine of the command calls it.
+func (o *firstOutput) Write(b []byte) (int, error) {
+	if !o.written {
+		o.written = true
+		close(o.running)
+	}
+	return o.Writer.Write(b)
+}
+
 // killAndWait kills the process, if it is running, and waits for its exit.
 func (p *process) killAndWait() {
 	if p.command != nil {
@@ -143,6 +183,7 @@
 		p.observer.record(Failure{Name: p.settings.Instance, Reason: fmt.Sprintf("exited although it was not stopped: %v", err)})
 	}
 	p.command, p.exited, p.killTimer, p.stopRequested = nil, nil, nil, false
+	p.running, p.held = nil, nil
 }
 
 // start writes the settings file and starts the process. It does nothing if the
@@ -152,13 +193,7 @@
 		if !p.stopRequested {
 			return
 		}
-		select {
-		case err := <-p.exited:
-			p.handleExit(err)
-		case <-p.killTimer:
-			p.observer.record(Failure{Name: p.settings.Instance, Reason: "did not exit within the stop timeout of 6 s after SIGTERM"})
-			p.killAndWait()
-		}
+		p.awaitExit()
 	}
 	p.writeSettings()
 	out, err := os.OpenFile(filepath.Join(p.folder, p.settings.Instance+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, fileMode)
@@ -166,21 +201,42 @@
 		p.observer.record(Failure{Name: p.settings.Instance, Reason: err.Error()})
 		return
 	}
-	defer func() { _ = out.Close() }()
 	command := exec.CommandContext(context.Background(), p.program, "serve")
 	command.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settingsPath())
-	command.Stdout, command.Stderr = out, out
+	running := make(chan struct{})
+	output := &firstOutput{Writer: out, running: running}
+	command.Stdout, command.Stderr = output, output
 	if err := command.Start(); err != nil {
+		_ = out.Close()
 		p.observer.record(Failure{Name: p.settings.Instance, Reason: err.Error()})
 		return
 	}
 	exited := make(chan error, 1)
-	go func() { exited <- command.Wait() }()
-	p.command, p.exited = command, exited
+	go func() {
+		err := command.Wait()
+		_ = out.Close()
+		exited <- err
+	}()
+	p.command, p.exited, p.running = command, exited, running
 	p.observer.record(ProcessStarted{Name: p.settings.Instance, At: p.observer.now()})
 	p.settings.FirstStart = false
 }
 
+// awaitExit waits for the exit of a process that was told to stop.
+func (p *process) awaitExit() {
+	for p.command != nil {
+		select {
+		case err := <-p.exited:
+			p.handleExit(err)
+		case <-p.running:
+			p.sendHeld()
+		case <-p.killTimer:
+			p.observer.record(Failure{Name: p.settings.Instance, Reason: "did not exit within the stop timeout of 6 s after SIGTERM"})
+			p.killAndWait()
+		}
+	}
+}
+
 func (p *process) settingsPath() string { return filepath.Join(p.folder, p.settings.Instance+".json") }
 
 func (p *process) writeSettings() {
