settings: limits of memory and descriptors are decoded

The platform's settings name self.limits.max_fds, which was ignored, and the settings of our own form had no limits at all. Both are decoded and checked now; a limit of 0 is not enforced. Nothing uses the new fields yet.

--- a/settings/deployment.go
+++ b/settings/deployment.go
@@ -41,7 +41,10 @@
 	// MemoryMB is the memory limit of the process in MiB; 0 if the platform
 	// names none.
 	MemoryMB int
-	Bounds   Bounds
+	// MaxFDs is the limit on the open descriptors of the process; 0 if the platform
+	// names none.
+	MaxFDs int
+	Bounds Bounds
 }
 
 // Bounds are the limits that the platform's users set for all instances.
@@ -97,6 +100,10 @@
 		return fieldError("data_folder", `""`, "a folder on an instance that serves control")
 	case d.LostInstances < 0 || d.LostInstances > 3:
 		return fieldError("lost_instances", d.LostInstances, "0 to 3")
+	case d.MemoryMB < 0:
+		return fieldError("memory_mb", d.MemoryMB, "0 or more")
+	case d.MaxFDs < 0:
+		return fieldError("max_fds", d.MaxFDs, "0 or more")
 	}
 	return nil
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -47,6 +47,15 @@
 	Trace               Trace   `json:"trace"`
 	LogLevel            string  `json:"log_level,omitempty"`
 	HTTP                HTTP    `json:"http"`
+	Limits              Limits  `json:"limits"`
+}
+
+// Limits holds what the process may use of its machine. A limit of 0 is not enforced.
+type Limits struct {
+	// MemoryMB is the memory limit of the process in MiB.
+	MemoryMB int `json:"memory_mb,omitempty"`
+	// MaxFDs is the limit on the open descriptors of the process.
+	MaxFDs int `json:"max_fds,omitempty"`
 }
 
 // Listen holds the addresses that the instance listens on, as IP:port.
@@ -274,6 +283,8 @@
 		{"replace_voter_after_ms", s.ReplaceVoterAfterMS, 1000, 86400000},
 		{"stop.balancer_ms", s.Stop.BalancerMS, 0, 60000},
 		{"stop.deadline_ms", s.Stop.DeadlineMS, 0, 600000},
+		{"limits.memory_mb", int64(s.Limits.MemoryMB), 0, 1 << 20},
+		{"limits.max_fds", int64(s.Limits.MaxFDs), 0, 1 << 24},
 		{"http.max_header_bytes", int64(s.HTTP.MaxHeaderBytes), 1024, 1 << 20},
 		{"http.header_timeout_ms", s.HTTP.HeaderMS, 10, 600000},
 		{"http.idle_timeout_ms", s.HTTP.IdleMS, 10, 600000},
