--- /dev/null
+++ b/proofs/hostile_test.go
@@ -0,0 +1,411 @@
+package proofs
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/oriolepost/oriolepost/fleet"
+	"github.com/oriolepost/oriolepost/platform"
+	"github.com/oriolepost/oriolepost/route"
+	"github.com/oriolepost/oriolepost/settings"
+)
+
+const (
+	// crowdDuration is how long the clients of a crowd are watched. It exceeds
+	// the time in which the untouched code took in all that they send.
+	crowdDuration = 4 * time.Second
+	// bodyBytes is the size of the largest body that an entry buffers whole.
+	bodyBytes = 256 << 10
+	// largeBytes is the size of the response to /large, which is buffered whole.
+	largeBytes = 250 << 10
+	// upstreamSlots is more than the requests of any crowd, so that none waits
+	// for a slot.
+	upstreamSlots = 4000
+	// slowServiceTime is the service time of /slow. The bodies that were read stay in
+	// memory for that time.
+	slowServiceTime = 5 * time.Second
+)
+
+// hostileTurn holds one element while a scenario with a crowd runs. Two at once would
+// compete for processor time and memory.
+var hostileTurn = make(chan struct{}, 1)
+
+// hostileVerbs returns the commands of the scenarios in testdata/hostile.
+func hostileVerbs() map[string]func(*testscript.TestScript, bool, []string) {
+	return map[string]func(*testscript.TestScript, bool, []string){
+		"deployment": writeDeployment,
+		"limits":     writeLimits,
+		"upstream":   runUpstream,
+		"crowd":      runCrowd,
+	}
+}
+
+func takeTurn(ts *testscript.TestScript) {
+	hostileTurn <- struct{}{}
+	ts.Defer(func() { <-hostileTurn })
+}
+
+// deployment MEMORY_MB MAX_FDS writes control.json and entry.json, the platform's
+// settings files of a control instance and an entry. Each gets a loopback address of
+// its own, since the port of the metrics is fixed.
+func writeDeployment(ts *testscript.TestScript, _ bool, args []string) {
+	takeTurn(ts)
+	memoryMB, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	maxFDs, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	first := int(machines.Add(machinesPerDeployment)) - machinesPerDeployment
+	address := func(variable string, machine int) string {
+		_, port, err := net.SplitHostPort(ts.Getenv(variable))
+		ts.Check(err)
+		return net.JoinHostPort(loopback(first+machine), port)
+	}
+	control := settings.Deployment{
+		Instance: "control", Domain: "palermo", IP: loopback(first + 1), Control: address("A1", 1), FirstStart: true, DataFolder: ts.MkAbs("data"),
+	}
+	entry := settings.Deployment{Instance: "entry", Domain: "palermo", IP: loopback(first + 2), Caller: address("A2", 2), Balancer: address("A3", 2)}
+	_, port, err := net.SplitHostPort(ts.Getenv("A4"))
+	ts.Check(err)
+	for _, d := range []settings.Deployment{control, entry} {
+		d.PeerPort, err = strconv.Atoi(port)
+		ts.Check(err)
+		d.Seeds, d.MemoryMB, d.MaxFDs = []string{control.Control}, memoryMB, maxFDs
+		d.Bounds = settings.Bounds{Grace: 6 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 60, ColdFactor: 1.5, ColdSlack: 5}
+		data, err := platform.EncodeSettings(d)
+		ts.Check(err)
+		ts.Check(os.WriteFile(ts.MkAbs(d.Instance+".json"), data, 0o600))
+	}
+	setLimits(ts, args[0], args[1])
+	ts.Setenv("CONTROL", control.Control)
+	ts.Setenv("ENTRY", entry.Caller)
+	ts.Setenv("PEER", net.JoinHostPort(control.IP, port))
+	ts.Setenv("UPSTREAM", address("A5", 3))
+}
+
+// machines counts the machines of all deployments. A deployment has three: a control
+// instance, an entry and an upstream.
+var machines atomic.Int32
+
+const machinesPerDeployment = 3
+
+// loopback returns the address of a machine of this test process.
+func loopback(machine int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>8&63, pid&255, machine)
+}
+
+// limits FILE MEMORY_MB MAX_FDS adds the limits to a settings file of our own form.
+func writeLimits(ts *testscript.TestScript, _ bool, args []string) {
+	takeTurn(ts)
+	text := strings.TrimSuffix(strings.TrimSpace(ts.ReadFile(args[0])), "}")
+	text += fmt.Sprintf(`,"limits":{"memory_mb":%s,"max_fds":%s}}`, args[1], args[2])
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(text), 0o600))
+	setLimits(ts, args[1], args[2])
+}
+
+// setLimits keeps the limits of the settings, which the command crowd checks.
+func setLimits(ts *testscript.TestScript, memoryMB, maxFDs string) {
+	ts.Setenv("MEMORY_MB", memoryMB)
+	ts.Setenv("MAX_FDS", maxFDs)
+}
+
+// upstream runs an upstream at $UPSTREAM until the scenario ends, configures its
+// routes, and waits until an ordinary request is answered. The routes are safe, so
+// that requests are pipelined.
+func runUpstream(ts *testscript.TestScript, _ bool, _ []string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ts.Defer(cancel)
+	info := fleet.Upstream{ID: "u1", Service: "booking", Address: ts.Getenv("UPSTREAM"), Domain: "palermo", Slots: upstreamSlots, StartMS: time.Now().UnixMilli()}
+	server := &http.Server{Handler: upstreamHandler(info.ID), ReadHeaderTimeout: awaitTimeout}
+	listener, err := net.Listen("tcp", info.Address)
+	ts.Check(err)
+	go func() { _ = server.Serve(listener) }()
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	configuration, err := platform.ConfigureCall(route.Configuration{
+		Version: 1,
+		Limits:  route.Limits{HeaderBytes: 16384, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+		Routes: []route.Route{{
+			Name: "all", Host: "booking", Prefix: "/", Idempotent: true, Timeout: 20 * time.Second, Objective: time.Second, MaxAttempts: 2,
+			Services: []route.WeightedService{{Service: "booking", Weight: 1}},
+		}},
+		Services: []route.Service{{Name: "booking", HealthPath: "/health", MaxConnections: upstreamSlots}},
+	})
+	ts.Check(err)
+	control := ts.Getenv("CONTROL")
+	go announce(ctx, control, info)
+	awaitStatus(ts, "configuration", func() int { return send(control, configuration) })
+	awaitStatus(ts, "ordinary request", func() int { return ordinary(ts) })
+}
+
+func upstreamHandler(id string) http.HandlerFunc {
+	large := bytes.Repeat([]byte("x"), largeBytes)
+	return func(w http.ResponseWriter, r *http.Request) {
+		names := platform.HeaderNames()
+		w.Header().Set(names.Upstream, id)
+		w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
+		w.Header().Set(names.Signature, "signed")
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		switch r.URL.Path {
+		case "/slow":
+			t := time.NewTimer(slowServiceTime)
+			defer t.Stop()
+			select {
+			case <-t.C:
+			case <-r.Context().Done():
+			}
+		case "/large":
+			_, _ = w.Write(large)
+		}
+	}
+}
+
+// announce sends heartbeats until the context ends.
+func announce(ctx context.Context, control string, u fleet.Upstream) {
+	ticker := time.NewTicker(400 * time.Millisecond)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		u.Sequence++
+		if c, err := platform.AnnounceCall(u); err == nil {
+			send(control, c)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func send(address string, c platform.Call) int {
+	status, _ := request(c.Method, "http://"+address+c.Path, string(c.Body), map[string]string{"Connection": "close"})
+	return status
+}
+
+// ordinary sends one ordinary request through the entry, or the instance of our own
+// interface, and returns its status.
+func ordinary(ts *testscript.TestScript) int {
+	address, path := ts.Getenv("ENTRY"), "/"
+	if address == "" {
+		address = ts.Getenv("CALLER1")
+	}
+	status, _ := request(http.MethodGet, "http://"+address+path, "", map[string]string{
+		"Host": "booking", "Connection": "close", platform.HeaderNames().RequestID: "ordinary-1",
+	})
+	return status
+}
+
+func awaitStatus(ts *testscript.TestScript, what string, status func() int) {
+	last := 0
+	for deadline := time.Now().Add(awaitTimeout); time.Now().Before(deadline); waitPollInterval() {
+		if last = status(); last == http.StatusOK {
+			return
+		}
+	}
+	ts.Fatalf("%s: last status %d, want 200", what, last)
+}
+
+// crowd ADDRESS PATTERN CLIENTS sends a pattern from a number of
+// clients at once. It fails when a process of the scenario ends, when its resident
+// memory or its open descriptors exceed the limits in its settings, or when an ordinary request is not
+// answered while the clients stay connected.
+func runCrowd(ts *testscript.TestScript, _ bool, args []string) {
+	pattern, ok := patterns()[args[1]]
+	if !ok {
+		ts.Fatalf("crowd: unknown pattern %q", args[1])
+	}
+	var numbers []int
+	for _, text := range []string{args[2], ts.Getenv("MEMORY_MB"), ts.Getenv("MAX_FDS")} {
+		n, err := strconv.Atoi(text)
+		ts.Check(err)
+		numbers = append(numbers, n)
+	}
+	clients, memoryMB, maxFDs := numbers[0], numbers[1], numbers[2]
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for range clients {
+		go runClient(ctx, args[0], pattern)
+	}
+	mostFDs := map[int]int{}
+	for end := time.Now().Add(crowdDuration); time.Now().Before(end); waitPollInterval() {
+		for _, c := range ts.BackgroundCmds() {
+			mostFDs[c.Process.Pid] = max(mostFDs[c.Process.Pid], openFDs(c.Process.Pid))
+		}
+	}
+	for _, c := range ts.BackgroundCmds() {
+		name, most := processName(c.Process.Pid, c.Args), mostFDs[c.Process.Pid]
+		peak := peakMemoryKB(c.Process.Pid)
+		ts.Logf("%s: peak memory %d MB of %d, descriptors %d of %d", name, peak>>10, memoryMB, most, maxFDs)
+		if peak == 0 || c.Process.Signal(syscall.Signal(0)) != nil {
+			ts.Fatalf("%s has ended", name)
+		}
+		if peak > memoryMB<<10 {
+			ts.Fatalf("%s: peak memory is %d MB, limit %d", name, peak>>10, memoryMB)
+		}
+		if most > maxFDs {
+			ts.Fatalf("%s: %d open descriptors, limit %d", name, most, maxFDs)
+		}
+	}
+	awaitStatus(ts, "ordinary request beside the crowd", func() int { return ordinary(ts) })
+}
+
+// processName returns the name of the settings file of a process.
+func processName(pid int, args []string) string {
+	environment, err := os.ReadFile(fmt.Sprintf("/proc/%d/environ", pid))
+	if err != nil {
+		return args[len(args)-1]
+	}
+	for variable := range strings.SplitSeq(string(environment), "\x00") {
+		if path, ok := strings.CutPrefix(variable, platform.SettingsVariable+"="); ok && path != "" {
+			return filepath.Base(path)
+		}
+	}
+	return args[len(args)-1]
+}
+
+func openFDs(pid int) int {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	if err != nil {
+		return 0
+	}
+	return len(entries)
+}
+
+// peakMemoryKB returns the peak resident memory of a process; 0 if it has ended.
+func peakMemoryKB(pid int) int {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	_, value, _ := strings.Cut(string(status), "VmHWM:")
+	fields := strings.Fields(value)
+	if len(fields) == 0 {
+		return 0
+	}
+	n, err := strconv.Atoi(fields[0])
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// pattern is what a client of a crowd sends on its connection: the requests, which it
+// sends in pieces of a size with a pause behind each, and whether it reads responses.
+type pattern struct {
+	requests [][]byte
+	piece    int
+	pause    time.Duration
+	reads    bool
+}
+
+func post256(path string, cut int, header string) []byte {
+	head := "POST " + path + " HTTP/1.1\r\nHost: booking\r\n" + header + "Content-Length: " + strconv.Itoa(bodyBytes) + "\r\n\r\n"
+	return append([]byte(head), make([]byte, bodyBytes-cut)...)
+}
+
+func chunks(count int) []byte {
+	chunk := append([]byte("10000\r\n"), make([]byte, 64<<10)...)
+	head := "POST / HTTP/1.1\r\nHost: booking\r\nTransfer-Encoding: chunked\r\n\r\n"
+	return append([]byte(head), bytes.Repeat(append(chunk, '\r', '\n'), count)...)
+}
+
+// declared returns a request whose body is declared longer than what is sent of it.
+func declared(path string, length, sent int, header string) []byte {
+	head := "POST " + path + " HTTP/1.1\r\nHost: booking\r\n" + header + "Content-Length: " + strconv.Itoa(length) + "\r\n\r\n"
+	return append([]byte(head), bytes.Repeat([]byte(" "), sent)...)
+}
+
+// patterns returns the patterns by name. They are made only when a crowd runs: the
+// processes under test run the same binary, and must not hold them.
+func patterns() map[string]pattern {
+	return map[string]pattern{
+		"whole":       {requests: slices.Repeat([][]byte{post256("/slow", 0, "")}, 18), reads: true},
+		"incremental": {requests: slices.Repeat([][]byte{post256("/slow", 0, "")}, 18), piece: 32 << 10, pause: 5 * time.Millisecond, reads: true},
+		"unfinished":  {requests: [][]byte{post256("/", 5, "")}, reads: true},
+		"declared":    {requests: [][]byte{declared("/", 1<<30, 4<<20, "")}, reads: true},
+		"chunked":     {requests: [][]byte{chunks(64)}, reads: true},
+		"headers":     {requests: [][]byte{[]byte("GET / HTTP/1.1\r\nHost: booking\r\n" + strings.Repeat("X-A: b\r\n", 1000))}, piece: 8, pause: 50 * time.Millisecond, reads: true},
+		"silent":      {reads: true},
+		"unread":      {requests: slices.Repeat([][]byte{[]byte("GET /large HTTP/1.1\r\nHost: booking\r\n\r\n")}, 40)},
+		"configurations": {requests: [][]byte{
+			declared("/api/Config.Replace", 8<<20, 8<<20-5, "Content-Type: application/json\r\n"),
+		}, reads: true},
+		"heartbeats": {requests: [][]byte{declared("/api/Instances.Heartbeat/u9", 16<<10, 16<<10-5, "")}, reads: true},
+		"messages":   {requests: [][]byte{append([]byte(`{"jsonrpc":"2.0","id":1,"method":"`), bytes.Repeat([]byte("m"), 96<<20)...)}, reads: true},
+		"keyed":      {requests: [][]byte{declared("/", 1<<20, 1<<20-5, "Idempotency-Key: k\r\n")}, reads: true},
+		"documents":  {requests: [][]byte{declared("/v1/announce", 256<<10, 256<<10-5, "")}, reads: true},
+	}
+}
+
+// runClient connects again after each close, at most ten times, and stays connected
+// until the context ends.
+func runClient(ctx context.Context, address string, p pattern) {
+	ticker := time.NewTicker(200 * time.Millisecond)
+	defer ticker.Stop()
+	for range 10 {
+		if conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address); err == nil {
+			runConnection(ctx, conn, p)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func runConnection(ctx context.Context, conn net.Conn, p pattern) {
+	defer func() { _ = conn.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	ended := make(chan struct{})
+	if p.reads {
+		go func() {
+			defer close(ended)
+			_, _ = io.Copy(io.Discard, conn)
+		}()
+	}
+	for _, r := range p.requests {
+		size := p.piece
+		if size == 0 {
+			size = len(r)
+		}
+		for piece := range slices.Chunk(r, size) {
+			if _, err := conn.Write(piece); err != nil {
+				return
+			}
+			if p.pause > 0 && !pause(ctx, p.pause) {
+				return
+			}
+		}
+	}
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/proofs/proofs_test.go
+++ b/proofs/proofs_test.go
@@ -9,6 +9,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"testing"
@@ -34,12 +35,18 @@
 		t.Run(filepath.Base(folder), func(t *testing.T) {
 			t.Parallel()
 			testscript.Run(t, testscript.Params{
-				Dir: folder, Setup: setup, Cmds: verbs(), RequireExplicitExec: true,
+				Dir: folder, Setup: setup, Cmds: allVerbs(), RequireExplicitExec: true,
 			})
 		})
 	}
 }
 
+func allVerbs() map[string]func(*testscript.TestScript, bool, []string) {
+	all := verbs()
+	maps.Copy(all, hostileVerbs())
+	return all
+}
+
 // addressesPerScenario is the number of free addresses that a scenario gets, in
 // the variables A1, A2 and so on.
 const addressesPerScenario = 40
