proofs: the upstream of the hostile scenarios reports its load

The stand-in sent no load report, which the upstreams of the platform send with each response. Without one, an entry refuses every request of a route whose service time is past its objective, so the ordinary request could not be answered after a crowd that used slow responses, whatever the code did. Bounds and crowds are the same.

--- a/proofs/hostile_test.go
+++ b/proofs/hostile_test.go
@@ -153,8 +153,12 @@
 
 func upstreamHandler(id string) http.HandlerFunc {
 	large := bytes.Repeat([]byte("x"), largeBytes)
+	var busy atomic.Int32
 	return func(w http.ResponseWriter, r *http.Request) {
 		names := platform.HeaderNames()
+		// The load report: busy slots, queued requests, slots, and slowdown in percent.
+		w.Header().Set(names.Load, fmt.Sprintf("%d,0,%d,100", busy.Add(1), upstreamSlots))
+		defer busy.Add(-1)
 		w.Header().Set(names.Upstream, id)
 		w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
 		w.Header().Set(names.Signature, "signed")
