ingress, upstream, gateway: what callers send is within a budget

Callers that pipelined large bodies, or did not read their responses, made an entry exceed its memory; silent ones used up its descriptors. A body now grows in a buffer that reserves before it grows, a long header and a pipelined request reserve, and a response that does not fit is streamed. A request that does not fit is answered with 503 before it runs. Beyond the cap of connections, idle ones are closed first, then those whose request does not arrive. Bodies above 4 KB are no longer copied behind their header. An ordinary request sends no message more than before.

--- a/gateway/conns.go
+++ b/gateway/conns.go
@@ -24,6 +24,7 @@
 			continue
 		}
 		list = slices.Delete(list, i, i+1)
+		t.idleCount--
 		t.idleConns[key] = list
 		if c.Alive(now) {
 			return c
@@ -43,19 +44,28 @@
 		return
 	}
 	u := t.placement.Upstreams[key.ID]
-	if !c.Reusable() || u == nil || placement.KeyOf(u.Info) != key || t.placement.IsLeaving(key) || len(t.idleConns[key]) >= maxIdleConns {
+	if !c.Reusable() || u == nil || placement.KeyOf(u.Info) != key || t.placement.IsLeaving(key) || !t.mayKeepIdle(key) {
 		if c.Reusable() {
 			_ = c.Close()
 		}
 		return
 	}
 	t.idleConns[key] = append(t.idleConns[key], c)
+	t.idleCount++
+}
+
+// mayKeepIdle reports whether one more idle connection to an upstream may be kept. With
+// many upstreams their idle connections would use up the descriptors of the process.
+func (t *task) mayKeepIdle(key placement.Key) bool {
+	limit := t.gateway.options.Limits.IdleUpstreams
+	return len(t.idleConns[key]) < maxIdleConns && (limit == 0 || t.idleCount < limit)
 }
 
 func (t *task) closeIdleConns(key placement.Key) {
 	for _, c := range t.idleConns[key] {
 		_ = c.Close()
 	}
+	t.idleCount -= len(t.idleConns[key])
 	delete(t.idleConns, key)
 }
 
@@ -107,6 +117,7 @@
 	request := upstream.Request{
 		Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, ID: r.ID, Body: r.Body,
 		Rest: r.Rest, Length: r.Length, HasBody: r.HasBody, Upstream: effect.Upstream.ID, Deadline: effect.Deadline,
+		Budget: t.gateway.options.Budget,
 	}
 	go func() {
 		ended := attemptEndedMessage{key: key, request: effect.Request, attempt: effect.Attempt, startedAt: time.Now()}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,6 +34,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
+	"github.com/oriolepost/oriolepost/admission"
+	"github.com/oriolepost/oriolepost/budget"
 	"github.com/oriolepost/oriolepost/control"
 	"github.com/oriolepost/oriolepost/header"
 	"github.com/oriolepost/oriolepost/ingress"
@@ -65,6 +67,9 @@
 	Metrics *metrics.Set
 	// Names holds the deployment's HTTP header names.
 	Names header.Names
+	// Budget limits what is buffered for callers, and Limits the connections.
+	Budget *budget.Budget
+	Limits admission.Limits
 	// Dial replaces TCP for the connections to the control instances; nil means
 	// TCP. Tests use it to cut connections.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
@@ -122,6 +127,7 @@
 	go watch.run()
 	gateway.callers, err = ingress.Listen(ingress.Options{
 		Address: deployment.Caller, Names: options.Names, Metrics: options.Metrics, Table: gateway.table.Load, TableConfirmed: gateway.tableConfirmed,
+		Budget: options.Budget, MaxConns: options.Limits.Conns,
 		Callbacks: ingress.Callbacks{Arrived: gateway.task.requestArrived, Disconnected: gateway.task.callersDisconnected, Refused: gateway.logRefused},
 	})
 	return gateway, err
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -109,8 +109,10 @@
 	cancels map[placement.AttemptID]context.CancelFunc
 	// responses holds the responses to ended attempts while the placement decides
 	// which of them the caller gets.
-	responses  map[placement.AttemptID]upstream.Response
-	idleConns  map[placement.Key][]*upstream.Conn
+	responses map[placement.AttemptID]upstream.Response
+	idleConns map[placement.Key][]*upstream.Conn
+	// idleCount is the number of connections in idleConns.
+	idleCount  int
 	firstTries placement.FirstTries
 }
 
@@ -288,6 +290,7 @@
 	t.recordAttempt(ended)
 	t.step(placement.AttemptEnded{Attempt: ended.attempt, Outcome: ended.outcome, Load: ended.response.Load, Limit: ended.response.Limit})
 	if response, unused := t.responses[ended.attempt]; unused {
+		response.Hold.Release()
 		if response.Rest != nil {
 			_ = response.Rest.Close()
 		}
--- a/ingress/await.go
+++ b/ingress/await.go
@@ -52,6 +52,11 @@
 // begin a request, and so do not start its header timeout.
 func (c *conn) peekRequest() error {
 	for {
+		if c.source.evicted.Load() {
+			// The next read returns that the deadline is exceeded.
+			c.awaitResponses()
+			return errEvicted
+		}
 		if _, err := c.reader.Peek(1); err != nil {
 			return err
 		}
@@ -61,6 +66,10 @@
 	}
 }
 
+// errEvicted ends the wait for a request on a connection that is to be closed in favor
+// of others.
+var errEvicted = errors.New("the connection is closed in favor of others")
+
 // skipEmptyLines discards empty lines that were received before a request.
 func (c *conn) skipEmptyLines() {
 	for c.reader.Buffered() >= 2 {
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -8,7 +8,9 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"time"
 
+	"github.com/oriolepost/oriolepost/budget"
 	"github.com/oriolepost/oriolepost/route"
 )
 
@@ -39,13 +41,16 @@
 		// One more byte shows whether a body that fills the buffer goes on.
 		bufferedLimit++
 	}
-	buffered, err := io.ReadAll(io.LimitReader(body, bufferedLimit))
-	if err != nil {
+	if r.Length > 0 {
+		bufferedLimit = min(bufferedLimit, r.Length)
+	}
+	buffer := budget.Buffer{Limit: int(bufferedLimit), Grow: r.growBody}
+	if err := buffer.Fill(body); err != nil {
 		return err
 	}
-	r.Body = buffered
-	if r.Length > maxBufferedBodyBytes || r.Length < 0 && int64(len(buffered)) == bufferedLimit {
-		r.Rest = &streamedBody{source: body}
+	r.Body = buffer.Bytes
+	if r.Length > maxBufferedBodyBytes || r.Length < 0 && int64(len(r.Body)) == bufferedLimit {
+		r.Rest = &streamedBody{source: body, conn: r.conn}
 	}
 	return nil
 }
@@ -56,11 +61,14 @@
 type streamedBody struct {
 	source io.Reader
 	ended  atomic.Bool
+	conn   *conn
 }
 
 // Read implements io.Reader.
 func (b *streamedBody) Read(p []byte) (int, error) {
+	b.conn.beginReading(time.Now())
 	n, err := b.source.Read(p)
+	b.conn.endReading()
 	if errors.Is(err, io.EOF) {
 		b.ended.Store(true)
 	}
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -28,8 +28,10 @@
 	"net"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
+	"github.com/oriolepost/oriolepost/budget"
 	"github.com/oriolepost/oriolepost/header"
 	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/upstream"
@@ -75,6 +77,8 @@
 	// unreadBytes is true when bytes may still arrive that belong to no request to
 	// be served. They are read and discarded before the connection is closed.
 	unreadBytes bool
+	// hold is what is reserved for the request; nil while it is within the allowance.
+	hold *budget.Hold
 	// written is closed when the writer has finished with the response, at writtenAt.
 	written   chan struct{}
 	writtenAt time.Time
@@ -107,16 +111,30 @@
 	receivedRequest bool
 	// writerDone is closed when the writer ends.
 	writerDone chan struct{}
+	// hold is that of the request that is being read; nil while it is within the
+	// allowance. It belongs to the reader.
+	hold *budget.Hold
+	// readingSince is the time from which a request is arriving, and idleFrom that of
+	// the last response, in Unix nanoseconds; zero for none. serving is the number of
+	// requests that were read and are not answered.
+	readingSince, idleFrom atomic.Int64
+	serving                atomic.Int32
 }
 
-func (s *Server) serve(c net.Conn) {
+func (s *Server) newConn(c net.Conn) *conn {
 	source := &drainableSource{Conn: c}
 	k := &conn{
 		Conn: c, server: s, source: source, reader: bufio.NewReaderSize(source, readBufferBytes),
 		exchanges: make(chan *Exchange, maxPipelined), writerDone: make(chan struct{}),
 	}
-	go k.readRequests()
-	k.writeResponses()
+	k.source.admitHead = k.admitHead
+	k.idleFrom.Store(time.Now().UnixNano())
+	return k
+}
+
+func (c *conn) serve() {
+	go c.readRequests()
+	c.writeResponses()
 }
 
 // readRequests reads requests until the last one, and then waits for the end of the
@@ -165,6 +183,11 @@
 		return
 	}
 	_, err := io.Copy(io.Discard, c.reader)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.source.evicted.Load() {
+		// The requests that were read are still answered.
+		c.awaitResponses()
+		return
+	}
 	if err == nil {
 		err = io.EOF
 	}
@@ -176,6 +199,10 @@
 // the refusal, ends the wait, and a drain does not.
 func (c *conn) awaitRefusal() {
 	for len(c.unanswered()) > 0 {
+		if c.source.evicted.Load() {
+			c.awaitResponses()
+			return
+		}
 		if c.source.setInterruptibleDeadline(time.Time{}) != nil {
 			return
 		}
@@ -207,9 +234,12 @@
 func (c *conn) enqueue(e *Exchange) {
 	c.pending = append(c.unanswered(), e)
 	c.receivedRequest = true
+	c.serving.Add(1)
+	c.endReading()
 	select {
 	case c.exchanges <- e:
 	case <-c.writerDone:
+		go e.discard()
 	}
 }
 
@@ -218,8 +248,11 @@
 // disconnected, its unanswered requests are reported.
 func (c *conn) handleReadError(err error) {
 	var refused *refusedError
+	hold := c.hold
+	c.hold = nil
 	if errors.As(err, &refused) {
 		e := newExchange(refused.request, nil)
+		e.hold = hold
 		e.closeAfter, e.unreadBytes = true, true
 		c.server.options.Callbacks.Refused(e.Request, refused.cause.Status, refused.cause.Reason)
 		e.Response <- plainResponse(refused.cause.Status, refused.cause.Reason)
@@ -227,6 +260,7 @@
 		c.awaitRefusal()
 		return
 	}
+	hold.Release()
 	c.reportDisconnected()
 }
 
@@ -252,11 +286,15 @@
 	}
 	// The configuration may have changed while the connection was idle.
 	limits := c.limits()
-	if err := c.source.setDeadline(time.Now().Add(limits.HeaderTimeout)); err != nil {
+	now := time.Now()
+	c.beginReading(now)
+	if err := c.source.setDeadline(now.Add(limits.HeaderTimeout)); err != nil {
 		return nil, err
 	}
 	names := c.server.options.Names
+	c.source.headBytes = headAllowance
 	head, err := readHead(c.reader, limits.HeaderBytes)
+	c.source.headBytes = 0
 	if err != nil {
 		buffered, _ := c.reader.Peek(c.reader.Buffered())
 		return nil, refusal(identify(append(head.bytes, buffered...), names), err)
@@ -265,9 +303,15 @@
 	if err != nil {
 		return nil, refusal(identify(head.bytes, names), err)
 	}
-	if err := c.readBody(r, limits, bodyTimeout(r, c.server.options.Table(), limits)); err != nil {
+	if err := c.admitRequest(r, len(head.bytes)); err != nil {
 		return nil, refusal(r, err)
 	}
+	if err := c.readBody(r, limits, c.bodyTimeout(r, limits)); err != nil {
+		return nil, refusal(r, err)
+	}
+	if r.Rest == nil {
+		c.hold.Arrived()
+	}
 	if err := c.source.setDeadline(time.Time{}); err != nil {
 		return nil, err
 	}
@@ -283,11 +327,13 @@
 }
 
 // bodyTimeout returns the time for the buffered part of the body: the caller timeout,
-// or that of the route if the caller sends none, but at least the header timeout.
-func bodyTimeout(r *Request, table *route.Table, limits route.Limits) time.Duration {
+// or that of the route if the caller sends none, but at least the header timeout. With
+// a budget, that of the route is the most: a caller could name a day.
+func (c *conn) bodyTimeout(r *Request, limits route.Limits) time.Duration {
 	timeout := r.CallerTimeout
-	if timeout == 0 && table != nil {
-		if matched, ok := table.Match(r.Host, r.Path); ok {
+	table := c.server.options.Table()
+	if limited := c.server.options.Budget != nil; table != nil && (timeout == 0 || limited) {
+		if matched, ok := table.Match(r.Host, r.Path); ok && (timeout == 0 || matched.Timeout > 0 && matched.Timeout < timeout) {
 			timeout = matched.Timeout
 		}
 	}
@@ -313,6 +359,7 @@
 	if err := c.source.setDeadline(time.Now().Add(timeout)); err != nil {
 		return err
 	}
+	r.bodyTimeout = timeout
 	return r.readBody(c.reader, limits)
 }
 
@@ -345,6 +392,7 @@
 // answered.
 func (c *conn) dispatch(request *Request) *Exchange {
 	exchange := newExchange(request, nil)
+	exchange.hold, c.hold = c.hold, nil
 	exchange.closeAfter = c.isLast(request)
 	// The table is looked up only now, so that a request that took long to read
 	// is routed by the newest one.
@@ -377,7 +425,7 @@
 // isLast reports whether no request after this one is read: the caller asked for a
 // close, or the entry drains and no further request has begun to arrive.
 func (c *conn) isLast(request *Request) bool {
-	return request.close || request.http10 || c.server.draining.Load() && c.reader.Buffered() == 0
+	return request.close || request.http10 || c.source.evicted.Load() || c.server.draining.Load() && c.reader.Buffered() == 0
 }
 
 // refuse answers a request that cannot be dispatched.
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -81,6 +81,13 @@
 	close bool
 	// http10 is true for a request in HTTP/1.0.
 	http10 bool
+	// cost is the memory for the header and a small response. It is zero without a
+	// budget.
+	cost int
+	// conn is the connection of the request, and bodyTimeout the time for the buffered
+	// part of the body. conn is nil in tests of the decoding.
+	conn        *conn
+	bodyTimeout time.Duration
 }
 
 // StatusError is the error for a request that can't be accepted. It holds the
--- a/ingress/response.go
+++ b/ingress/response.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httputil"
 	"os"
@@ -40,16 +41,20 @@
 // connection ends.
 func (c *conn) writeResponses() {
 	lingers := false
+	var next *Exchange
 	defer func() {
 		close(c.writerDone)
 		if lingers {
 			c.discardUnread()
 		}
 		_ = c.Close()
+		go c.discardExchanges(next)
 	}()
-	next, more := <-c.exchanges
+	var more bool
+	next, more = <-c.exchanges
 	for more {
 		e := next
+		next = nil
 		response := <-e.Response
 		switch {
 		case e.Request.bodyUnread():
@@ -62,11 +67,15 @@
 		last := e.closeAfter
 		if !last && c.server.draining.Load() {
 			next, more, last = c.pollNext()
-		} else if !last {
-			next = nil
 		}
 		ok := c.writeResponse(e, response, last)
+		if !ok && response.Rest != nil {
+			_ = response.Rest.Close()
+		}
+		response.Hold.Release()
+		e.release()
 		e.writtenAt = time.Now()
+		c.endServing(e.writtenAt)
 		close(e.written)
 		if !ok || last {
 			lingers = ok && e.unreadBytes
@@ -78,6 +87,18 @@
 	}
 }
 
+// discardExchanges discards the exchanges that the writer leaves: the one that it has
+// taken already, if there is one, and those that are queued. Without that, responses to
+// a caller that does not read would keep their reservations and connections.
+func (c *conn) discardExchanges(taken *Exchange) {
+	if taken != nil {
+		taken.discard()
+	}
+	for e := range c.exchanges {
+		e.discard()
+	}
+}
+
 const (
 	// lingerTimeout and maxLingerBytes limit the reading of unread bytes before the
 	// connection is closed.
@@ -147,14 +168,29 @@
 	if response.Rest != nil {
 		return c.stream(&buffer, response, chunked)
 	}
-	if !bodyless {
-		buffer.Write(response.Body)
-	}
-	_, err := c.Write(buffer.Bytes())
+	err := c.writeWhole(&buffer, response.Body, bodyless)
 	c.countStalled(err)
 	return err == nil
 }
 
+// maxCopiedBytes is the size up to which a body is copied behind its header, so that one
+// write sends both. A longer one is not copied.
+const maxCopiedBytes = 4 << 10
+
+// writeWhole writes the header and the body of a response.
+func (c *conn) writeWhole(head *bytes.Buffer, body []byte, bodyless bool) error {
+	if bodyless || len(body) <= maxCopiedBytes {
+		if !bodyless {
+			head.Write(body)
+		}
+		_, err := c.Write(head.Bytes())
+		return err
+	}
+	parts := net.Buffers{head.Bytes(), body}
+	_, err := parts.WriteTo(c.Conn)
+	return err
+}
+
 // countStalled counts a connection that is closed because its caller does not read.
 func (c *conn) countStalled(err error) {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/oriolepost/oriolepost/budget"
 	"github.com/oriolepost/oriolepost/header"
 	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/timer"
@@ -25,6 +26,10 @@
 	// TableConfirmed reports whether that table is known to be the newest.
 	TableConfirmed func() bool
 	Metrics        *metrics.Set
+	// Budget limits what is buffered for callers; nil means no limit.
+	Budget *budget.Budget
+	// MaxConns limits the open connections; zero means no limit.
+	MaxConns int
 }
 
 // Server accepts the callers' connections.
@@ -35,8 +40,8 @@
 	// it.
 	draining atomic.Bool
 	// opened and closed report connections to the task that tracks them.
-	opened chan net.Conn
-	closed chan net.Conn
+	opened chan *conn
+	closed chan *conn
 	drain  chan struct{}
 	// Done is closed when the listener is closed and all connections have ended.
 	Done chan struct{}
@@ -50,7 +55,7 @@
 		}
 	}()
 	s = &Server{
-		options: o, opened: make(chan net.Conn), closed: make(chan net.Conn),
+		options: o, opened: make(chan *conn), closed: make(chan *conn),
 		drain: make(chan struct{}, 1), Done: make(chan struct{}),
 	}
 	if s.listener, err = net.Listen("tcp", o.Address); err != nil {
@@ -73,10 +78,11 @@
 			timer.Pause(context.Background(), acceptRetryDelay)
 			continue
 		}
-		s.opened <- c
+		opened := s.newConn(c)
+		s.opened <- opened
 		go func() {
-			s.serve(c)
-			s.closed <- c
+			opened.serve()
+			s.closed <- opened
 		}()
 	}
 }
@@ -87,7 +93,7 @@
 
 // trackConnections is the task that owns the set of open connections.
 func (s *Server) trackConnections() {
-	conns := map[net.Conn]bool{}
+	conns := map[*conn]bool{}
 	opened := s.opened
 	for opened != nil || len(conns) > 0 {
 		select {
@@ -97,6 +103,7 @@
 				continue
 			}
 			conns[c] = true
+			s.limitConns(conns, c)
 		case c := <-s.closed:
 			delete(conns, c)
 		case <-s.drain:
--- a/ingress/source.go
+++ b/ingress/source.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 )
 
@@ -17,18 +18,51 @@
 	end time.Time
 	// interruptible is true while the reader waits for a request to begin.
 	interruptible bool
+	// evicted is true once the connection is to be closed in favor of others. Then the
+	// read deadline ends every read, also in the middle of a request.
+	evicted atomic.Bool
+	// headBytes is how much more of a header may be read before admitHead is called;
+	// zero outside a header.
+	headBytes int
+	admitHead func() error
 }
 
 // setDeadline sets the deadline for reads that Drain must not interrupt.
 func (s *drainableSource) setDeadline(end time.Time) error {
 	s.end, s.interruptible = end, false
-	return s.SetReadDeadline(end)
+	return s.applyDeadline()
 }
 
 // setInterruptibleDeadline sets the deadline for reads that Drain interrupts.
 func (s *drainableSource) setInterruptibleDeadline(end time.Time) error {
 	s.end, s.interruptible = end, true
-	return s.SetReadDeadline(end)
+	return s.applyDeadline()
+}
+
+// applyDeadline sets the deadline of the current read. After an eviction it is in the
+// past.
+func (s *drainableSource) applyDeadline() error {
+	err := s.SetReadDeadline(s.end)
+	if err == nil && s.evicted.Load() {
+		return s.SetReadDeadline(time.Now())
+	}
+	return err
+}
+
+// countHead asks for the bytes of a header that is longer than the allowance.
+func (s *drainableSource) countHead(n int) error {
+	s.headBytes -= n
+	if s.headBytes > 0 {
+		return nil
+	}
+	s.headBytes = 0
+	return s.admitHead()
+}
+
+// evict interrupts the current read, and every later one.
+func (s *drainableSource) evict() {
+	s.evicted.Store(true)
+	_ = s.SetReadDeadline(time.Now())
 }
 
 // Read implements io.Reader.
@@ -36,7 +70,12 @@
 	for {
 		n, err := s.Conn.Read(p)
 		interrupted := errors.Is(err, os.ErrDeadlineExceeded) && (s.end.IsZero() || time.Now().Before(s.end))
-		if n > 0 || !interrupted || s.interruptible {
+		if n > 0 && s.headBytes > 0 {
+			if headErr := s.countHead(n); headErr != nil {
+				return n, headErr
+			}
+		}
+		if n > 0 || !interrupted || s.interruptible || s.evicted.Load() {
 			return n, err
 		}
 		if err := s.SetReadDeadline(s.end); err != nil {
--- a/terminal/serve.go
+++ b/terminal/serve.go
@@ -12,6 +12,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
+	"github.com/oriolepost/oriolepost/admission"
+	"github.com/oriolepost/oriolepost/budget"
 	"github.com/oriolepost/oriolepost/control"
 	"github.com/oriolepost/oriolepost/gateway"
 	"github.com/oriolepost/oriolepost/hangup"
@@ -49,6 +51,8 @@
 	metrics  *metrics.Set
 	control  *control.Control
 	gateway  *gateway.Gateway
+	limits   admission.Limits
+	budget   *budget.Budget
 	// listeners serve readiness checks, the platform's requests to the leader,
 	// and metrics.
 	listeners []*httplisten.Listener
@@ -90,6 +94,8 @@
 	s.log = telemetry.DeploymentLogger(logWriter, s.settings)
 	instanceCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	s.limits = admission.LimitsOf(s.settings.MemoryMB, s.settings.MaxFDs)
+	s.budget = budget.Start(instanceCtx, s.limits, s.metrics)
 	if err := s.start(instanceCtx); err != nil {
 		return nil, err
 	}
@@ -140,7 +146,7 @@
 	}
 	if deployment.Caller != "" {
 		var err error
-		s.gateway, err = gateway.Start(ctx, deployment, gateway.Options{Log: s.log, Metrics: s.metrics, Names: platform.HeaderNames()})
+		s.gateway, err = gateway.Start(ctx, deployment, gateway.Options{Log: s.log, Metrics: s.metrics, Names: platform.HeaderNames(), Budget: s.budget, Limits: s.limits})
 		if err != nil {
 			return err
 		}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"github.com/oriolepost/oriolepost/budget"
 	"github.com/oriolepost/oriolepost/header"
 	"github.com/oriolepost/oriolepost/placement"
 )
@@ -52,6 +53,8 @@
 	// Upstream is the ID of the upstream that is to run the request.
 	Upstream string
 	Deadline time.Time
+	// Budget limits what is buffered of the response; nil means no limit.
+	Budget *budget.Budget
 }
 
 // Response is an upstream's response.
@@ -68,6 +71,8 @@
 	Load placement.Load
 	// Limit is what the response says about the upstream's limit.
 	Limit placement.RateLimit
+	// Hold is what is reserved for Body. Whoever receives it must release it.
+	Hold *budget.Hold
 }
 
 // Exchange sends a request and waits for its response until the deadline of the
@@ -122,8 +127,7 @@
 		buffer.WriteString("Content-Length: " + strconv.FormatInt(request.Length, 10) + "\r\n")
 	}
 	buffer.WriteString("\r\n")
-	buffer.Write(request.Body)
-	n, err := c.Write(buffer.Bytes())
+	n, err := c.writeParts(&buffer, request.Body, "")
 	if err != nil || request.Rest == nil {
 		return n, err
 	}
@@ -131,16 +135,31 @@
 	return n + int(restBytes), err
 }
 
+// maxCopiedBytes is the size up to which a body is copied behind its header, so that one
+// write sends both. A longer one is not copied: it may be 256 KB for each attempt.
+const maxCopiedBytes = 4 << 10
+
+// writeParts writes a header, a body and what follows it.
+func (c *Conn) writeParts(head *bytes.Buffer, body []byte, end string) (int, error) {
+	if len(body) <= maxCopiedBytes {
+		head.Write(body)
+		head.WriteString(end)
+		return c.Write(head.Bytes())
+	}
+	parts := net.Buffers{head.Bytes(), body, []byte(end)}
+	n, err := parts.WriteTo(c.Conn)
+	return int(n), err
+}
+
 func (c *Conn) writeChunked(buffer *bytes.Buffer, request Request) (int, error) {
 	headerBytes := buffer.Len()
 	if request.Rest == nil {
-		w := httputil.NewChunkedWriter(buffer)
+		end := "0\r\n\r\n"
 		if len(request.Body) > 0 {
-			_, _ = w.Write(request.Body)
+			buffer.WriteString(strconv.FormatInt(int64(len(request.Body)), 16) + "\r\n")
+			end = "\r\n" + end
 		}
-		_ = w.Close()
-		buffer.WriteString("\r\n")
-		return c.Write(buffer.Bytes())
+		return c.writeParts(buffer, request.Body, end)
 	}
 	if _, err := c.Write(buffer.Bytes()); err != nil {
 		return 0, err
@@ -170,7 +189,7 @@
 		if received.StatusCode < 200 {
 			continue
 		}
-		response, err := c.readBody(received, request.Method)
+		response, err := c.readBody(received, request)
 		if err != nil {
 			c.broken = true
 			return Response{}, c.failureOutcome(ctx, err)
@@ -181,8 +200,13 @@
 			belongs = !mayBeLate && (received.StatusCode >= 300 || request.ID == "")
 		}
 		if belongs {
-			return c.classify(names, request.ID, received, response)
+			classified, outcome := c.classify(names, request.ID, received, response)
+			if _, answered := outcome.(placement.Answered); !answered {
+				response.Hold.Release()
+			}
+			return classified, outcome
 		}
+		response.Hold.Release()
 		// This is the response to an earlier request. The next one may belong to
 		// this request, but the connection is not used afterwards.
 		c.broken, mayBeLate = true, true
@@ -239,26 +263,46 @@
 // readBody reads the body of a response if it can be buffered. Of a longer body
 // it reads the beginning or nothing, and leaves the remainder in Rest. A response
 // to HEAD has no body, and its length is that of the body that GET would get.
-func (c *Conn) readBody(received *http.Response, method string) (Response, error) {
+func (c *Conn) readBody(received *http.Response, request Request) (Response, error) {
 	response := Response{Status: received.StatusCode, Header: received.Header, Length: received.ContentLength}
-	if method == http.MethodHead {
+	if request.Method == http.MethodHead {
 		return response, nil
 	}
-	if received.ContentLength > maxBufferedBodyBytes {
+	response.Hold = request.Budget.Hold(nil)
+	limit := maxBufferedBodyBytes + 1
+	switch length := received.ContentLength; {
+	case length > maxBufferedBodyBytes || length > maxCopiedBytes && !response.Hold.Reserve(length, 0, false):
+		// Without a reservation, a shorter body is streamed too.
 		response.Rest = received.Body
 		c.broken = true
 		return response, nil
+	case length >= 0:
+		response.Body = make([]byte, length)
+		_, err := io.ReadFull(received.Body, response.Body)
+		return c.whole(response, err)
 	}
-	var err error
-	response.Body, err = io.ReadAll(io.LimitReader(received.Body, maxBufferedBodyBytes+1))
-	if err != nil {
-		return Response{}, err
-	}
-	if len(response.Body) > maxBufferedBodyBytes {
+	buffer := budget.Buffer{Limit: limit, Grow: func(n int64) error {
+		if !response.Hold.Reserve(n, 0, false) {
+			return budget.ErrUsedUp
+		}
+		return nil
+	}}
+	err := buffer.Fill(received.Body)
+	response.Body = buffer.Bytes
+	if errors.Is(err, budget.ErrUsedUp) || err == nil && len(response.Body) == limit {
 		response.Rest = received.Body
 		c.broken = true
 		return response, nil
 	}
+	return c.whole(response, err)
+}
+
+// whole returns a response whose body is buffered whole, unless that failed.
+func (c *Conn) whole(response Response, err error) (Response, error) {
+	if err != nil {
+		response.Hold.Release()
+		return Response{}, err
+	}
 	response.Length = int64(len(response.Body))
 	return response, nil
 }
