ingress: scripted cases of the budget and of the cap

testdata/admission.txt fails without the admission: a body beyond the budget must be refused with 503 before it runs while a small request beside it is served, a pipelined request must wait without a descriptor, and beyond the cap the longest idle connection and a request that stopped arriving must make room. The fixture starts its server through one function now, with limits of zero for the former cases, whose expected output is unchanged. go test ./ingress ok.

--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -1,6 +1,7 @@
 package ingress_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -17,6 +18,8 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"github.com/oriolepost/oriolepost/admission"
+	"github.com/oriolepost/oriolepost/budget"
 	"github.com/oriolepost/oriolepost/header"
 	"github.com/oriolepost/oriolepost/ingress"
 	"github.com/oriolepost/oriolepost/route"
@@ -59,24 +62,32 @@
 		exchanges: map[string]*ingress.Exchange{}, conns: map[string]net.Conn{},
 	}
 	b.setLimits(route.Limits{HeaderBytes: 1024, BodyBytes: 1 << 20, HeaderTimeout: 300 * time.Millisecond})
+	b.listen(admission.Limits{})
+	ginkgo.DeferCleanup(func() {
+		for _, c := range b.conns {
+			_ = c.Close()
+		}
+		_ = b.server.CloseListener()
+	})
+	return b.run
+})
+
+// listen starts the server, which keeps the limits that are not zero.
+func (b *fixture) listen(limits admission.Limits) {
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	b.address = free.Addr().String()
 	gomega.Expect(free.Close()).To(gomega.Succeed())
+	ctx, cancel := context.WithCancel(context.Background())
+	ginkgo.DeferCleanup(cancel)
 	b.server, err = ingress.Listen(ingress.Options{
 		Address: b.address, Names: header.Names{RequestID: "Request-Id", Deadline: "Deadline"},
 		Table: b.table.Load, TableConfirmed: func() bool { return !b.outdated.Load() }, Metrics: metrics.NewSet(),
 		Callbacks: ingress.Callbacks{Arrived: b.onArrived, Disconnected: b.onDisconnected, Refused: b.onRefused},
+		Budget:    budget.Start(ctx, limits, metrics.NewSet()), MaxConns: limits.Conns,
 	})
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	ginkgo.DeferCleanup(func() {
-		for _, c := range b.conns {
-			_ = c.Close()
-		}
-		_ = b.server.CloseListener()
-	})
-	return b.run
-})
+}
 
 // setLimits makes a configuration with these limits the current one.
 func (b *fixture) setLimits(limits route.Limits) {
@@ -156,6 +167,10 @@
 	case "wait":
 		<-time.After(time.Duration(c.Int("ms", 0)) * time.Millisecond)
 		return b.waitEvents(true)
+	case "admission":
+		gomega.Expect(b.server.CloseListener()).To(gomega.Succeed())
+		b.listen(admission.Limits{Bytes: int64(c.Int("bytes", 0)), Conns: c.Int("conns", 0), Pipelined: c.Int("pipelined", 0)})
+		return ""
 	case "drain":
 		b.server.Drain()
 		return b.waitEvents(true)
