httplisten, platform: the control address limits connections and bodies

Silent connections, endless headers and heartbeats used up the descriptors of a control instance, and 40 configurations of 8 MB its memory.

--- a/budget/read.go
+++ b/budget/read.go
@@ -9,9 +9,9 @@
 var ErrUsedUp = errors.New("too much is being received at present; try again")
 
 // ReadAll reads a body of a caller that is not limited otherwise into a hold. The
-// reader must limit its length.
+// reader must return an error beyond the limit.
 func ReadAll(r io.Reader, hold *Hold, limit int64) ([]byte, error) {
-	buffer := Buffer{Limit: int(limit) + 1, Grow: func(n int64) error {
+	buffer := Buffer{Limit: int(limit), Grow: func(n int64) error {
 		if !hold.Reserve(n, 0, true) {
 			return ErrUsedUp
 		}
@@ -20,6 +20,12 @@
 	if err := buffer.Fill(r); err != nil {
 		return nil, err
 	}
+	if len(buffer.Bytes) == buffer.Limit {
+		// The buffer has no space left that the reader could end in.
+		if _, err := r.Read(make([]byte, 1)); err != nil && !errors.Is(err, io.EOF) {
+			return nil, err
+		}
+	}
 	hold.Arrived()
 	return buffer.Bytes, nil
 }
--- a/httplisten/httplisten.go
+++ b/httplisten/httplisten.go
@@ -21,6 +21,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/oriolepost/oriolepost/connlimit"
 )
 
 const (
@@ -51,11 +53,20 @@
 // Start listens on an address and serves requests in a new goroutine. Errors
 // of connections are counted in m.
 func Start(address string, s *http.Server, m *metrics.Set) (*Listener, error) {
+	return StartLimited(address, s, m, Limits{})
+}
+
+// StartLimited is [Start] with limits on the connections.
+func StartLimited(address string, s *http.Server, m *metrics.Set, limits Limits) (*Listener, error) {
 	s.ErrorLog = log.New(errorCounter{m.GetOrCreateCounter("oriolepost_http_errors_total")}, "", 0)
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
+	if limits.MaxConns > 0 {
+		trackActivity(s)
+		l = connlimit.Listen(l, limits.MaxConns, m, "oriolepost_http_connections_evicted_total")
+	}
 	listener := &Listener{http: s, serveResult: make(chan error, 1)}
 	go func() { listener.serveResult <- s.Serve(l) }()
 	return listener, nil
--- a/terminal/serve.go
+++ b/terminal/serve.go
@@ -138,7 +138,7 @@
 		if s.control, err = control.Start(ctx, deployment, control.Options{Log: s.log, Metrics: s.metrics}); err != nil {
 			return err
 		}
-		l, err := platform.ListenControl(deployment.Control, platform.Calls{Leader: s.control.Call, Metrics: s.metrics})
+		l, err := platform.ListenControl(deployment.Control, platform.Calls{Leader: s.control.Call, Metrics: s.metrics, Limits: httplisten.Limits{MaxConns: s.limits.Conns, Budget: s.budget}})
 		if err != nil {
 			return err
 		}
