peer: messages are limited to 64 MiB and to the budget

A message without an end grew in memory until the process had none left: 1183 MB with 8 clients. A message is limited to 64 MiB, and beyond 64 KB it reserves before more is read; the hold lasts until the request is handled. Connections are capped; the task that accepts pauses after an error instead of trying at once.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -188,8 +188,13 @@
 	return append(effects, Granted{r.Hold})
 }
 
-// fits reports whether a reservation is within the limits. A hold that is alone always
-// fits: with little memory, the largest configuration would otherwise never be taken.
+// aloneFactor is how much a hold may take beyond the budget while nothing else is held:
+// half of the memory with bytesRatio. The largest message between control instances, a
+// snapshot of 25 MiB, needs 75 MB of their 280.
+const aloneFactor = 2.5
+
+// fits reports whether a reservation is within the limits. A hold that is alone may take
+// more: the largest configuration would otherwise never be taken.
 func (b *Budget) fits(r Reserve) bool {
 	if b.Limits.Pipelined > 0 && r.Descriptors > 0 && b.Descriptors+r.Descriptors > b.Limits.Pipelined {
 		return false
@@ -201,7 +206,7 @@
 	if h := b.holds[r.Hold]; h != nil {
 		own = h.bytes
 	}
-	return b.Bytes == own
+	return b.Bytes == own && float64(own+r.Bytes) <= aloneFactor*float64(b.Limits.Bytes)
 }
 
 // slow returns the holds to evict for a reservation: those whose bodies arrive slowest.
--- a/control/control.go
+++ b/control/control.go
@@ -35,6 +35,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
+	"github.com/oriolepost/oriolepost/budget"
 	"github.com/oriolepost/oriolepost/disk"
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/search"
@@ -46,6 +47,9 @@
 type Options struct {
 	Log     log.Interface
 	Metrics *metrics.Set
+	// Budget and MaxConns limit what is received at the peer address.
+	Budget   *budget.Budget
+	MaxConns int
 	// Dial replaces TCP between instances. Tests use it to cut connections.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// CreateFile replaces the opening of the files in the data folder, after that was read.
@@ -116,7 +120,7 @@
 		return nil, errors.Join(err, folder.Close())
 	}
 	listen := PeerAddress(deployment.IP, deployment.PeerPort)
-	c.peers, err = peer.Listen(ctx, listen, peer.Options{Metrics: options.Metrics}, c.task.handle)
+	c.peers, err = peer.Listen(ctx, listen, peer.Options{Metrics: options.Metrics, Budget: options.Budget, MaxConns: options.MaxConns}, c.task.handle)
 	if err != nil {
 		return nil, errors.Join(err, folder.Close())
 	}
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/oriolepost/oriolepost/budget"
 	"github.com/oriolepost/oriolepost/tcp"
 )
 
@@ -41,6 +42,10 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Metrics receives the counters; nil discards them.
 	Metrics *metrics.Set
+	// Budget limits what is buffered of long messages that a server receives; nil means
+	// no limit. MaxConns limits the connections of a server; zero means no limit.
+	Budget   *budget.Budget
+	MaxConns int
 }
 
 func (o Options) metrics() *metrics.Set {
@@ -289,8 +294,9 @@
 		return err
 	}
 	l.timeoutCount = 0
-	stream := jsonrpc2.NewPlainObjectStream(&countedConn{Conn: conn, metrics: l.options.Metrics})
-	l.conn = jsonrpc2.NewConn(ctx, stream, dispatcher{refuse}, jsonrpc2.SetLogger(discardLogger{}))
+	// A response is limited in size, but not by the budget: the instance asked for it.
+	stream := newMessageStream(&countedConn{Conn: conn, metrics: l.options.Metrics}, nil)
+	l.conn = jsonrpc2.NewConn(ctx, stream, dispatcher{handler: refuse}, jsonrpc2.SetLogger(discardLogger{}))
 	return nil
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -6,9 +6,14 @@
 	"errors"
 	"fmt"
 	"net"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/oriolepost/oriolepost/budget"
+	"github.com/oriolepost/oriolepost/connlimit"
+	"github.com/oriolepost/oriolepost/timer"
 )
 
 // Handler handles the requests of other instances. Each request with a response
@@ -22,6 +27,7 @@
 	listener net.Listener
 	handler  Handler
 	metrics  *metrics.Set
+	budget   *budget.Budget
 	done     chan struct{}
 }
 
@@ -36,10 +42,11 @@
 	if err != nil {
 		return nil, err
 	}
+	listener = connlimit.Listen(listener, options.MaxConns, options.metrics(), "oriolepost_peer_connections_evicted_total")
 	if options.TLS != nil {
 		listener = tls.NewListener(listener, options.TLS)
 	}
-	s = &Server{listener: listener, handler: handler, metrics: options.metrics(), done: make(chan struct{})}
+	s = &Server{listener: listener, handler: handler, metrics: options.metrics(), budget: options.Budget, done: make(chan struct{})}
 	accepted := make(chan net.Conn)
 	go s.accept(ctx, accepted)
 	go s.run(ctx, accepted)
@@ -59,6 +66,7 @@
 		}
 		if err != nil {
 			s.metrics.GetOrCreateCounter("oriolepost_peer_accept_errors_total").Inc()
+			timer.Pause(ctx, acceptRetryDelay)
 			continue
 		}
 		select {
@@ -69,6 +77,10 @@
 	}
 }
 
+// acceptRetryDelay is the pause after a failed accept. The usual cause is a lack of file
+// descriptors, which lasts.
+const acceptRetryDelay = 20 * time.Millisecond
+
 // run owns the connections. When the context ends, it closes the listener and
 // all connections.
 func (s *Server) run(ctx context.Context, accepted <-chan net.Conn) {
@@ -102,23 +114,30 @@
 }
 
 func (s *Server) serve(ctx context.Context, c net.Conn) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewPlainObjectStream(&countedConn{Conn: c, metrics: s.metrics})
-	return jsonrpc2.NewConn(ctx, stream, dispatcher{s.handler}, jsonrpc2.SetLogger(discardLogger{}))
+	stream := newMessageStream(&countedConn{Conn: c, metrics: s.metrics}, s.budget)
+	return jsonrpc2.NewConn(ctx, stream, dispatcher{handler: s.handler, stream: stream}, jsonrpc2.SetLogger(discardLogger{}))
 }
 
 // dispatcher decodes requests, passes them to the handler, and sends the
 // responses.
-type dispatcher struct{ handler Handler }
+type dispatcher struct {
+	handler Handler
+	// stream is that of the connection; nil on outgoing ones.
+	stream *messageStream
+}
 
 // Handle implements jsonrpc2.Handler.
 func (d dispatcher) Handle(ctx context.Context, conn *jsonrpc2.Conn, rpcRequest *jsonrpc2.Request) {
+	hold := d.stream.takeHold()
 	if rpcRequest.Notif {
+		defer hold.Release()
 		if request, err := decodeRequest(rpcRequest.Method, params(rpcRequest)); err == nil {
 			_, _ = d.handler(ctx, request)
 		}
 		return
 	}
 	go func() {
+		defer hold.Release()
 		result, err := d.respond(ctx, rpcRequest)
 		if err != nil {
 			_ = conn.ReplyWithError(ctx, rpcRequest.ID, encodeError(err))
--- a/terminal/serve.go
+++ b/terminal/serve.go
@@ -135,7 +135,7 @@
 	deployment := s.settings
 	if deployment.Control != "" {
 		var err error
-		if s.control, err = control.Start(ctx, deployment, control.Options{Log: s.log, Metrics: s.metrics}); err != nil {
+		if s.control, err = control.Start(ctx, deployment, control.Options{Log: s.log, Metrics: s.metrics, Budget: s.budget, MaxConns: s.limits.Conns}); err != nil {
 			return err
 		}
 		l, err := platform.ListenControl(deployment.Control, platform.Calls{Leader: s.control.Call, Metrics: s.metrics, Limits: httplisten.Limits{MaxConns: s.limits.Conns, Budget: s.budget}})
