node, caller, operator, platformhttp: limits on our own interface

oriolepost node had no limit of memory, descriptors or bodies: 300 keyed bodies took 361 MB, silent connections 620 descriptors, 8 endless messages 1088 MB. With limits.memory_mb and limits.max_fds in its settings it derives the same budget and caps as the platform's programs, and the soft memory limit of the runtime. A call whose body does not fit is answered with 503, not_run, reason buffer_full. Readiness checks and metrics of the platform's programs have a cap as well.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -41,6 +41,9 @@
 	callerRatio    = 0.35
 	pipelinedRatio = 0.15
 	idleRatio      = 0.15
+	// adminRatio is the share for each address of a node that is not for callers: for
+	// operators, announcements and other instances. A node has no pipelined requests.
+	adminRatio = 0.1
 )
 
 // Limits are the limits of one process. A limit of 0 is not enforced.
@@ -49,6 +52,9 @@
 	Bytes int64
 	// Conns limits the connections to one listener.
 	Conns int
+	// AdminConns limits the connections to each other listener: those of a node that are
+	// not for callers, and those for readiness checks and metrics.
+	AdminConns int
 	// Pipelined limits the descriptors for pipelined requests.
 	Pipelined int
 	// IdleUpstreams limits the idle connections to upstreams.
@@ -63,18 +69,25 @@
 		memory := float64(memoryMB << 20)
 		l.Bytes = int64(bytesRatio * memory)
 		l.Conns = int(connsRatio * memory / connBytes)
+		l.AdminConns = l.Conns
 	}
 	if maxFDs > 0 {
 		free := float64(max(0, maxFDs-min(fileDescriptors, maxFDs/4)-controlDescriptors))
-		conns := max(1, int(callerRatio*free))
-		if l.Conns == 0 || conns < l.Conns {
-			l.Conns = conns
-		}
+		l.Conns = lower(l.Conns, int(callerRatio*free))
+		l.AdminConns = lower(l.AdminConns, int(adminRatio*free))
 		l.Pipelined, l.IdleUpstreams = max(1, int(pipelinedRatio*free)), max(1, int(idleRatio*free))
 	}
 	return l
 }
 
+// lower returns the lower of two limits, of which the first may be zero for none.
+func lower(a, b int) int {
+	if b = max(1, b); a == 0 || b < a {
+		return b
+	}
+	return a
+}
+
 // HoldID identifies a hold: what is reserved for one request, response or message.
 type HoldID uint64
 
--- a/budget/budget.go
+++ b/budget/budget.go
@@ -134,7 +134,7 @@
 		return true
 	}
 	m := reserveMessage{
-		event: admission.Reserve{Hold: h.id, Bytes: bytes, Descriptors: descriptors, Arriving: arriving}, evict: h.evict, granted: make(chan bool, 1),
+		event: admission.Reserve{Hold: h.id, Bytes: bytes, Descriptors: descriptors, Arriving: arriving && h.evict != nil}, evict: h.evict, granted: make(chan bool, 1),
 	}
 	if !h.budget.post(m) {
 		return true
--- a/call/call.go
+++ b/call/call.go
@@ -116,6 +116,9 @@
 	ReasonMalformed Reason = "malformed"
 	// ReasonTooLarge means that the request body exceeds the service's limit.
 	ReasonTooLarge Reason = "too_large"
+	// ReasonBufferFull means that the instance buffers as much as its limits allow, so
+	// that it did not take in the request body.
+	ReasonBufferFull Reason = "buffer_full"
 )
 
 // Outcome is the result of an attempt or of a whole call.
--- a/caller/body.go
+++ b/caller/body.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/oriolepost/oriolepost/budget"
 )
 
 // maxReplayBodyBytes is the size up to which a request body is buffered in memory,
@@ -54,7 +56,7 @@
 
 // readBody returns the body of a request. It is buffered when it is small, or when
 // the call has a key, since a claim needs a fingerprint of the whole request.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, idleTimeout time.Duration, keyed bool) (*body, error) {
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, idleTimeout time.Duration, keyed bool, hold *budget.Hold) (*body, error) {
 	stream := &idleTimeoutReader{
 		reader:     http.MaxBytesReader(w, r.Body, limit),
 		controller: http.NewResponseController(w), idleTimeout: idleTimeout,
@@ -67,7 +69,11 @@
 	if !small && !keyed {
 		return requestBody, nil
 	}
-	content, err := io.ReadAll(stream)
+	bufferLimit := limit
+	if r.ContentLength >= 0 {
+		bufferLimit = r.ContentLength
+	}
+	content, err := budget.ReadAll(stream, hold, bufferLimit)
 	if err != nil {
 		return nil, err
 	}
--- a/caller/problem.go
+++ b/caller/problem.go
@@ -54,7 +54,7 @@
 		return http.StatusBadGateway
 	case call.ReasonNoSlot, call.ReasonQueueFull, call.ReasonNoLease, call.ReasonStopping,
 		call.ReasonConnectFailed, call.ReasonShed, call.ReasonCanceled, call.ReasonDeadline,
-		call.ReasonNoQuorum, call.ReasonLedgerFull:
+		call.ReasonNoQuorum, call.ReasonLedgerFull, call.ReasonBufferFull:
 	}
 	if _, unknown := o.(call.Unknown); unknown {
 		return http.StatusGatewayTimeout
@@ -66,7 +66,7 @@
 // only add to the load.
 func overloaded(r call.Reason) bool {
 	switch r {
-	case call.ReasonNoSlot, call.ReasonQueueFull, call.ReasonShed, call.ReasonLedgerFull:
+	case call.ReasonNoSlot, call.ReasonQueueFull, call.ReasonShed, call.ReasonLedgerFull, call.ReasonBufferFull:
 		return true
 	case call.ReasonNoService, call.ReasonMalformed, call.ReasonTooLarge, call.ReasonTooDeep,
 		call.ReasonKeyMismatch, call.ReasonKeyInDoubt, call.ReasonResultNotKept, call.ReasonConnectionLost,
--- a/caller/response.go
+++ b/caller/response.go
@@ -96,6 +96,10 @@
 // nothing of the response and its connection stays open for a [Problem].
 func (x *exchange) copyCaptured(response *http.Response) error {
 	captured := x.capture
+	if !x.hold.Reserve(captured.limit, 0, false) {
+		// Without a reservation the response is streamed, and its result not kept.
+		captured.limit = 0
+	}
 	prefix, err := io.ReadAll(io.LimitReader(response.Body, captured.limit+1))
 	if err != nil {
 		return fmt.Errorf("read response: %w", err)
--- a/caller/serve.go
+++ b/caller/serve.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/oriolepost/oriolepost/budget"
 	"github.com/oriolepost/oriolepost/call"
 	"github.com/oriolepost/oriolepost/server"
 	"github.com/oriolepost/oriolepost/service"
@@ -42,6 +43,8 @@
 	responseStarted bool
 	// capture stores the response to a keyed call; nil for other calls.
 	capture *capture
+	// hold is what is reserved for the buffered body and the captured response.
+	hold *budget.Hold
 }
 
 // serve handles one call from its header to its end.
@@ -55,7 +58,11 @@
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{server: s, writer: w, request: r, span: span}
+	controller := http.NewResponseController(w)
+	x := &exchange{server: s, writer: w, request: r, span: span, hold: s.options.Limits.Budget.Hold(func() {
+		_ = controller.SetReadDeadline(time.Unix(1, 0))
+	})}
+	defer x.hold.Release()
 	outcome := x.run(ctx, start)
 	s.count(fmt.Sprintf(`oriolepost_calls_total{service=%q,outcome=%q,reason=%q}`,
 		x.document.Name, call.OutcomeName(outcome), call.OutcomeReason(outcome)))
@@ -189,11 +196,14 @@
 func (x *exchange) readBody() call.Outcome {
 	h := x.server.options.HTTP
 	limit := x.document.Limits.MaxBodyBytes
-	b, err := readBody(x.writer, x.request, limit, settings.Milliseconds(h.BodyIdleMS), x.call.Keyed)
+	b, err := readBody(x.writer, x.request, limit, settings.Milliseconds(h.BodyIdleMS), x.call.Keyed, x.hold)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return call.NotRun{Reason: call.ReasonTooLarge}
 	}
+	if errors.Is(err, budget.ErrUsedUp) {
+		return call.NotRun{Reason: call.ReasonBufferFull}
+	}
 	if err != nil {
 		return call.NotRun{Reason: call.ReasonMalformed}
 	}
--- a/caller/server.go
+++ b/caller/server.go
@@ -32,6 +32,8 @@
 	HTTP    settings.HTTP
 	Metrics *metrics.Set
 	Tracer  trace.Tracer
+	// Limits limit the connections and what is buffered of bodies.
+	Limits httplisten.Limits
 }
 
 // Server accepts and serves the calls of callers.
@@ -71,7 +73,7 @@
 	go trackNewConnections(s.connStates, stopping, s.done)
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", s.serve)
-	s.listener, err = httplisten.Start(options.Address, &http.Server{
+	s.listener, err = httplisten.StartLimited(options.Address, &http.Server{
 		Handler:           mux,
 		MaxHeaderBytes:    options.HTTP.MaxHeaderBytes,
 		ReadHeaderTimeout: settings.Milliseconds(options.HTTP.HeaderMS),
@@ -82,7 +84,7 @@
 			case <-s.done:
 			}
 		},
-	}, options.Metrics)
+	}, options.Metrics, options.Limits)
 	return s, err
 }
 
--- a/httplisten/limits.go
+++ b/httplisten/limits.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/oriolepost/oriolepost/admission"
@@ -100,8 +101,11 @@
 
 // BodyStatus returns the status for an error of [ReadBody]: the request was not run.
 func BodyStatus(err error) int {
-	if errors.Is(err, budget.ErrUsedUp) {
+	switch {
+	case errors.Is(err, budget.ErrUsedUp):
 		return http.StatusServiceUnavailable
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout
 	}
 	return http.StatusRequestEntityTooLarge
 }
--- a/node/node.go
+++ b/node/node.go
@@ -33,10 +33,13 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/oriolepost/oriolepost/admission"
+	"github.com/oriolepost/oriolepost/budget"
 	"github.com/oriolepost/oriolepost/caller"
 	"github.com/oriolepost/oriolepost/choice"
 	"github.com/oriolepost/oriolepost/disk"
 	"github.com/oriolepost/oriolepost/entry"
+	"github.com/oriolepost/oriolepost/httplisten"
 	"github.com/oriolepost/oriolepost/membership"
 	"github.com/oriolepost/oriolepost/operator"
 	"github.com/oriolepost/oriolepost/peer"
@@ -63,17 +66,21 @@
 	Settings settings.Settings
 	Metrics  *metrics.Set
 
-	log        log.Interface
-	cancel     context.CancelFunc
-	entry      *entryTask
-	voter      *voterTask
-	folder     *disk.Folder
-	caller     *caller.Server
-	platform   *platformhttp.Server
-	operator   *operator.Server
-	peers      *peer.Server
-	tracer     trace.Tracer
-	stopTracer func(context.Context) error
+	log      log.Interface
+	cancel   context.CancelFunc
+	entry    *entryTask
+	voter    *voterTask
+	folder   *disk.Folder
+	caller   *caller.Server
+	platform *platformhttp.Server
+	operator *operator.Server
+	peers    *peer.Server
+	// callerLimits limit what callers take, and adminLimits what arrives at each other
+	// address.
+	callerLimits httplisten.Limits
+	adminLimits  httplisten.Limits
+	tracer       trace.Tracer
+	stopTracer   func(context.Context) error
 	// ready carries the readiness from the entry task to the HTTP server for the
 	// platform.
 	ready chan bool
@@ -110,7 +117,11 @@
 	if n.tracer, n.stopTracer, err = telemetry.Tracer(instanceSettings); err != nil {
 		return nil, err
 	}
-	peerOptions := peer.Options{Dial: options.Dial, Metrics: n.Metrics}
+	limits := admission.LimitsOf(instanceSettings.Limits.MemoryMB, instanceSettings.Limits.MaxFDs)
+	reservations := budget.Start(ctx, limits, n.Metrics)
+	n.callerLimits = httplisten.Limits{MaxConns: limits.Conns, Budget: reservations}
+	n.adminLimits = httplisten.Limits{MaxConns: limits.AdminConns, Budget: reservations}
+	peerOptions := peer.Options{Dial: options.Dial, Metrics: n.Metrics, Budget: reservations, MaxConns: limits.AdminConns}
 	if instanceSettings.PeerTLS != nil {
 		if peerOptions.TLS, err = peer.TLSConfig(*instanceSettings.PeerTLS); err != nil {
 			return nil, err
@@ -184,21 +195,21 @@
 func (n *Node) listen(ctx context.Context, leader *peer.LeaderClient) (err error) {
 	instanceSettings := n.Settings
 	n.platform, err = platformhttp.Listen(platformhttp.Options{
-		Address: instanceSettings.Listen.Platform, Announce: n.announce, Metrics: n.Metrics,
+		Address: instanceSettings.Listen.Platform, Announce: n.announce, Metrics: n.Metrics, Limits: n.adminLimits,
 	})
 	if err != nil {
 		return err
 	}
 	go n.forwardReadiness(ctx)
 	n.operator, err = operator.Listen(operator.Options{
-		Address: instanceSettings.Listen.Operator, Tokens: instanceSettings.OperatorTokens, Leader: leader, Metrics: n.Metrics,
+		Address: instanceSettings.Listen.Operator, Tokens: instanceSettings.OperatorTokens, Leader: leader, Metrics: n.Metrics, Limits: n.adminLimits,
 	})
 	if err != nil {
 		return err
 	}
 	n.caller, err = caller.Listen(caller.Options{
 		Instance: instanceSettings.Instance, Domain: instanceSettings.Domain, BootID: n.entry.core.Config.BootID, Address: instanceSettings.Listen.Caller,
-		Mailbox: n.entry.callerMailbox, HTTP: instanceSettings.HTTP, Metrics: n.Metrics, Tracer: n.tracer,
+		Mailbox: n.entry.callerMailbox, HTTP: instanceSettings.HTTP, Metrics: n.Metrics, Tracer: n.tracer, Limits: n.callerLimits,
 		Propose: func(ctx context.Context, c record.Command) (record.Result, error) {
 			return propose(ctx, leader, c)
 		},
--- a/operator/server.go
+++ b/operator/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/oriolepost/oriolepost/budget"
 	"github.com/oriolepost/oriolepost/httplisten"
 	"github.com/oriolepost/oriolepost/jsonform"
 	"github.com/oriolepost/oriolepost/peer"
@@ -39,6 +40,8 @@
 	// Leader sends requests to the leader of the replicated log.
 	Leader  *peer.LeaderClient
 	Metrics *metrics.Set
+	// Limits limit the connections and what is buffered of documents.
+	Limits httplisten.Limits
 }
 
 // Server serves the administration API.
@@ -62,7 +65,7 @@
 	mux.HandleFunc("PUT /v1/services/{name}", s.handle(s.putDocument))
 	mux.HandleFunc("POST /v1/domains/{name}/{order}", s.handle(s.orderDomain))
 	mux.HandleFunc("POST /v1/servers/{name}/{order}", s.handle(s.orderServer))
-	s.listener, err = httplisten.Start(options.Address, &http.Server{Handler: mux, ReadHeaderTimeout: httplisten.HeaderTimeout, ReadTimeout: 2 * httplisten.HeaderTimeout, IdleTimeout: httplisten.IdleTimeout}, options.Metrics)
+	s.listener, err = httplisten.StartLimited(options.Address, &http.Server{Handler: mux, MaxHeaderBytes: httplisten.MaxHeaderBytes, ReadHeaderTimeout: httplisten.HeaderTimeout, ReadTimeout: 2 * httplisten.HeaderTimeout, IdleTimeout: httplisten.IdleTimeout}, options.Metrics, options.Limits)
 	return s, err
 }
 
@@ -157,7 +160,9 @@
 }
 
 func (s *Server) putDocument(r *http.Request, granted permission) (any, error) {
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxDocumentBytes+1))
+	hold := s.options.Limits.Budget.Hold(nil)
+	defer hold.Release()
+	data, err := budget.ReadAll(io.LimitReader(r.Body, maxDocumentBytes+1), hold, maxDocumentBytes+1)
 	if err != nil {
 		return nil, err
 	}
--- a/platformhttp/platformhttp.go
+++ b/platformhttp/platformhttp.go
@@ -41,6 +41,8 @@
 	// the instance is not ready or too busy to accept it.
 	Announce func(ctx context.Context, a membership.Announcement) bool
 	Metrics  *metrics.Set
+	// Limits limit the connections and what is buffered of announcements.
+	Limits httplisten.Limits
 }
 
 // Server serves the platform's requests.
@@ -64,7 +66,7 @@
 	mux.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { writeText(w, http.StatusOK, "live\n") })
 	mux.HandleFunc("GET /metrics", s.serveMetrics)
 	mux.HandleFunc("POST /v1/announce", s.serveAnnounce)
-	s.listener, err = httplisten.Start(o.Address, &http.Server{Handler: mux, ReadHeaderTimeout: httplisten.HeaderTimeout, ReadTimeout: httplisten.HeaderTimeout, IdleTimeout: httplisten.IdleTimeout}, o.Metrics)
+	s.listener, err = httplisten.StartLimited(o.Address, &http.Server{Handler: mux, MaxHeaderBytes: httplisten.MaxHeaderBytes, ReadHeaderTimeout: httplisten.HeaderTimeout, ReadTimeout: httplisten.HeaderTimeout, IdleTimeout: httplisten.IdleTimeout}, o.Metrics, o.Limits)
 	return s, err
 }
 
@@ -101,11 +103,12 @@
 }
 
 func (s *Server) serveAnnounce(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
+	data, hold, err := httplisten.ReadBody(w, r, maxAnnouncementBytes, s.options.Limits.Budget)
 	if err != nil {
-		writeError(w, http.StatusRequestEntityTooLarge, err)
+		writeError(w, httplisten.BodyStatus(err), err)
 		return
 	}
+	defer hold.Release()
 	var a membership.Announcement
 	if err := jsonform.DecodeStrict("announcement", data, &a); err != nil {
 		writeError(w, http.StatusBadRequest, err)
--- a/terminal/node.go
+++ b/terminal/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"runtime/debug"
 	"time"
 
 	"github.com/oriolepost/oriolepost/node"
@@ -53,6 +54,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if instance.Limits.MemoryMB > 0 {
+		debug.SetGCPercent(gcPercent)
+	}
+	limitMemory(instance.Limits.MemoryMB)
 	running, err := node.Start(instance, node.Options{Log: telemetry.Logger(t.Err, instance)})
 	if err != nil {
 		return nil, err
--- a/terminal/serve.go
+++ b/terminal/serve.go
@@ -86,9 +86,7 @@
 		return nil, err
 	}
 	debug.SetGCPercent(gcPercent)
-	if s.settings.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.settings.MemoryMB<<20)))
-	}
+	limitMemory(s.settings.MemoryMB)
 	logWriter := telemetry.NewLogWriter(t.Out, s.metrics)
 	defer closeLogWriter(logWriter)
 	s.log = telemetry.DeploymentLogger(logWriter, s.settings)
@@ -105,6 +103,13 @@
 	return nil, err
 }
 
+// limitMemory sets the soft memory limit of the runtime; zero leaves it as it is.
+func limitMemory(memoryMB int) {
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(memoryMB<<20)))
+	}
+}
+
 const (
 	// settingsAttempts and settingsRetryInterval bound the reading of the settings at
 	// the start: the platform may be writing the file.
@@ -150,7 +155,7 @@
 		if err != nil {
 			return err
 		}
-		l, err := platform.ListenReadiness(deployment.Balancer, s.gateway.Ready, s.metrics)
+		l, err := platform.ListenReadiness(deployment.Balancer, s.gateway.Ready, s.metrics, httplisten.Limits{MaxConns: s.limits.AdminConns})
 		if err != nil {
 			return err
 		}
@@ -169,9 +174,9 @@
 		s.metrics.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
-	l, err := httplisten.Start(control.PeerAddress(s.settings.IP, metricsPort), &http.Server{
-		Handler: mux, ReadHeaderTimeout: httplisten.HeaderTimeout, IdleTimeout: httplisten.IdleTimeout,
-	}, s.metrics)
+	l, err := httplisten.StartLimited(control.PeerAddress(s.settings.IP, metricsPort), &http.Server{
+		Handler: mux, ReadHeaderTimeout: httplisten.HeaderTimeout, IdleTimeout: httplisten.IdleTimeout, MaxHeaderBytes: httplisten.MaxHeaderBytes,
+	}, s.metrics, httplisten.Limits{MaxConns: s.limits.AdminConns})
 	if err != nil {
 		return err
 	}
