--- a/admission/admission.go
+++ b/admission/admission.go
@@ -156,7 +156,9 @@
 	// Bytes and Descriptors are reserved at present.
 	Bytes       int64
 	Descriptors int
-	holds       map[HoldID]*hold
+	// UsedUp is true from a refusal for lack of bytes until half of the budget is free.
+	UsedUp bool
+	holds  map[HoldID]*hold
 }
 
 // NewBudget returns a budget without reservations.
@@ -186,6 +188,7 @@
 		}
 	}
 	if !b.fits(r) {
+		b.UsedUp = b.UsedUp || b.Limits.Bytes > 0 && b.Bytes+r.Bytes > b.Limits.Bytes
 		return append(effects, Refused{r.Hold})
 	}
 	h := b.holds[r.Hold]
@@ -268,4 +271,5 @@
 	b.Bytes -= h.bytes
 	b.Descriptors -= h.descriptors
 	delete(b.holds, id)
+	b.UsedUp = b.UsedUp && b.Bytes > b.Limits.Bytes/2
 }
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -57,7 +57,11 @@
 	for _, effect := range r.budget.Step(r.now, e) {
 		lines = append(lines, strings.TrimPrefix(fmt.Sprintf("%T %+v", effect, effect), "admission."))
 	}
-	return strings.Join(append(lines, fmt.Sprintf("bytes=%d fds=%d", r.budget.Bytes, r.budget.Descriptors)), "\n")
+	state := fmt.Sprintf("bytes=%d fds=%d", r.budget.Bytes, r.budget.Descriptors)
+	if r.budget.UsedUp {
+		state += " used up"
+	}
+	return strings.Join(append(lines, state), "\n")
 }
 
 // crowd makes a reservation for a number of holds with consecutive IDs, and returns the
--- a/budget/budget.go
+++ b/budget/budget.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	b := budget.Start(ctx, admission.LimitsOf(memoryMB, maxFDs), set)
+//	b := budget.Start(ctx, admission.LimitsOf(memoryMB, maxFDs), set, logger)
 //	hold := b.Hold(evict)
 //	if !hold.Reserve(64<<10, 0, true) { refuse() }
 //	defer hold.Release()
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
 
 	"github.com/oriolepost/oriolepost/admission"
 )
@@ -32,6 +33,7 @@
 	mailbox chan message
 	nextID  atomic.Uint64
 	metrics *metrics.Set
+	log     log.Interface
 	// bytes is what is reserved at present, for the metrics.
 	bytes atomic.Int64
 }
@@ -65,11 +67,11 @@
 func (endMessage) message()     {}
 
 // Start starts the task. It returns nil if the limits limit nothing that is reserved.
-func Start(ctx context.Context, limits admission.Limits, m *metrics.Set) *Budget {
+func Start(ctx context.Context, limits admission.Limits, m *metrics.Set, logger log.Interface) *Budget {
 	if limits.Bytes == 0 && limits.Pipelined == 0 {
 		return nil
 	}
-	b := &Budget{ctx: ctx, limits: limits, mailbox: make(chan message, mailboxSize), metrics: m}
+	b := &Budget{ctx: ctx, limits: limits, mailbox: make(chan message, mailboxSize), metrics: m, log: logger}
 	m.NewGauge("oriolepost_admission_reserved_bytes", func() float64 { return float64(b.bytes.Load()) })
 	m.NewGauge("oriolepost_admission_limit_bytes", func() float64 { return float64(limits.Bytes) })
 	go b.run()
@@ -80,6 +82,7 @@
 	state := admission.NewBudget(b.limits)
 	// evictions holds the functions that close the connections of the holds.
 	evictions := map[admission.HoldID]func(){}
+	usedUp := false
 	for {
 		select {
 		case <-b.ctx.Done():
@@ -97,10 +100,24 @@
 				}
 			}
 			b.bytes.Store(state.Bytes)
+			if state.UsedUp != usedUp {
+				usedUp = state.UsedUp
+				b.logUsedUp(state)
+			}
 		}
 	}
 }
 
+// logUsedUp logs that the budget is used up, or that half of it is free again.
+func (b *Budget) logUsedUp(state *admission.Budget) {
+	entry := b.log.WithFields(log.Fields{"change": "admission", "used_up": state.UsedUp, "reserved_bytes": state.Bytes, "limit_bytes": state.Limits.Bytes})
+	if state.UsedUp {
+		entry.Warn("the budget for what clients send is used up; large requests are refused")
+		return
+	}
+	entry.Info("half of the budget for what clients send is free again")
+}
+
 func (b *Budget) perform(effect admission.Effect, m reserveMessage, evictions map[admission.HoldID]func()) {
 	switch e := effect.(type) {
 	case admission.Granted:
--- a/httplisten/httplisten.go
+++ b/httplisten/httplisten.go
@@ -64,6 +64,9 @@
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
 	if limits.MaxConns > 0 {
+		if s.MaxHeaderBytes == 0 {
+			s.MaxHeaderBytes = maxHeaderBytes
+		}
 		trackActivity(s)
 		l = connlimit.Listen(l, limits.MaxConns, m, "oriolepost_http_connections_evicted_total")
 	}
--- a/httplisten/limits.go
+++ b/httplisten/limits.go
@@ -14,9 +14,9 @@
 	"github.com/oriolepost/oriolepost/connlimit"
 )
 
-// MaxHeaderBytes is the limit for the header of a request of an operator, an upstream or
-// a balancer.
-const MaxHeaderBytes = 16 << 10
+// maxHeaderBytes is the limit for the header of a request, unless the server sets one,
+// where connections are limited.
+const maxHeaderBytes = 16 << 10
 
 // Limits are the limits of a server. Those that are zero are not enforced.
 type Limits struct {
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
@@ -84,7 +86,7 @@
 		Address: b.address, Names: header.Names{RequestID: "Request-Id", Deadline: "Deadline"},
 		Table: b.table.Load, TableConfirmed: func() bool { return !b.outdated.Load() }, Metrics: metrics.NewSet(),
 		Callbacks: ingress.Callbacks{Arrived: b.onArrived, Disconnected: b.onDisconnected, Refused: b.onRefused},
-		Budget:    budget.Start(ctx, limits, metrics.NewSet()), MaxConns: limits.Conns,
+		Budget:    budget.Start(ctx, limits, metrics.NewSet(), &log.Logger{Handler: discard.New()}), MaxConns: limits.Conns,
 	})
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 }
--- a/node/node.go
+++ b/node/node.go
@@ -118,7 +118,7 @@
 		return nil, err
 	}
 	limits := admission.LimitsOf(instanceSettings.Limits.MemoryMB, instanceSettings.Limits.MaxFDs)
-	reservations := budget.Start(ctx, limits, n.Metrics)
+	reservations := budget.Start(ctx, limits, n.Metrics, n.log)
 	n.callerLimits = httplisten.Limits{MaxConns: limits.Conns, Budget: reservations}
 	n.adminLimits = httplisten.Limits{MaxConns: limits.AdminConns, Budget: reservations}
 	peerOptions := peer.Options{Dial: options.Dial, Metrics: n.Metrics, Budget: reservations, MaxConns: limits.AdminConns}
--- a/operator/server.go
+++ b/operator/server.go
@@ -65,7 +65,7 @@
 	mux.HandleFunc("PUT /v1/services/{name}", s.handle(s.putDocument))
 	mux.HandleFunc("POST /v1/domains/{name}/{order}", s.handle(s.orderDomain))
 	mux.HandleFunc("POST /v1/servers/{name}/{order}", s.handle(s.orderServer))
-	s.listener, err = httplisten.StartLimited(options.Address, &http.Server{Handler: mux, MaxHeaderBytes: httplisten.MaxHeaderBytes, ReadHeaderTimeout: httplisten.HeaderTimeout, ReadTimeout: 2 * httplisten.HeaderTimeout, IdleTimeout: httplisten.IdleTimeout}, options.Metrics, options.Limits)
+	s.listener, err = httplisten.StartLimited(options.Address, &http.Server{Handler: mux, ReadHeaderTimeout: httplisten.HeaderTimeout, ReadTimeout: 2 * httplisten.HeaderTimeout, IdleTimeout: httplisten.IdleTimeout}, options.Metrics, options.Limits)
 	return s, err
 }
 
--- a/platformhttp/platformhttp.go
+++ b/platformhttp/platformhttp.go
@@ -66,7 +66,7 @@
 	mux.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { writeText(w, http.StatusOK, "live\n") })
 	mux.HandleFunc("GET /metrics", s.serveMetrics)
 	mux.HandleFunc("POST /v1/announce", s.serveAnnounce)
-	s.listener, err = httplisten.StartLimited(o.Address, &http.Server{Handler: mux, MaxHeaderBytes: httplisten.MaxHeaderBytes, ReadHeaderTimeout: httplisten.HeaderTimeout, ReadTimeout: httplisten.HeaderTimeout, IdleTimeout: httplisten.IdleTimeout}, o.Metrics, o.Limits)
+	s.listener, err = httplisten.StartLimited(o.Address, &http.Server{Handler: mux, ReadHeaderTimeout: httplisten.HeaderTimeout, ReadTimeout: httplisten.HeaderTimeout, IdleTimeout: httplisten.IdleTimeout}, o.Metrics, o.Limits)
 	return s, err
 }
 
--- a/terminal/serve.go
+++ b/terminal/serve.go
@@ -93,7 +93,7 @@
 	instanceCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s.limits = admission.LimitsOf(s.settings.MemoryMB, s.settings.MaxFDs)
-	s.budget = budget.Start(instanceCtx, s.limits, s.metrics)
+	s.budget = budget.Start(instanceCtx, s.limits, s.metrics, s.log)
 	if err := s.start(instanceCtx); err != nil {
 		return nil, err
 	}
@@ -175,7 +175,7 @@
 		metrics.WriteProcessMetrics(w)
 	})
 	l, err := httplisten.StartLimited(control.PeerAddress(s.settings.IP, metricsPort), &http.Server{
-		Handler: mux, ReadHeaderTimeout: httplisten.HeaderTimeout, IdleTimeout: httplisten.IdleTimeout, MaxHeaderBytes: httplisten.MaxHeaderBytes,
+		Handler: mux, ReadHeaderTimeout: httplisten.HeaderTimeout, IdleTimeout: httplisten.IdleTimeout,
 	}, s.metrics, httplisten.Limits{MaxConns: s.limits.AdminConns})
 	if err != nil {
 		return err
