--- a/gateway/task.go
+++ b/gateway/task.go
@@ -125,8 +125,10 @@
 	cancels map[placement.AttemptID]context.CancelFunc
 	// responses holds the responses to ended attempts while the placement decides
 	// which of them the caller gets.
-	responses  map[placement.AttemptID]upstream.Response
-	idleConns  map[placement.Key][]*upstream.Conn
+	responses map[placement.AttemptID]upstream.Response
+	idleConns map[placement.Key][]*upstream.Conn
+	// idleCount is the number of connections in idleConns.
+	idleCount  int
 	firstTries placement.FirstTries
 	// configured is true once requests can be routed.
 	configured bool
@@ -323,6 +325,7 @@
 	t.recordContent(ended)
 	t.step(placement.AttemptEnded{Attempt: ended.attempt, Outcome: ended.outcome, Load: ended.response.Load, Limit: ended.response.Limit})
 	if response, unused := t.responses[ended.attempt]; unused {
+		response.Hold.Release()
 		if response.Rest != nil {
 			_ = response.Rest.Close()
 		}
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -1,6 +1,7 @@
 package ingress_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -14,9 +15,13 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"github.com/oriolepost/oriolepost/admission"
+	"github.com/oriolepost/oriolepost/budget"
 	"github.com/oriolepost/oriolepost/header"
 	"github.com/oriolepost/oriolepost/ingress"
 	"github.com/oriolepost/oriolepost/route"
@@ -66,11 +71,7 @@
 		exchanges: map[string]*ingress.Exchange{}, conns: map[string]net.Conn{}, configured: make(chan struct{}),
 	}
 	b.configure()
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	b.address = free.Addr().String()
-	gomega.Expect(free.Close()).To(gomega.Succeed())
-	b.listen()
+	b.listen(admission.Limits{})
 	ginkgo.DeferCleanup(func() {
 		for _, c := range b.conns {
 			_ = c.Close()
@@ -86,12 +87,19 @@
 	close(b.configured)
 }
 
-func (b *fixture) listen() {
-	var err error
+// listen starts the server, which keeps the limits that are not zero.
+func (b *fixture) listen(limits admission.Limits) {
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	b.address = free.Addr().String()
+	gomega.Expect(free.Close()).To(gomega.Succeed())
+	ctx, cancel := context.WithCancel(context.Background())
+	ginkgo.DeferCleanup(cancel)
 	b.server, err = ingress.Listen(ingress.Options{
 		Address: b.address, Names: header.Names{RequestID: "Request-Id", Deadline: "Deadline", Credential: "Authorization", Workspace: "Workspace"},
 		Table: b.table.Load, TableConfirmed: func() bool { return !b.outdated.Load() }, KeysValid: func() bool { return !b.expired.Load() }, Configured: b.configured, Metrics: metrics.NewSet(),
 		Callbacks: ingress.Callbacks{Arrived: b.onArrived, Disconnected: b.onDisconnected, Refused: b.onRefused},
+		Budget:    budget.Start(ctx, limits, metrics.NewSet(), &log.Logger{Handler: discard.New()}), MaxConns: limits.Conns,
 	})
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 }
@@ -168,7 +176,7 @@
 		gomega.Expect(b.server.CloseListener()).To(gomega.Succeed())
 		b.configured = make(chan struct{})
 		b.table.Store(nil)
-		b.listen()
+		b.listen(admission.Limits{})
 		return ""
 	case "configure":
 		b.configure()
@@ -200,6 +208,10 @@
 	case "wait":
 		<-time.After(time.Duration(c.Int("ms", 0)) * time.Millisecond)
 		return b.waitEvents(true)
+	case "admission":
+		gomega.Expect(b.server.CloseListener()).To(gomega.Succeed())
+		b.listen(admission.Limits{Bytes: int64(c.Int("bytes", 0)), Conns: c.Int("conns", 0), Pipelined: c.Int("pipelined", 0)})
+		return ""
 	case "drain":
 		b.server.Drain()
 		return b.waitEvents(true)
--- a/terminal/serve.go
+++ b/terminal/serve.go
@@ -12,6 +12,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
+	"github.com/oriolepost/oriolepost/admission"
+	"github.com/oriolepost/oriolepost/budget"
 	"github.com/oriolepost/oriolepost/control"
 	"github.com/oriolepost/oriolepost/gateway"
 	"github.com/oriolepost/oriolepost/hangup"
@@ -49,6 +51,8 @@
 	metrics  *metrics.Set
 	control  *control.Control
 	gateway  *gateway.Gateway
+	limits   admission.Limits
+	budget   *budget.Budget
 	// listeners serve readiness checks, the platform's requests to the leader,
 	// and metrics.
 	listeners []*httplisten.Listener
@@ -82,14 +86,14 @@
 		return nil, err
 	}
 	debug.SetGCPercent(gcPercent)
-	if s.settings.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.settings.MemoryMB<<20)))
-	}
+	limitMemory(s.settings.MemoryMB)
 	logWriter := telemetry.NewLogWriter(t.Out, s.metrics)
 	defer closeLogWriter(logWriter)
 	s.log = telemetry.DeploymentLogger(logWriter, s.settings)
 	instanceCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	s.limits = admission.LimitsOf(s.settings.MemoryMB, s.settings.MaxFDs)
+	s.budget = budget.Start(instanceCtx, s.limits, s.metrics, s.log)
 	if err := s.start(instanceCtx); err != nil {
 		return nil, err
 	}
@@ -99,6 +103,13 @@
 	return nil, err
 }
 
+// limitMemory sets the soft memory limit of the runtime; zero leaves it as it is.
+func limitMemory(memoryMB int) {
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(memoryMB<<20)))
+	}
+}
+
 const (
 	// settingsAttempts and settingsRetryInterval bound the reading of the settings at
 	// the start: the platform may be writing the file.
@@ -129,10 +140,10 @@
 	deployment := s.settings
 	if deployment.Control != "" {
 		var err error
-		if s.control, err = control.Start(ctx, deployment, control.Options{Log: s.log, Metrics: s.metrics}); err != nil {
+		if s.control, err = control.Start(ctx, deployment, control.Options{Log: s.log, Metrics: s.metrics, Budget: s.budget, MaxConns: s.limits.Conns}); err != nil {
 			return err
 		}
-		l, err := platform.ListenControl(deployment.Control, platform.Calls{Leader: s.control.Call, Metrics: s.metrics, Log: s.log})
+		l, err := platform.ListenControl(deployment.Control, platform.Calls{Leader: s.control.Call, Metrics: s.metrics, Log: s.log, Limits: httplisten.Limits{MaxConns: s.limits.Conns, Budget: s.budget}})
 		if err != nil {
 			return err
 		}
@@ -140,11 +151,11 @@
 	}
 	if deployment.Caller != "" {
 		var err error
-		s.gateway, err = gateway.Start(ctx, deployment, gateway.Options{Log: s.log, Metrics: s.metrics, Names: platform.HeaderNames()})
+		s.gateway, err = gateway.Start(ctx, deployment, gateway.Options{Log: s.log, Metrics: s.metrics, Names: platform.HeaderNames(), Budget: s.budget, Limits: s.limits})
 		if err != nil {
 			return err
 		}
-		l, err := platform.ListenReadiness(deployment.Balancer, s.gateway.Ready, s.metrics)
+		l, err := platform.ListenReadiness(deployment.Balancer, s.gateway.Ready, s.metrics, httplisten.Limits{MaxConns: s.limits.AdminConns})
 		if err != nil {
 			return err
 		}
@@ -163,9 +174,9 @@
 		s.metrics.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
-	l, err := httplisten.Start(control.PeerAddress(s.settings.IP, metricsPort), &http.Server{
+	l, err := httplisten.StartLimited(control.PeerAddress(s.settings.IP, metricsPort), &http.Server{
 		Handler: mux, ReadHeaderTimeout: httplisten.HeaderTimeout, IdleTimeout: httplisten.IdleTimeout,
-	}, s.metrics)
+	}, s.metrics, httplisten.Limits{MaxConns: s.limits.AdminConns})
 	if err != nil {
 		return err
 	}
