--- a/load/load.go
+++ b/load/load.go
@@ -48,6 +48,11 @@
 	Rate float64
 	// Duration is the time during which calls are started.
 	Duration time.Duration
+	// UntilFile extends the duration until this file exists and UntilAnswered calls have
+	// been answered after that, so that a load spans events whose time depends on the
+	// machine. It ends after maxExtension durations in any case.
+	UntilFile     string
+	UntilAnswered int
 	// WriteShare is the share of calls that are not idempotent.
 	WriteShare float64
 	// KeyedShare is the share of non-idempotent calls that carry an idempotency
@@ -131,7 +136,11 @@
 	histogramDigits = 3
 	// lateStartThreshold is the delay after which a start counts as late.
 	lateStartThreshold = 5 * time.Millisecond
-	historyFileMode    = 0o600
+	// maxExtension limits a load with an UntilFile, as a multiple of its duration.
+	maxExtension = 10
+	// untilPollInterval is the interval of the checks whether that file exists.
+	untilPollInterval = 50 * time.Millisecond
+	historyFileMode   = 0o600
 )
 
 // plannedCall is a call that is to be made.
@@ -160,20 +169,22 @@
 	results := make(chan Call, 1024)
 	started := make(chan int, 1)
 	begin := time.Now()
-	go dispatch(ctx, config, b, begin, results, started)
-	report = collect(config, results, started)
+	reached := make(chan struct{})
+	go dispatch(ctx, config, b, begin, results, started, reached)
+	report = collect(config, results, started, reached)
 	b.client.CloseIdleConnections()
 	return report, report.write(config.HistoryFile)
 }
 
-// dispatch starts every call at its intended time.
-func dispatch(ctx context.Context, config Config, b *balancer, begin time.Time, results chan<- Call, started chan<- int) {
+// dispatch starts every call at its intended time, until the duration is over and reached
+// is closed.
+func dispatch(ctx context.Context, config Config, b *balancer, begin time.Time, results chan<- Call, started chan<- int, reached <-chan struct{}) {
 	random := rand.New(rand.NewPCG(config.Seed, 2))
 	at := time.Duration(0)
 	n, calls := 0, 0
 	for ; ; n++ {
 		at += time.Duration(random.ExpFloat64() / config.Rate * float64(time.Second))
-		if at >= config.Duration {
+		if at >= config.Duration && (isClosed(reached) || at >= maxExtension*config.Duration) {
 			break
 		}
 		if !sleepUntil(ctx, begin.Add(at)) {
@@ -191,6 +202,15 @@
 	started <- calls
 }
 
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 func sleepUntil(ctx context.Context, at time.Time) bool {
 	return timer.Pause(ctx, time.Until(at))
 }
@@ -218,21 +238,35 @@
 	return planned
 }
 
-// collect adds up the results until every started call has ended.
-func collect(config Config, results <-chan Call, started <-chan int) Report {
+// collect adds up the results until every started call has ended. It closes reached when
+// as many calls were answered as the load goes on for.
+func collect(config Config, results <-chan Call, started <-chan int, reached chan<- struct{}) Report {
 	report := Report{
 		Reasons: map[string]int{},
 		Plain:   hdrhistogram.New(1, maxLatencyUS, histogramDigits),
 		Keyed:   hdrhistogram.New(1, maxLatencyUS, histogramDigits),
 	}
-	expected := -1
-	ticker := time.NewTicker(time.Second)
+	expected, wanted := -1, -1
+	ticker, poll := time.NewTicker(time.Second), time.NewTicker(untilPollInterval)
 	defer ticker.Stop()
+	defer poll.Stop()
+	if config.UntilFile == "" {
+		poll.Stop()
+		close(reached)
+	}
 	for expected < 0 || report.Calls < expected {
 		select {
 		case expected = <-started:
 		case result := <-results:
 			report.add(result)
+		case <-poll.C:
+			if _, err := os.Stat(config.UntilFile); err == nil && wanted < 0 {
+				wanted = report.Answered + config.UntilAnswered
+			}
+			if wanted >= 0 && report.Answered >= wanted {
+				poll.Stop()
+				close(reached)
+			}
 		case <-ticker.C:
 			if config.Progress != nil {
 				config.Progress(report.Calls)
--- a/terminal/load.go
+++ b/terminal/load.go
@@ -42,6 +42,8 @@
 	flags.StringVar(&l.services, "services", "booking", "`names` of the services")
 	flags.Float64Var(&config.Rate, "rate", config.Rate, "calls per second")
 	flags.DurationVar(&config.Duration, "duration", config.Duration, "how long new calls are started")
+	flags.StringVar(&config.UntilFile, "until", "", "extend the duration, to ten times at most, until this `file` exists and --answered calls were answered after that")
+	flags.IntVar(&config.UntilAnswered, "answered", 1, "calls that must be answered after the file of --until exists")
 	flags.Float64Var(&config.WriteShare, "writes", config.WriteShare, "share of calls that are not idempotent")
 	flags.Float64Var(&config.KeyedShare, "keyed", config.KeyedShare, "share with an idempotency key among the calls that are not idempotent")
 	flags.Float64Var(&config.ResendShare, "resend", config.ResendShare, "share sent twice at the same time among the calls with an idempotency key")
