allowance: failed reports back off, and standing rates lapse

While there is no leader, each entry that wanted retries asked four times a second, which are 1,800 requests a second of 449 entries at voters that elect one. The pause now doubles up to 2 s, and ends when a watch is answered. A standing rate that has ended no longer makes a holder report again and again while it has lost the owner, and the owner forgets no holder that may still have tokens, even with a window of 200 ms.

--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -93,6 +93,10 @@
 	case "cut":
 		for i, e := range s.entries {
 			e.cut = i < c.Int("entries", 0)
+			if !e.cut {
+				// The entry's watch is answered.
+				e.holder.Reached(s.now)
+			}
 		}
 		return ""
 	case "load":
--- a/allowance/holder.go
+++ b/allowance/holder.go
@@ -8,8 +8,11 @@
 )
 
 const (
-	// failedAskDelay is the pause after a report that was not answered.
-	failedAskDelay = 250 * time.Millisecond
+	// minFailedAskDelay is the pause after a report that was not answered. It doubles with
+	// each further one up to maxFailedAskDelay: while there is no leader, the reports of
+	// hundreds of entries would keep the voters from electing one.
+	minFailedAskDelay = 250 * time.Millisecond
+	maxFailedAskDelay = 2 * time.Second
 	// prefetchFrom is how many tokens a holder must have spent since its last report to
 	// ask for more before they run out. A single one is no sign of further demand.
 	prefetchFrom = 2
@@ -39,6 +42,8 @@
 	// answeredAt is when the owner last answered, and lostAt when it first failed to since
 	// then; zero if it did not.
 	answeredAt, lostAt time.Time
+	// failedDelay is the pause after the next report that is not answered.
+	failedDelay time.Duration
 }
 
 // held is the state of one key.
@@ -77,7 +82,7 @@
 // NewHolder returns a holder without tokens. The name must be unique to one run of an
 // entry, and length is that of the windows of the limits.
 func NewHolder(name string, length time.Duration) *Holder {
-	return &Holder{name: name, length: length, keys: map[string]*held{}, active: map[string]*held{}}
+	return &Holder{name: name, length: length, keys: map[string]*held{}, active: map[string]*held{}, failedDelay: minFailedAskDelay}
 }
 
 // KeptRequests returns the number of requests that give this entry a ratio which it may use
@@ -196,6 +201,10 @@
 	}
 	for _, key := range slices.Sorted(maps.Keys(h.active)) {
 		k := h.active[key]
+		if !now.Before(k.standingUntil) {
+			// The owner has charged what may have been spent.
+			k.standing, k.standingSpent = 0, 0
+		}
 		if !k.due(now, h.answeredAt) {
 			if k.idle(now) {
 				delete(h.active, key)
@@ -299,7 +308,7 @@
 	}
 	h.asked = false
 	h.askAt = now.Add(milliseconds(r.AskAfterMS))
-	h.answeredAt, h.lostAt = now, time.Time{}
+	h.answeredAt, h.lostAt, h.failedDelay = now, time.Time{}, minFailedAskDelay
 	// The counts of the report are of use to a new owner only with what it followed.
 	usable := h.owner == "" || r.Owner == h.owner
 	if !usable {
@@ -328,8 +337,17 @@
 // Failed reports that the report under way was not answered.
 func (h *Holder) Failed(now time.Time) {
 	h.asked = false
-	h.askAt = now.Add(failedAskDelay)
+	h.askAt = now.Add(h.failedDelay)
+	h.failedDelay = min(2*h.failedDelay, maxFailedAskDelay)
 	if h.lostAt.IsZero() {
 		h.lostAt = now
 	}
 }
+
+// Reached reports that the entry has reached a leader otherwise. After a failure the holder
+// then asks at once.
+func (h *Holder) Reached(now time.Time) {
+	if !h.lostAt.IsZero() && h.failedDelay > minFailedAskDelay {
+		h.failedDelay, h.askAt = minFailedAskDelay, now
+	}
+}
--- a/allowance/owner.go
+++ b/allowance/owner.go
@@ -351,9 +351,10 @@
 	return time.Duration(load * float64(o.recent) / maxReports * float64(time.Second))
 }
 
-// Prune forgets the holders that have not reported for a time longer than any of their
-// tokens, and than their requests count.
+// Prune forgets the holders that have not reported for a time, which is to be longer than
+// their requests count. It is at least as long as tokens and standing rates last.
 func (o *Owner) Prune(now time.Time, lifetime time.Duration) {
+	lifetime = max(lifetime, 2*recentInterval)
 	for _, p := range o.pools {
 		p.expire(now, o.holders)
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -291,6 +291,7 @@
 	s.ControlContactAt = now
 	s.EntryIndex, s.EntryCount = e.Index, e.Count
 	s.retrySlack.Report(now, e.Count)
+	s.holder.Reached(now)
 }
 
 // handleView applies a view from the leader of the control instances. Upstreams
