allowance: shorter tests

The messages of holders and the steps of a waiting retry are played by one command each. Green: go test ./allowance ./retry ./placement ./peer.

--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -48,6 +48,22 @@
 	}, rand.New(rand.NewPCG(1, 1)))
 }
 
+// wantRetry replaces the entry by one that has just started, with a number of requests that
+// were refused and one whose first attempt has failed.
+func (s *steps) wantRetry(c script.Case) string {
+	s.restart(true)
+	text := "view upstreams=a/palermo,b/palermo full\n----\n\nentry_index first\n----\n\n"
+	text += strings.Repeat("request id=2 deadline=0\n----\n\n", c.Int("refused", 0)) + "request idempotent\n----\n\n"
+	text += "probe_result upstream=a\n----\n\nprobe_result upstream=b\n----\n\nattempt_end failed\n----\n"
+	cases, err := script.Parse(text)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	last := ""
+	for _, c := range cases {
+		last = s.run(c)
+	}
+	return last
+}
+
 func (s *steps) run(c script.Case) string {
 	s.now = s.now.Add(time.Duration(c.Int("after", 0)) * time.Millisecond)
 	switch c.Command {
@@ -95,6 +111,8 @@
 	case "restart":
 		s.restart(c.Bool("pooled"))
 		return ""
+	case "retry_wanted":
+		return s.wantRetry(c)
 	case "granted":
 		return s.step(placement.AllowanceAnswered{Reply: allowance.Reply{Owner: "1", Items: []allowance.Grant{{
 			Key: allowance.RetryKey("booking"), Tokens: c.Int("tokens", 0), LifetimeMS: 1000, AskAfterMS: int64(c.Int("ask_after", 0)),
