rollout: recent counts are tested alone, and a longer step before the switch

Change: the judge tests the counts of the last 3 to 6 s as well; a step lasts up to 1.6 s; shares up to one half and 25 responses at a low rate. The replays print the exposure for bad versions only, as a good one has no bound.

--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -11,18 +11,20 @@
 	// before does not miss the deadline.
 	endMargin      = 700 * time.Millisecond
 	endMarginRatio = 15
-	// stepLength and switchLength are how long the step and the switch last. In the step
-	// the counts of the new version under the load of half of the requests come in. In
-	// the switch, all entries learn that they have to use the new version, and the
-	// responses of the others arrive.
-	stepLength   = time.Second
-	switchLength = 900 * time.Millisecond
+	// A step lasts for a part of the roll-out within minStepLength and maxStepLength. In it
+	// the counts of the new version under the load of half of the requests come in, some of
+	// them nearly a second late. In the switch, all entries learn that they have to use the
+	// new version, and the responses of the others arrive.
+	stepLengthRatio = 8
+	minStepLength   = time.Second
+	maxStepLength   = 1600 * time.Millisecond
+	switchLength    = 900 * time.Millisecond
 	// minSwitchLength applies when the new version became warm late.
 	minSwitchLength = 400 * time.Millisecond
 	// minAnswers is the number of responses without which a version is not completed, and
 	// minRouteAnswers that of each route with at least minRouteRatio of the requests. A
 	// route with few requests needs those to one in maxTrialInterval of them.
-	minAnswers       = 30
+	minAnswers       = 25
 	minRouteAnswers  = 5
 	minRouteRatio    = 0.02
 	maxTrialInterval = 6
@@ -31,6 +33,9 @@
 	// last. The reports and the decision take the rest.
 	maxBad     = 50
 	doubtRatio = 4
+	// recentLength is the least time that the recent counts span. They span up to twice as
+	// much. A version that turns bad late would otherwise be judged by its former responses.
+	recentLength = 3 * time.Second
 	// maxSlotUse is the ratio of the slots of the new version that the load may need.
 	// Above two thirds, service times rise. sameSlots is the ratio of the slots of the
 	// other versions that is enough at any load.
@@ -97,7 +102,10 @@
 	// Evidence is that of the last step.
 	Evidence Evidence
 
-	counts *Counter
+	// counts are all counts, recent those of the last seconds, and next those that become
+	// the recent ones at nextAt.
+	counts, recent, next *Counter
+	nextAt               time.Time
 	// exposed counts the requests that were sent to the new version, and requests those to
 	// all versions, since the first report.
 	exposed, requests int64
@@ -112,7 +120,7 @@
 // starts without counts, and with the new version getting no requests.
 func NewJudge(terms Terms, order Order) *Judge {
 	return &Judge{
-		Terms: terms.OrDefaults(), Order: order, Phase: Waiting{}, counts: NewCounter(), Evidence: Evidence{Tail: 1},
+		Terms: terms.OrDefaults(), Order: order, Phase: Waiting{}, counts: NewCounter(), recent: NewCounter(), next: NewCounter(), Evidence: Evidence{Tail: 1},
 		Split: Split{Service: order.Service, Target: order.Target, ID: order.ID},
 	}
 }
@@ -126,7 +134,9 @@
 		j.firstReportAt = now
 	}
 	j.predecessorHalted = j.predecessorHalted || r.Halted && !j.Split.Halted
-	j.counts.Add(r.Items)
+	for _, counter := range []*Counter{j.counts, j.recent, j.next} {
+		counter.Add(r.Items)
+	}
 	for _, item := range r.Items {
 		j.requests += max(0, item.Sent)
 		if item.Upstream != "" {
@@ -145,12 +155,17 @@
 	return j.Order.Deadline.Add(-max(endMargin, length/endMarginRatio))
 }
 
+// stepLength returns how long the step lasts.
+func (j *Judge) stepLength() time.Duration {
+	return min(maxStepLength, max(minStepLength, j.Order.Deadline.Sub(j.Order.OrderedAt)/stepLengthRatio))
+}
+
 // Step takes the next decision. It is called several times a second.
 func (j *Judge) Step(now time.Time, fleet Fleet) Decision {
 	if ended, ok := j.Phase.(Ended); ok {
 		return ended.Decision
 	}
-	j.Evidence = j.counts.Examine()
+	j.examine(now)
 	if j.predecessorHalted {
 		return j.end(RollBack{Reason: "the former leader had decided to roll back"})
 	}
@@ -183,6 +198,20 @@
 	return GoOn{}
 }
 
+// examine tests all counts and the recent ones. The evidence is that of the worse result, with
+// the bad responses of all counts.
+func (j *Judge) examine(now time.Time) {
+	if !now.Before(j.nextAt) {
+		j.recent, j.next, j.nextAt = j.next, NewCounter(), now.Add(recentLength)
+	}
+	all, recent := j.counts.Examine(), j.recent.Examine()
+	j.Evidence = all
+	if recent.Tail < all.Tail {
+		j.Evidence = recent
+		j.Evidence.Bad = all.Bad
+	}
+}
+
 // end takes the final decision. A version that is rolled back gets no more requests.
 func (j *Judge) end(d Decision) Decision {
 	if _, rolledBack := d.(RollBack); rolledBack {
@@ -195,7 +224,7 @@
 
 // try goes on with a trial until it is time for the step.
 func (j *Judge) try(now time.Time, fleet Fleet) Decision {
-	stepAt := j.endAt().Add(-stepLength - switchLength)
+	stepAt := j.endAt().Add(-j.stepLength() - switchLength)
 	latest := j.Order.Deadline.Add(-endMargin)
 	if fleet.Warm == 0 {
 		j.Phase = Waiting{}
@@ -229,12 +258,13 @@
 // beginStep begins the step, or the switch if there is no time for both.
 func (j *Judge) beginStep(now time.Time) {
 	remaining := j.Order.Deadline.Add(-endMargin).Sub(now)
-	if remaining < stepLength+minSwitchLength {
+	if remaining < minStepLength+minSwitchLength {
 		j.beginSwitch(now)
 		return
 	}
-	j.Phase = Stepping{Until: now.Add(stepLength)}
-	j.setShare(j.stepShareNow(now, stepLength), false)
+	length := min(j.stepLength(), remaining-minSwitchLength)
+	j.Phase = Stepping{Until: now.Add(length)}
+	j.setShare(j.stepShareNow(now, length), false)
 }
 
 // step goes on with the step. Without doubt at its end, the switch begins.
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -38,6 +38,9 @@
 			worst.endedAt = max(worst.endedAt, r.endedAt)
 			worst.sentAfter50 = max(worst.sentAfter50, r.sentAfter50)
 		}
+		if c.Args["bad"] == "" {
+			return fmt.Sprintf("%v ended<=%.0f s", outcomes, math.Ceil(worst.endedAt.Seconds()))
+		}
 		// The figures are rounded up, so that they hold on machines with other rounding.
 		return fmt.Sprintf("%v exposure<=%.1f of the bound, ended<=%.0f s, sent after the 50th bad response<=%.0f s",
 			outcomes, math.Ceil(worst.exposure*10)/10, math.Ceil(worst.endedAt.Seconds()), math.Ceil(worst.sentAfter50.Seconds()))
--- a/rollout/share.go
+++ b/rollout/share.go
@@ -11,7 +11,7 @@
 	// minShare and maxShare bound the share of a trial. The latter applies at a low rate,
 	// at which a few percent would give too few responses.
 	minShare = 0.01
-	maxShare = 0.4
+	maxShare = 0.5
 	// highRateShare is the share of a trial at a high rate, unless that gives fewer than
 	// wantedAnswers.
 	highRateShare = 0.08
