placement: callers that leave are counted in roll-outs, and held versions follow a notice

Cause: an attempt of a caller that gave up was not counted, so a slow version lost its slowest responses; a held version was used only from the next view on after the last other upstream had said that it leaves. Change: handleDisconnect counts the attempts that it cancels; a notice of leaving rebuilds the index of upstreams where a split restricts the service.

--- a/placement/attempt.go
+++ b/placement/attempt.go
@@ -268,9 +268,10 @@
 
 // handleDisconnect drops a request whose caller has disconnected, and cancels
 // its attempts.
-func (s *State) handleDisconnect(id RequestID) {
+func (s *State) handleDisconnect(now time.Time, id RequestID) {
 	if pending := s.requests[id]; pending != nil {
 		s.dequeue(pending)
+		s.countCanceled(now, pending)
 		s.cancelAttempts(pending)
 		delete(s.requests, id)
 	}
--- a/placement/leaving.go
+++ b/placement/leaving.go
@@ -60,6 +60,10 @@
 		u.leaving, leaving.Service = true, u.Info.Service
 	}
 	s.emit(leaving)
+	if _, restricted := s.splits[leaving.Service]; restricted {
+		// It may have been the last one that kept other versions from getting requests.
+		s.rebuildIndex()
+	}
 	s.refuseWaiting(now, leaving.Service)
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -218,7 +218,7 @@
 	case Arrived:
 		s.handleArrival(now, e.Request)
 	case CallerDisconnected:
-		s.handleDisconnect(e.Request)
+		s.handleDisconnect(now, e.Request)
 	case ProbeResult:
 		s.handleProbeResult(now, e)
 	case NoticeReceived:
