--- a/faultsoak/inject.go
+++ b/faultsoak/inject.go
@@ -81,7 +81,7 @@
 	{name: "upstream_behaves", weight: 4, inject: (*faultInjector).changeBehaviour},
 	{name: "upstream_replaced", weight: 3, inject: (*faultInjector).replaceUpstream},
 	{name: "upstream_crashes", weight: 2, inject: (*faultInjector).crashUpstream},
-	{name: "upstream_deadly", weight: 1, inject: (*faultInjector).sendDeadly},
+	{name: "upstream_deadly", weight: 3, inject: (*faultInjector).sendDeadly},
 	{name: "seeds_replaced", weight: 2, onControl: true, minControl: seedCount + 2, inject: (*faultInjector).replaceSeeds},
 }
 
--- a/faultsoak/upstream.go
+++ b/faultsoak/upstream.go
@@ -153,16 +153,19 @@
 	}
 	u.observer.record(RequestExecuted{ID: id, Upstream: u.info.ID, Path: r.URL.Path, Body: string(body), Cold: cold > 0, Leaving: leaving, Limit: limit, At: u.observer.now()})
 	if strings.HasPrefix(r.URL.Path, deadlyPrefix) {
-		u.crash(r.Context())
+		u.crash(r.Context(), w)
 		return
 	}
 	u.respond(w, r, id, b)
 }
 
 // crash ends the upstream with everything that it runs, after some time. It does not
-// deregister.
-func (u *upstream) crash(ctx context.Context) {
+// deregister. The connection is reset first, since a handler that returns sends a response.
+func (u *upstream) crash(ctx context.Context, w http.ResponseWriter) {
 	timer.Pause(ctx, time.Duration(rand.Float64()*float64(maxCrashDelay)))
+	if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		abort(c)
+	}
 	if u.ended.CompareAndSwap(false, true) {
 		u.stop()
 		u.crashed <- u
