--- a/caller/keyed.go
+++ b/caller/keyed.go
@@ -44,7 +44,7 @@
 		return call.NotRun{Reason: call.ReasonKeyMismatch}
 	case record.LedgerFull:
 		return call.NotRun{Reason: call.ReasonLedgerFull}
-	case record.Done, record.VersionConflict, record.HostConflict:
+	case record.Done, record.VersionConflict, record.HostConflict, record.RolloutConflict, record.UnknownService:
 		// A claim does not have these results.
 	}
 	return call.NotRun{Reason: call.ReasonNoQuorum}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -146,6 +146,13 @@
 		return ""
 	case "configure":
 		return b.propose(record.PutConfiguration{Configuration: configuration(uint64(testCase.Int("version", 1)), time.Duration(testCase.Int("timeout", 2000))*time.Millisecond), Original: []byte("x")})
+	case "deploy":
+		for _, id := range testCase.List("ids") {
+			testCase.Args["id"] = id
+			b.upstream(testCase)
+			gomega.Expect(b.announce(testCase)).To(gomega.Equal("acknowledged"))
+		}
+		return ""
 	case "roll_out":
 		return b.rollOut(testCase)
 	case "upstream":
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -60,15 +60,10 @@
 		}
 		return s.step(position)
 	case "request":
-		r := &route.Route{
-			Name: "r", Idempotent: c.Bool("idempotent"), MaxAttempts: c.Int("attempts", 2), Objective: time.Second,
-			Priority: c.Int("priority", 0), Services: []route.WeightedService{{Service: "booking", Weight: 1}},
-		}
-		return s.step(placement.Arrived{Request: placement.Request{
-			ID: placement.RequestID(c.Int("id", 1)), Route: r, Service: "booking", ArrivedAt: s.now,
-			FirstTriedAt: s.now.Add(-time.Duration(c.Int("first_try_ago", 0)) * time.Millisecond),
-			Deadline:     s.now.Add(time.Duration(c.Int("deadline", 2000)) * time.Millisecond),
-		}})
+		return s.request(c)
+	case "probed_request":
+		probes := s.request(c)
+		return strings.TrimSpace(probes + "\n" + s.answerProbes(c))
 	case "probe_result":
 		key := placement.Key{ID: c.Args["upstream"], BornMS: int64(c.Int("born", 1))}
 		return s.stepAfterNotice(c, key, placement.ProbeResult{
@@ -102,6 +97,18 @@
 	return "unknown command"
 }
 
+func (s *steps) request(c script.Case) string {
+	r := &route.Route{
+		Name: "r", Idempotent: c.Bool("idempotent"), MaxAttempts: c.Int("attempts", 2), Objective: time.Second,
+		Priority: c.Int("priority", 0), Services: []route.WeightedService{{Service: "booking", Weight: 1}},
+	}
+	return s.step(placement.Arrived{Request: placement.Request{
+		ID: placement.RequestID(c.Int("id", 1)), Route: r, Service: "booking", ArrivedAt: s.now,
+		FirstTriedAt: s.now.Add(-time.Duration(c.Int("first_try_ago", 0)) * time.Millisecond),
+		Deadline:     s.now.Add(time.Duration(c.Int("deadline", 2000)) * time.Millisecond),
+	}})
+}
+
 // answerProbes answers the probes that are under way, but not those that the
 // answers cause.
 func (s *steps) answerProbes(c script.Case) string {
