--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -154,6 +154,13 @@
 			c.Workspaces = []workspace.Workspace{{Name: "stables", Keys: []workspace.Digest{header.KeyDigest(keys)}}}
 		}
 		return b.propose(record.PutConfiguration{Configuration: c, Original: []byte("x")})
+	case "deploy":
+		for _, id := range testCase.List("ids") {
+			testCase.Args["id"] = id
+			b.upstream(testCase)
+			gomega.Expect(b.announce(testCase)).To(gomega.Equal("acknowledged"))
+		}
+		return ""
 	case "roll_out":
 		return b.rollOut(testCase)
 	case "upstream":
