--- a/control/members.go
+++ b/control/members.go
@@ -142,8 +142,8 @@
 }
 
 // joinOrBootstrap sends the leader a join request, unless this instance is a
-// voter that knows the leader. At the very first start, an initial voter that the leader
-// of no group has accepted also begins to bootstrap the voter group.
+// voter that knows the leader. At the very first start, an initial voter also
+// begins to bootstrap the voter group.
 func (t *task) joinOrBootstrap(now time.Time) {
 	voter := slices.Contains(t.replica.Members.Voters, t.id())
 	if now.Before(t.joinAt) || (voter && t.replica.Leader != "") {
@@ -165,7 +165,7 @@
 		case <-t.ctx.Done():
 		}
 	}()
-	if t.notBootstrapped() && t.initialVoter() && !t.bootstrapping && !t.joined {
+	if t.notBootstrapped() && t.initialVoter() && !t.bootstrapping {
 		t.bootstrapping = true
 		t.joinAt = now.Add(housekeepingInterval)
 		go t.discoverPeers()
