--- a/caller/serve.go
+++ b/caller/serve.go
@@ -58,11 +58,12 @@
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	controller := http.NewResponseController(w)
-	x := &exchange{server: s, writer: w, request: r, span: span, hold: s.options.Limits.Budget.Hold(func() {
-		_ = controller.SetReadDeadline(time.Unix(1, 0))
-	})}
-	defer x.hold.Release()
+	x := &exchange{server: s, writer: w, request: r, span: span}
+	if s.options.Limits.Budget != nil {
+		controller := http.NewResponseController(w)
+		x.hold = s.options.Limits.Budget.Hold(func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) })
+		defer x.hold.Release()
+	}
 	outcome := x.run(ctx, start)
 	s.count(fmt.Sprintf(`oriolepost_calls_total{service=%q,outcome=%q,reason=%q}`,
 		x.document.Name, call.OutcomeName(outcome), call.OutcomeReason(outcome)))
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -268,8 +268,10 @@
 	if request.Method == http.MethodHead {
 		return response, nil
 	}
-	response.Hold = request.Budget.Hold(nil)
 	limit := maxBufferedBodyBytes + 1
+	if received.ContentLength < 0 || received.ContentLength > maxCopiedBytes {
+		response.Hold = request.Budget.Hold(nil)
+	}
 	switch length := received.ContentLength; {
 	case length > maxBufferedBodyBytes || length > maxCopiedBytes && !response.Hold.Reserve(length, 0, false):
 		// Without a reservation, a shorter body is streamed too.
