httplisten: writes to clients that do not read are limited

A caller that asked for a large configuration and did not read it kept its connection to a control instance for good, and none of those can be closed in favor of others. An evicted peer's read is ended by a deadline, since closing TLS may block the task of the budget.

--- a/httplisten/httplisten.go
+++ b/httplisten/httplisten.go
@@ -63,6 +63,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
+	if limits.WriteTimeout > 0 {
+		s.WriteTimeout = limits.WriteTimeout
+	}
 	if limits.MaxConns > 0 {
 		if s.MaxHeaderBytes == 0 {
 			s.MaxHeaderBytes = maxHeaderBytes
--- a/httplisten/limits.go
+++ b/httplisten/limits.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/oriolepost/oriolepost/admission"
@@ -24,6 +25,31 @@
 	MaxConns int
 	// Budget limits what is buffered of bodies.
 	Budget *budget.Budget
+	// WriteTimeout limits the time from the header of a request to the end of its
+	// response. It is for servers with short responses.
+	WriteTimeout time.Duration
+}
+
+// WriteTimeout is the limit for one write of a response, which blocks while the client
+// does not read, and for a short response as a whole.
+const WriteTimeout = 5 * time.Second
+
+// writeBytes is how much of a long response is written under one timeout.
+const writeBytes = 64 << 10
+
+// WriteBody writes a long body, with a timeout for each part of it. Without one, clients
+// that do not read would keep their connections, and the body in memory.
+func WriteBody(w http.ResponseWriter, data []byte) error {
+	controller := http.NewResponseController(w)
+	for part := range slices.Chunk(data, writeBytes) {
+		if err := controller.SetWriteDeadline(time.Now().Add(WriteTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+			return err
+		}
+		if _, err := w.Write(part); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // connKey is the key of the connection in the context of its requests.
--- a/node/node.go
+++ b/node/node.go
@@ -194,8 +194,12 @@
 
 func (n *Node) listen(ctx context.Context, leader *peer.LeaderClient) (err error) {
 	instanceSettings := n.Settings
+	platformLimits := n.adminLimits
+	if platformLimits.MaxConns > 0 {
+		platformLimits.WriteTimeout = httplisten.WriteTimeout
+	}
 	n.platform, err = platformhttp.Listen(platformhttp.Options{
-		Address: instanceSettings.Listen.Platform, Announce: n.announce, Metrics: n.Metrics, Limits: n.adminLimits,
+		Address: instanceSettings.Listen.Platform, Announce: n.announce, Metrics: n.Metrics, Limits: platformLimits,
 	})
 	if err != nil {
 		return err
--- a/operator/server.go
+++ b/operator/server.go
@@ -92,6 +92,9 @@
 		}
 		s.options.Metrics.GetOrCreateCounter(fmt.Sprintf(`oriolepost_operator_requests_total{status="%d"}`, status)).Inc()
 		w.Header().Set("Content-Type", "application/json")
+		if s.options.Limits.MaxConns > 0 {
+			_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(httplisten.WriteTimeout))
+		}
 		w.WriteHeader(status)
 		_ = json.NewEncoder(w).Encode(body)
 	}
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -4,6 +4,7 @@
 	"crypto/tls"
 	"errors"
 	"net"
+	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
@@ -97,7 +98,7 @@
 	}
 	if s.read > s.reserved {
 		if s.hold == nil {
-			s.hold = s.budget.Hold(func() { _ = s.Close() })
+			s.hold = s.budget.Hold(s.evict)
 		}
 		if !s.hold.Reserve(decodingFactor*s.read, 0, true) {
 			return 0, errUsedUp
@@ -108,6 +109,10 @@
 	return n, err
 }
 
+// evict ends the current read. Closing the connection here could block, since TLS sends a
+// last record.
+func (s *messageSource) evict() { _ = s.SetReadDeadline(time.Unix(1, 0)) }
+
 func (s *messageSource) setActivity(a admission.Activity) {
 	if s.limited != nil {
 		s.limited.Set(a)
--- a/proofs/hostile_test.go
+++ b/proofs/hostile_test.go
@@ -51,6 +51,7 @@
 		"limits":     writeLimits,
 		"upstream":   runUpstream,
 		"crowd":      runCrowd,
+		"enlarge":    enlargeConfiguration,
 	}
 }
 
@@ -135,7 +136,16 @@
 	ts.Check(err)
 	go func() { _ = server.Serve(listener) }()
 	context.AfterFunc(ctx, func() { _ = server.Close() })
-	configuration, err := platform.ConfigureCall(route.Configuration{
+	configuration, err := platform.ConfigureCall(hostileConfiguration())
+	ts.Check(err)
+	control := ts.Getenv("CONTROL")
+	go announce(ctx, control, info)
+	awaitStatus(ts, "configuration", func() int { return send(control, configuration) })
+	awaitStatus(ts, "ordinary request", func() int { return ordinary(ts) })
+}
+
+func hostileConfiguration() route.Configuration {
+	return route.Configuration{
 		Version: 1,
 		Limits:  route.Limits{HeaderBytes: 16384, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 		Routes: []route.Route{{
@@ -143,12 +153,25 @@
 			Services: []route.WeightedService{{Service: "booking", Weight: 1}},
 		}},
 		Services: []route.Service{{Name: "booking", HealthPath: "/health", MaxConnections: upstreamSlots}},
-	})
+	}
+}
+
+// enlarge BYTES replaces the configuration by one whose order has about that size. Its
+// further routes have no requests.
+func enlargeConfiguration(ts *testscript.TestScript, _ bool, args []string) {
+	size, err := strconv.Atoi(args[0])
 	ts.Check(err)
-	control := ts.Getenv("CONTROL")
-	go announce(ctx, control, info)
-	awaitStatus(ts, "configuration", func() int { return send(control, configuration) })
-	awaitStatus(ts, "ordinary request", func() int { return ordinary(ts) })
+	c := hostileConfiguration()
+	c.Version = 2
+	const nameBytes = 2000
+	for i := range size / nameBytes {
+		r := c.Routes[0]
+		r.Name, r.Host = strings.Repeat("n", nameBytes)+strconv.Itoa(i), fmt.Sprintf("h%d", i)
+		c.Routes = append(c.Routes, r)
+	}
+	configuration, err := platform.ConfigureCall(c)
+	ts.Check(err)
+	awaitStatus(ts, "configuration", func() int { return send(ts.Getenv("CONTROL"), configuration) })
 }
 
 func upstreamHandler(id string) http.HandlerFunc {
@@ -349,6 +372,7 @@
 			declared("/api/Config.Replace", 8<<20, 8<<20-5, "Content-Type: application/json\r\n"),
 		}, reads: true},
 		"heartbeats": {requests: [][]byte{declared("/api/Instances.Heartbeat/u9", 16<<10, 16<<10-5, "")}, reads: true},
+		"orders":     {requests: slices.Repeat([][]byte{[]byte("GET /api/Config.Read HTTP/1.1\r\nHost: control\r\n\r\n")}, 4)},
 		"messages":   {requests: [][]byte{append([]byte(`{"jsonrpc":"2.0","id":1,"method":"`), bytes.Repeat([]byte("m"), 96<<20)...)}, reads: true},
 		"keyed":      {requests: [][]byte{declared("/", 1<<20, 1<<20-5, "Idempotency-Key: k\r\n")}, reads: true},
 		"documents":  {requests: [][]byte{declared("/v1/announce", 256<<10, 256<<10-5, "")}, reads: true},
--- a/terminal/serve.go
+++ b/terminal/serve.go
@@ -155,7 +155,7 @@
 		if err != nil {
 			return err
 		}
-		l, err := platform.ListenReadiness(deployment.Balancer, s.gateway.Ready, s.metrics, httplisten.Limits{MaxConns: s.limits.AdminConns})
+		l, err := platform.ListenReadiness(deployment.Balancer, s.gateway.Ready, s.metrics, s.adminLimits())
 		if err != nil {
 			return err
 		}
@@ -167,6 +167,14 @@
 	return s.serveMetrics()
 }
 
+// adminLimits returns the limits of the listeners for readiness checks and metrics.
+func (s *serveWork) adminLimits() httplisten.Limits {
+	if s.limits.AdminConns == 0 {
+		return httplisten.Limits{}
+	}
+	return httplisten.Limits{MaxConns: s.limits.AdminConns, WriteTimeout: httplisten.WriteTimeout}
+}
+
 // serveMetrics serves the metrics in Prometheus format under /metrics.
 func (s *serveWork) serveMetrics() error {
 	mux := http.NewServeMux()
@@ -176,7 +184,7 @@
 	})
 	l, err := httplisten.StartLimited(control.PeerAddress(s.settings.IP, metricsPort), &http.Server{
 		Handler: mux, ReadHeaderTimeout: httplisten.HeaderTimeout, IdleTimeout: httplisten.IdleTimeout,
-	}, s.metrics, httplisten.Limits{MaxConns: s.limits.AdminConns})
+	}, s.metrics, s.adminLimits())
 	if err != nil {
 		return err
 	}
