route: findings in a valid configuration, and the differences between two

A configuration that passes the checks may still contain routes, services and workspaces that never match, and limits that contradict each other. The mistake showed only in the responses to callers.

--- a/route/lookup_test.go
+++ b/route/lookup_test.go
@@ -36,6 +36,10 @@
 				return err.Error()
 			}
 			return ""
+		case "findings":
+			return describeFindings(c)
+		case "compare":
+			return describeDifferences(c)
 		case "match":
 			matched, ok := route.NewTable(checked).Match(c.Args["host"], c.Args["path"])
 			if !ok {
