terminal, platform: the verb checkconfig checks a configuration before it is sent

Until now only a control instance told whether it accepts a configuration, and its error has no line.

--- a/terminal/rollout.go
+++ b/terminal/rollout.go
@@ -1,14 +1,11 @@
 package terminal
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
-	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/oriolepost/oriolepost/platform"
@@ -61,7 +58,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
-	body, err := r.send(ctx, call)
+	body, err := sendCall(ctx, r.control, call, maxRolloutResponseBytes)
 	if err != nil || call.Method == http.MethodPost {
 		return nil, err
 	}
@@ -87,27 +84,3 @@
 	}
 	return platform.Call{}, &UsageError{Problem: "arguments must be begin SERVICE VERSION DURATION, or status SERVICE"}
 }
-
-// send sends a call and returns the body of its response. A response with another status
-// than 200 is an error.
-func (r *rolloutWork) send(ctx context.Context, call platform.Call) (body []byte, err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("call %s at %s: %w", call.Path, r.control, err)
-		}
-	}()
-	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+r.control+call.Path, bytes.NewReader(call.Body))
-	if err != nil {
-		return nil, err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	body, err = io.ReadAll(io.LimitReader(response.Body, maxRolloutResponseBytes))
-	if err == nil && response.StatusCode != http.StatusOK {
-		err = fmt.Errorf("status %d: %s", response.StatusCode, strings.TrimSpace(string(body)))
-	}
-	return body, err
-}
--- a/terminal/terminal.go
+++ b/terminal/terminal.go
@@ -56,7 +56,7 @@
 // verbs returns the table of all verbs.
 func verbs() []verb {
 	return []verb{
-		nodeVerb, serveVerb, checkVerb, applyVerb, getVerb, domainVerb, serverVerb, statusVerb, rolloutVerb, explainVerb,
+		nodeVerb, serveVerb, checkVerb, checkConfigVerb, applyVerb, getVerb, domainVerb, serverVerb, statusVerb, rolloutVerb, explainVerb,
 		standinVerb, loadVerb, demoVerb, soakVerb, experimentVerb,
 	}
 }
