route, terminal: added and removed keys are shown one by one

A workspace may have hundreds of keys. Both complete lists in one line did not show which keys a version adds or revokes. Each key that was added or removed is now a difference of its own, still as a digest; versions are shown in the platform's form.

--- a/route/difference.go
+++ b/route/difference.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 
 	"github.com/oriolepost/oriolepost/workspace"
@@ -25,7 +24,9 @@
 	// Field is the field that changed, as in the errors of [Configuration.Check]. It is
 	// empty for an item that was added or removed.
 	Field string
-	// Before and After are the values of the field, as text. Keys appear as digests.
+	// Before and After are the values of the field, as text. A key that was added to a
+	// workspace or removed from it is a difference of its own, with one of them; it
+	// appears as its digest.
 	Before string
 	After  string
 }
@@ -62,12 +63,14 @@
 type item struct {
 	name   string
 	fields fields
+	// keys are the keys of a workspace.
+	keys []workspace.Digest
 }
 
 func serviceItems(c Configuration) []item {
 	var items []item
 	for _, s := range c.Services {
-		items = append(items, item{s.Name, fields{
+		items = append(items, item{name: s.Name, fields: fields{
 			{"health_path", s.HealthPath}, {"max_connections", s.MaxConnections}, {"cold_time", s.ColdTime}, {"cold_rate", s.ColdRate},
 		}})
 	}
@@ -81,7 +84,7 @@
 		for _, p := range r.Services {
 			services = append(services, fmt.Sprintf("%s %v", p.Service, p.Weight))
 		}
-		items = append(items, item{normalizeHost(r.Host) + r.Prefix, fields{
+		items = append(items, item{name: normalizeHost(r.Host) + r.Prefix, fields: fields{
 			{"name", r.Name},
 			{"idempotent", idempotence(r)},
 			{"timeout", r.Timeout},
@@ -109,8 +112,8 @@
 		if w.Priority != nil {
 			priority = fmt.Sprint(*w.Priority)
 		}
-		items = append(items, item{w.Name, fields{
-			{"keys", sortedKeys(w.Keys)}, {"priority", priority}, {"rate", w.Rate}, {"burst", w.Burst},
+		items = append(items, item{name: w.Name, keys: w.Keys, fields: fields{
+			{"priority", priority}, {"rate", w.Rate}, {"burst", w.Burst},
 		}})
 	}
 	return items
@@ -124,16 +127,6 @@
 	return "absent"
 }
 
-// sortedKeys lists the digests of keys, whose order has no meaning.
-func sortedKeys(keys []workspace.Digest) string {
-	var texts []string
-	for _, key := range keys {
-		texts = append(texts, string(key))
-	}
-	slices.Sort(texts)
-	return strings.Join(slices.Compact(texts), " ")
-}
-
 func limitFields(l Limits) fields {
 	return fields{
 		{"header_bytes", l.HeaderBytes}, {"body_bytes", l.BodyBytes}, {"header_timeout", l.HeaderTimeout}, {"idle_timeout", l.IdleTimeout},
@@ -150,6 +143,7 @@
 		present[i.name] = true
 		if former, ok := old[i.name]; ok {
 			out = append(out, compareFields(section, i.name, former.fields, i.fields)...)
+			out = append(out, compareKeys(section, former, i)...)
 		} else {
 			out = append(out, Difference{Section: section, Item: i.name, Change: Added})
 		}
@@ -162,6 +156,28 @@
 	return out
 }
 
+// compareKeys returns the keys that a workspace gained, then those that it lost.
+func compareKeys(section string, before, after item) []Difference {
+	var out []Difference
+	old, present := map[workspace.Digest]bool{}, map[workspace.Digest]bool{}
+	for _, key := range before.keys {
+		old[key] = true
+	}
+	for _, key := range after.keys {
+		if !old[key] && !present[key] {
+			out = append(out, Difference{Section: section, Item: after.name, Change: Added, Field: "keys", After: string(key)})
+		}
+		present[key] = true
+	}
+	for _, key := range before.keys {
+		if !present[key] {
+			present[key] = true
+			out = append(out, Difference{Section: section, Item: after.name, Change: Removed, Field: "keys", Before: string(key)})
+		}
+	}
+	return out
+}
+
 // compareFields compares two lists of the same fields.
 func compareFields(section, name string, before, after fields) []Difference {
 	var out []Difference
--- a/terminal/checkconfig.go
+++ b/terminal/checkconfig.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"slices"
+	"strings"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -124,9 +125,9 @@
 		result.Compared = true
 		found = append(configuration.Supersedes(*inForce), found...)
 		for _, d := range route.Compare(*inForce, configuration) {
-			section, field := platform.FieldNames(d.Section, d.Field)
+			d = platform.TranslateDifference(d)
 			result.Changes = append(result.Changes, configDifference{
-				Section: section, Item: d.Item, Change: d.Change, Field: field, Before: d.Before, After: d.After,
+				Section: d.Section, Item: d.Item, Change: d.Change, Field: d.Field, Before: d.Before, After: d.After,
 			})
 		}
 	}
@@ -253,18 +254,17 @@
 }
 
 func (p painter) difference(d configDifference) string {
-	name := d.Section
-	if d.Item != "" {
-		name += " " + d.Item
-	}
+	words := []string{d.Section, d.Item, d.Field}
 	switch d.Change {
 	case route.Added:
-		return p.paint(green, "+ "+name)
+		return p.paint(green, "+ "+joinWords(append(words, d.After)))
 	case route.Removed:
-		return p.paint(red, "- "+name)
-	}
-	if d.Field != "" {
-		name += " " + d.Field
+		return p.paint(red, "- "+joinWords(append(words, d.Before)))
 	}
-	return p.paint(yellow, "~ "+name) + ": " + d.Before + " -> " + d.After
+	return p.paint(yellow, "~ "+joinWords(words)) + ": " + d.Before + " -> " + d.After
+}
+
+// joinWords joins the words that are not empty.
+func joinWords(words []string) string {
+	return strings.Join(slices.DeleteFunc(words, func(w string) bool { return w == "" }), " ")
 }
