--- a/terminal/checkconfig.go
+++ b/terminal/checkconfig.go
@@ -261,7 +261,15 @@
 	case route.Removed:
 		return p.paint(red, "- "+joinWords(append(words, d.Before)))
 	}
-	return p.paint(yellow, "~ "+joinWords(words)) + ": " + d.Before + " -> " + d.After
+	return p.paint(yellow, "~ "+joinWords(words)) + ": " + orQuotes(d.Before) + " -> " + orQuotes(d.After)
+}
+
+// orQuotes returns a value, or quotes if it is empty.
+func orQuotes(value string) string {
+	if value == "" {
+		return `""`
+	}
+	return value
 }
 
 // joinWords joins the words that are not empty.
