--- a/control/control_test.go
+++ b/control/control_test.go
@@ -168,7 +168,7 @@
 	case "probe":
 		return b.direct(name, peer.QuarantineProbeRequest{Fingerprint: quarantine.Fingerprint(testCase.Args["content"])})
 	case "copy":
-		return b.copiesOfView(testCase.List("at"))
+		return b.copiesOfView(testCase.List("at"), testCase.Bool("until_given"))
 	case "voters":
 		return b.voters(testCase, name)
 	case "errors":
@@ -480,13 +480,17 @@
 
 // copiesOfView asks several instances for their copies of the view at the same time. The
 // order of the texts is that of the names.
-func (b *fixture) copiesOfView(names []string) string {
+func (b *fixture) copiesOfView(names []string, untilGiven bool) string {
 	texts := make([]chan string, len(names))
 	for i, name := range names {
 		texts[i] = make(chan string, 1)
 		go func() {
 			defer ginkgo.GinkgoRecover()
-			texts[i] <- b.copyOfView(name)
+			text := b.copyOfView(name)
+			for deadline := time.Now().Add(callTimeout); untilGiven && strings.HasPrefix(text, "refused") && time.Now().Before(deadline); {
+				text = b.copyOfView(name)
+			}
+			texts[i] <- text
 		}()
 	}
 	var lines []string
