allowance: fewer reports on retries

Cause: a holder asked for single tokens, reported only to return those that it did not use, and asked a used-up pool every 250 ms and a new owner every second. Change: the owner says when asking again may succeed, for both priorities, and grants spare tokens while the pool isn't short; only then are unused ones returned. The owner also keeps outstanding tokens within the limit of the windows that end up to a lifetime after the next one, which the proof lacked.

--- a/allowance/meter.go
+++ b/allowance/meter.go
@@ -41,22 +41,50 @@
 }
 
 func (m *windowMeter) available(now time.Time, outstanding int, reserve float64) float64 {
+	part := m.part(now)
+	// The oldest part counts until the whole of it is out of the window.
+	left := (1-reserve)*m.pooledLimit(now) - float64(m.spent.sum(part-partsPerWindow, part)+outstanding)
+	// A token may be spent a lifetime after the grant, and counts for a window from then. In
+	// the windows that end so late, only what is outstanding now was spent.
+	lifetimeParts := int(windowLifetime/m.partLength()) + 1
+	return min(left, (1-reserve)*m.pooled(now, m.lasting(part, partsPerWindow, partsPerWindow+lifetimeParts))-float64(outstanding))
+}
+
+// pooledLimit returns the part of the limit that the owner may grant.
+func (m *windowMeter) pooledLimit(now time.Time) float64 {
+	return m.pooled(now, m.lasting(m.part(now), 0, partsPerWindow))
+}
+
+// pooled returns the part of the limit that the owner may grant for a number of requests.
+func (m *windowMeter) pooled(now time.Time, requests int) float64 {
 	slack := m.limit.Slack
 	if now.Before(m.slackFrom) {
 		slack = 0
 	}
+	return PooledShare * pooledSafetyFactor * (m.limit.Ratio*float64(requests) + slack)
+}
+
+// freesAfter returns the time after which a number of tokens are free, as spent ones leave
+// the window and, if there are more requests than before, the limit grows. It returns the
+// length of the window if that is later.
+func (m *windowMeter) freesAfter(now time.Time, tokens float64) time.Duration {
 	part := m.part(now)
-	limit := PooledShare * pooledSafetyFactor * (m.limit.Ratio*float64(m.lasting(part)) + slack)
-	// The oldest part counts until the whole of it is out of the window.
-	return (1-reserve)*limit - float64(m.spent.sum(part-partsPerWindow, part)+outstanding)
+	newest := float64(m.requests.sum(part-recentParts+1, part)) / recentParts
+	growth := PooledShare * pooledSafetyFactor * m.limit.Ratio * max(0, newest-float64(m.lasting(part, 0, partsPerWindow))/countedParts)
+	for i := range int64(partsPerWindow) {
+		if tokens -= float64(m.spent.at(part-partsPerWindow+i)) + growth; tokens <= 0 {
+			return time.Duration(i+1) * m.partLength()
+		}
+	}
+	return m.limit.Length
 }
 
-// lasting returns the number of requests that the limit will count at any time within the
-// next window, even if no further ones come: a token that is granted now counts for so
-// long.
-func (m *windowMeter) lasting(part int64) int {
+// lasting returns the number of requests that the limit will count at any time from some
+// parts ahead to others, even if no further ones come: a token that is spent now counts for
+// a window.
+func (m *windowMeter) lasting(part int64, from, to int) int {
 	h := historyOf(&m.requests, part)
-	return lowestAhead(func(ahead int) int {
+	return lowestAhead(from, to, func(ahead int) int {
 		return max(
 			h.within(-ahead),
 			h.within(partsPerWindow/2-ahead+1),
