--- a/allowance/meter.go
+++ b/allowance/meter.go
@@ -14,6 +14,12 @@
 	slackFrom time.Time
 	requests  ring
 	spent     ring
+	// lowest and lowestLate are the requests that count at any time within the next window,
+	// and after it while tokens last, as of lowestPart. They are kept until more requests
+	// are counted, since one report needs them several times.
+	lowest, lowestLate int
+	lowestPart         int64
+	lowestKnown        bool
 }
 
 func (*windowMeter) meter() {}
@@ -27,6 +33,7 @@
 // count counts requests in a part of a holder's time, which began at a time. They count as
 // of the end of the part.
 func (m *windowMeter) count(created time.Time, part int64, n int) {
+	m.lowestKnown = false
 	m.requests.add(m.part(created.Add(time.Duration(part+1)*m.partLength())), n)
 }
 
@@ -46,13 +53,14 @@
 	left := (1-reserve)*m.pooledLimit(now) - float64(m.spent.sum(part-partsPerWindow, part)+outstanding)
 	// A token may be spent a lifetime after the grant, and counts for a window from then. In
 	// the windows that end so late, only what is outstanding now was spent.
-	lifetimeParts := int(windowLifetime/m.partLength()) + 1
-	return min(left, (1-reserve)*m.pooled(now, m.lasting(part, partsPerWindow, partsPerWindow+lifetimeParts))-float64(outstanding))
+	_, late := m.lasting(part)
+	return min(left, (1-reserve)*m.pooled(now, late)-float64(outstanding))
 }
 
 // pooledLimit returns the part of the limit that the owner may grant.
 func (m *windowMeter) pooledLimit(now time.Time) float64 {
-	return m.pooled(now, m.lasting(m.part(now), 0, partsPerWindow))
+	requests, _ := m.lasting(m.part(now))
+	return m.pooled(now, requests)
 }
 
 // pooled returns the part of the limit that the owner may grant for a number of requests.
@@ -69,8 +77,9 @@
 // length of the window if that is later.
 func (m *windowMeter) freesAfter(now time.Time, tokens float64) time.Duration {
 	part := m.part(now)
+	requests, _ := m.lasting(part)
 	newest := float64(m.requests.sum(part-recentParts+1, part)) / recentParts
-	growth := PooledShare * pooledSafetyFactor * m.limit.Ratio * max(0, newest-float64(m.lasting(part, 0, partsPerWindow))/countedParts)
+	growth := PooledShare * pooledSafetyFactor * m.limit.Ratio * max(0, newest-float64(requests)/countedParts)
 	for i := range int64(partsPerWindow) {
 		if tokens -= float64(m.spent.at(part-partsPerWindow+i)) + growth; tokens <= 0 {
 			return time.Duration(i+1) * m.partLength()
@@ -79,17 +88,24 @@
 	return m.limit.Length
 }
 
-// lasting returns the number of requests that the limit will count at any time from some
-// parts ahead to others, even if no further ones come: a token that is spent now counts for
-// a window.
-func (m *windowMeter) lasting(part int64, from, to int) int {
-	h := historyOf(&m.requests, part)
-	return lowestAhead(from, to, func(ahead int) int {
-		return max(
-			h.within(-ahead),
-			h.within(partsPerWindow/2-ahead+1),
-			h.within(partsPerWindow-ahead+1))
-	})
+// lasting returns the number of requests that the limit will count at any time within the
+// next window, and of those that it will count after that for the lifetime of a token, even
+// if no further ones come: a token that is spent counts for a window.
+func (m *windowMeter) lasting(part int64) (requests, late int) {
+	if !m.lowestKnown || m.lowestPart != part {
+		h := historyOf(&m.requests, part)
+		counted := func(ahead int) int {
+			return max(
+				h.within(-ahead),
+				h.within(partsPerWindow/2-ahead+1),
+				h.within(partsPerWindow-ahead+1))
+		}
+		lifetimeParts := int(windowLifetime/m.partLength()) + 1
+		m.lowest = lowestAhead(0, partsPerWindow, counted)
+		m.lowestLate = lowestAhead(partsPerWindow, partsPerWindow+lifetimeParts, counted)
+		m.lowestPart, m.lowestKnown = part, true
+	}
+	return m.lowest, m.lowestLate
 }
 
 // bucketMeter is the account of a [Bucket]. Outstanding tokens are still in the level, and
