quota: the leader limits workspaces that would exceed their quotas

Change: entries report with their watches what workspaces asked for, and the leader publishes the share of the requests that entries admit of one that would exceed its quota in a window. A request beyond it gets 429. It takes effect only with quota_window_s in the settings and a rate in the configuration.

--- a/control/relay.go
+++ b/control/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/peer"
+	"github.com/oriolepost/oriolepost/quota"
 	"github.com/oriolepost/oriolepost/replica"
 	"github.com/oriolepost/oriolepost/rollout"
 	"github.com/oriolepost/oriolepost/route"
@@ -75,6 +76,7 @@
 	sent, received timer.Stamp
 	// counts is what the watch reported.
 	counts *peer.Counts
+	usages *peer.Usages
 	err    error
 }
 
@@ -91,7 +93,7 @@
 	t.relay.reported = t.watchers.Names()
 	request := t.relay.following.Request
 	request.Relay = &peer.Relay{Entries: t.relay.reported}
-	request.Counts = t.rollouts.takeCollected()
+	request.Counts, request.Usages = t.rollouts.takeCollected(), t.quotas.takeCollected()
 	go func() {
 		ctx, cancel := context.WithTimeout(t.ctx, peer.WatchDuration(request.Followers))
 		defer cancel()
@@ -102,7 +104,7 @@
 			err = fmt.Errorf("answer to a watch is %T", response)
 		}
 		select {
-		case t.mailbox <- postedMessage{relayAnswerMessage{update, sent, timer.Now(), request.Counts, err}, time.Now()}:
+		case t.mailbox <- postedMessage{relayAnswerMessage{update, sent, timer.Now(), request.Counts, request.Usages, err}, time.Now()}:
 		case <-t.ctx.Done():
 		}
 	}()
@@ -125,6 +127,7 @@
 	}
 	if err != nil {
 		t.rollouts.collect(m.counts)
+		t.quotas.collect(m.usages)
 		t.metrics.GetOrCreateCounter("oriolepost_watch_errors_total").Inc()
 		r.watchAt = now.Add(r.retryDelay/2 + time.Duration(t.random.Int64N(int64(r.retryDelay))))
 		r.retryDelay = min(2*r.retryDelay, maxRelayRetryDelay)
@@ -272,6 +275,7 @@
 	configuration *route.Configuration
 	quarantine    listedQuarantine
 	splits        []rollout.Split
+	shares        []quota.Share
 }
 
 // published returns the view of this leader, or that of the leader that it follows.
@@ -279,7 +283,7 @@
 	if r := t.relay; !t.leads() {
 		return published{
 			source: r.source, epoch: r.following.Request.Epoch, revision: r.fleet.Revision + r.changes, fleet: r.fleet, complete: r.view.FleetComplete,
-			outDomains: r.view.OutDomains, control: r.view.Control, configuration: r.configuration, quarantine: r.quarantine, splits: r.view.Splits,
+			outDomains: r.view.OutDomains, control: r.view.Control, configuration: r.configuration, quarantine: r.quarantine, splits: r.view.Splits, shares: r.view.Shares,
 		}
 	}
 	return t.ownView(now)
@@ -289,7 +293,7 @@
 func (t *task) ownView(now time.Time) published {
 	p := published{
 		epoch: t.replica.Term, revision: t.revision(), fleet: t.fleet, complete: t.fleetComplete(now),
-		outDomains: slices.Sorted(maps.Keys(t.state.Catalog.OutDomains)), configuration: t.state.Catalog.Configuration, quarantine: t.relay.quarantine, splits: t.splits(now),
+		outDomains: slices.Sorted(maps.Keys(t.state.Catalog.OutDomains)), configuration: t.state.Catalog.Configuration, quarantine: t.relay.quarantine, splits: t.splits(now), shares: t.quotas.published,
 	}
 	if t.leads() {
 		p.quarantine = t.ownQuarantine(now)
--- a/control/rollout.go
+++ b/control/rollout.go
@@ -10,6 +10,7 @@
 
 	"github.com/oriolepost/oriolepost/catalog"
 	"github.com/oriolepost/oriolepost/peer"
+	"github.com/oriolepost/oriolepost/quota"
 	"github.com/oriolepost/oriolepost/record"
 	"github.com/oriolepost/oriolepost/rollout"
 	"github.com/oriolepost/oriolepost/settings"
@@ -241,8 +242,11 @@
 }
 
 // watchTimeout returns after what time a watch without changes is answered.
-func (p published) watchTimeout(followers int) time.Duration {
+func (t *task) watchTimeout(p published, followers int) time.Duration {
 	timeout := peer.WatchTimeout(followers)
+	if t.quotas.window > 0 && p.configuration != nil && quota.Limited(p.configuration.Workspaces) {
+		timeout = min(timeout, quotaWatchTimeout)
+	}
 	if slices.ContainsFunc(p.splits, func(s rollout.Split) bool { return s.ID != 0 }) {
 		return min(timeout, rolloutWatchTimeout)
 	}
--- a/control/task.go
+++ b/control/task.go
@@ -20,6 +20,7 @@
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/proposal"
 	"github.com/oriolepost/oriolepost/quarantine"
+	"github.com/oriolepost/oriolepost/quota"
 	"github.com/oriolepost/oriolepost/record"
 	"github.com/oriolepost/oriolepost/replica"
 	"github.com/oriolepost/oriolepost/search"
@@ -144,6 +145,7 @@
 	committedChanges uint64
 
 	rollouts rollouts
+	quotas   quotas
 
 	plan replica.MembershipPlan
 	// standbys holds, by replica ID, the instances that sent this leader a join
@@ -194,6 +196,7 @@
 		fullViews: map[fullViewKey]encodedView{}, comparisons: map[comparison]encodedView{}, watchers: watcher.New(), roster: watcher.NewRoster(), relaysSeen: map[string]relaySeen{}, watches: map[string]watchMessage{}, differences: map[peer.WatchRequest]encodedView{}, standbys: map[string]replica.Identity{},
 	}
 	t.rollouts = newRollouts(deployment.Bounds)
+	t.quotas = quotas{window: deployment.Bounds.QuotaWindow, collected: map[string]quota.Usage{}}
 	t.plan = replica.MembershipPlan{Target: deployment.Voters(), ReplaceAfter: replaceVoterAfter, Domains: map[string]string{}}
 	if err := t.restore(folder.Saved.Snapshot); err != nil {
 		return nil, err
@@ -286,6 +289,7 @@
 		if err := t.stepRollouts(now); err != nil {
 			return err
 		}
+		t.stepQuotas(now)
 		t.forwardPending(now)
 		t.followLeader(now)
 		t.releaseHeldWatches(now)
@@ -305,6 +309,9 @@
 	if t.leads() && t.rollouts.stepAt.Before(next) {
 		next = t.rollouts.stepAt
 	}
+	if t.leads() && t.quotas.meter != nil && t.quotas.stepAt.Before(next) {
+		next = t.quotas.stepAt
+	}
 	if len(t.heldWatches) > 0 && t.heldUntil.Before(next) {
 		next = t.heldUntil
 	}
--- a/control/view.go
+++ b/control/view.go
@@ -45,7 +45,7 @@
 		return t.compare(now, p, request)
 	}
 	key := request
-	key.Entry, key.Index, key.Count, key.Followers, key.Relay, key.Counts = "", 0, 0, 0, nil, nil
+	key.Entry, key.Index, key.Count, key.Followers, key.Relay, key.Counts, key.Usages = "", 0, 0, 0, nil, nil, nil
 	if known, ok := t.differences[key]; ok && now.Sub(known.encodedAt) <= fullViewLifetime {
 		return known
 	}
@@ -236,7 +236,7 @@
 // view returns a view without upstreams, with the configuration if it is newer than the
 // entry's, and with the quarantine if the entry has another one.
 func (p published) view(now time.Time, version uint64, quarantine string) peer.View {
-	view := peer.View{Quarantine: p.quarantine.view(now, quarantine), FleetRevision: p.fleet.Revision, FleetComplete: p.complete, OutDomains: p.outDomains, Control: p.control, Splits: p.splits}
+	view := peer.View{Quarantine: p.quarantine.view(now, quarantine), FleetRevision: p.fleet.Revision, FleetComplete: p.complete, OutDomains: p.outDomains, Control: p.control, Splits: p.splits, Shares: p.shares}
 	if p.configuration != nil && p.configuration.Version > version {
 		view.Configuration = p.configuration
 	}
--- a/control/watch.go
+++ b/control/watch.go
@@ -79,9 +79,10 @@
 func (t *task) registerWatch(now time.Time, message watchMessage) {
 	name := message.request.Entry
 	t.takeCounts(now, message.request.Counts)
-	message.request.Counts = nil
+	t.takeUsages(now, message.request.Usages)
+	message.request.Counts, message.request.Usages = nil, nil
 	p := t.published(now)
-	replaced := t.watchers.Put(now, name, p.standing(message.request), p.watchTimeout(message.request.Followers))
+	replaced := t.watchers.Put(now, name, p.standing(message.request), t.watchTimeout(p, message.request.Followers))
 	if replaced {
 		t.watches[name].answer <- answer{err: &peer.RefusedError{Code: peer.CodeBusy, Reason: "a newer watch came"}}
 	}
@@ -192,7 +193,7 @@
 
 // revision counts the changes of everything that entries follow.
 func (t *task) revision() uint64 {
-	return t.fleet.Revision + t.committedChanges + t.quarantine.Revision + t.rollouts.revision
+	return t.fleet.Revision + t.committedChanges + t.quarantine.Revision + t.rollouts.revision + t.quotas.revision
 }
 
 // refuseWatches refuses all pending watches, so that the entries look for the
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -151,7 +151,7 @@
 		c := configuration(uint64(testCase.Int("version", 1)), time.Duration(testCase.Int("timeout", 2000))*time.Millisecond)
 		if keys, required := testCase.Args["keys"]; required {
 			c.KeysRequired = true
-			c.Workspaces = []workspace.Workspace{{Name: "stables", Keys: []workspace.Digest{header.KeyDigest(keys)}}}
+			c.Workspaces = []workspace.Workspace{{Name: "stables", Keys: []workspace.Digest{header.KeyDigest(keys)}, Rate: float64(testCase.Int("rate_per_1000s", 0)) / 1000}}
 		}
 		return b.propose(record.PutConfiguration{Configuration: c, Original: []byte("x")})
 	case "deploy":
@@ -237,7 +237,7 @@
 		Instance: testCase.Args["role"], Domain: "palermo", IP: "127.0.8.1", PeerPort: b.port, Seeds: []string{"127.0.8.1:1"},
 		DataFolder: filepath.Join(b.folder, "data"), FirstStart: true, Caller: b.caller,
 		// The entry has its share of the retry slack once it has been connected for a window.
-		Bounds: settings.Bounds{Grace: 3 * time.Second, RetryRatio: 0.2, RetryWindow: 200 * time.Millisecond, RetrySlack: float64(testCase.Int("slack", 60)), ColdFactor: 1.5, ColdSlack: 5, Revocation: time.Duration(testCase.Int("revocation", 0)) * time.Millisecond},
+		Bounds: settings.Bounds{Grace: 3 * time.Second, RetryRatio: 0.2, RetryWindow: 200 * time.Millisecond, RetrySlack: float64(testCase.Int("slack", 60)), ColdFactor: 1.5, ColdSlack: 5, Revocation: time.Duration(testCase.Int("revocation", 0)) * time.Millisecond, QuotaWindow: time.Duration(testCase.Int("quota_window", 0)) * time.Millisecond},
 	}
 	if seeds := testCase.List("seeds"); len(seeds) > 0 {
 		deployment.Seeds = seeds
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -12,6 +12,7 @@
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/placement"
 	"github.com/oriolepost/oriolepost/quarantine"
+	"github.com/oriolepost/oriolepost/quota"
 	"github.com/oriolepost/oriolepost/rollout"
 	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/upstream"
@@ -128,7 +129,11 @@
 	responses map[placement.AttemptID]upstream.Response
 	idleConns map[placement.Key][]*upstream.Conn
 	// idleCount is the number of connections in idleConns.
-	idleCount  int
+	idleCount int
+	// gate keeps workspaces within their quotas, and entries is the number of entries that
+	// the leader last reported.
+	gate       *quota.Gate
+	entries    int
 	firstTries placement.FirstTries
 	// configured is true once requests can be routed.
 	configured bool
@@ -159,7 +164,7 @@
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		active: map[placement.RequestID]*activeRequest{}, requestIDs: map[*ingress.Exchange]placement.RequestID{},
 		cancels: map[placement.AttemptID]context.CancelFunc{}, responses: map[placement.AttemptID]upstream.Response{},
-		idleConns: map[placement.Key][]*upstream.Conn{}, firstTries: placement.FirstTries{},
+		idleConns: map[placement.Key][]*upstream.Conn{}, firstTries: placement.FirstTries{}, gate: quota.NewGate(),
 	}
 }
 
@@ -226,6 +231,8 @@
 		}
 	case countsMessage:
 		m.reply <- t.placement.TakeCounts()
+	case usagesMessage:
+		m.reply <- t.gate.Take(time.Now())
 	case stopMessage:
 		t.step(placement.StopBegan{Plan: m.plan})
 	case viewMessage:
@@ -271,6 +278,9 @@
 		t.perform(placement.Finish{Request: id, Outcome: placement.NotRun{Reason: placement.ReasonNoWeight}})
 		return
 	}
+	if t.refuseBeyondQuota(request) {
+		return
+	}
 	if !t.asksForProbe(request) {
 		t.step(placement.Arrived{Request: request})
 	}
@@ -347,6 +357,7 @@
 		t.gateway.lastContact.Store(m.contact)
 	}
 	if m.position.Count > 0 {
+		t.entries = m.position.Count
 		t.step(m.position)
 	}
 	if !t.configured && t.gateway.routes() {
@@ -359,6 +370,7 @@
 // configuration the one that applies to new requests.
 func (t *task) applyView(message viewMessage) {
 	view := message.view
+	t.gate.SetShares(view.Shares)
 	event := placement.ViewReceived{
 		Full: view.Full, FleetComplete: view.FleetComplete, Upstreams: view.Upstreams, Removed: view.Removed, OutDomains: view.OutDomains, Splits: view.Splits,
 	}
@@ -394,6 +406,9 @@
 		t.respond(effect.Request, response)
 	case placement.NotRun:
 		status, reason = http.StatusServiceUnavailable, string(o.Reason)
+		if o.Reason == placement.ReasonQuota {
+			status = http.StatusTooManyRequests
+		}
 		t.respond(effect.Request, ingress.Refusal(status, "not run: "+reason, o.RetryAfter))
 	case placement.Unknown:
 		status, reason = http.StatusBadGateway, string(o.Reason)
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -44,6 +44,9 @@
 	// counted in them and not reported by a watch that was answered.
 	rolloutsRun bool
 	counts      *peer.Counts
+	// usages is what was counted for workspaces with a quota and not reported by a watch that
+	// was answered.
+	usages *peer.Usages
 	// searchLogAt is the earliest time of the next log line about the search for the
 	// leader.
 	searchLogAt time.Time
@@ -82,13 +85,14 @@
 	ctx, cancel := context.WithTimeout(w.ctx, w.watchDuration())
 	defer cancel()
 	w.takeCounts()
+	w.takeUsages()
 	request := w.following.Request
-	request.Counts = w.counts
+	request.Counts, request.Usages = w.counts, w.usages
 	response, err := w.leader.Call(ctx, request)
 	if err != nil {
 		return peer.WatchResponse{}, err
 	}
-	w.counts = nil
+	w.counts, w.usages = nil, nil
 	update, ok := response.(peer.WatchResponse)
 	if !ok || update.Epoch < w.following.Request.Epoch {
 		return peer.WatchResponse{}, &peer.RefusedError{Code: peer.CodeNotLeader, Reason: "an older leader answered"}
--- a/peer/message.go
+++ b/peer/message.go
@@ -23,6 +23,7 @@
 	"github.com/oriolepost/oriolepost/entry"
 	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/quarantine"
+	"github.com/oriolepost/oriolepost/quota"
 	"github.com/oriolepost/oriolepost/record"
 	"github.com/oriolepost/oriolepost/replica"
 	"github.com/oriolepost/oriolepost/rollout"
@@ -166,6 +167,9 @@
 	// Counts is what the entry, or the entries of the relay, counted in running roll-outs
 	// since the last watch that was answered.
 	Counts *Counts `json:"counts,omitempty"`
+	// Usages is what the entry, or the entries of the relay, counted for workspaces with a
+	// quota since the last watch that was answered.
+	Usages *Usages `json:"usages,omitempty"`
 }
 
 // Counts holds a report for each running roll-out in which something was counted.
@@ -173,6 +177,11 @@
 	Reports []rollout.Report `json:"reports"`
 }
 
+// Usages holds the usage of each workspace that sent a request.
+type Usages struct {
+	List []quota.Usage `json:"list"`
+}
+
 // Relay is what a relay reports to the leader: a control instance that passes the leader's
 // view on to entries.
 type Relay struct {
@@ -406,6 +415,8 @@
 	// Splits say which versions of services entries may use. A service without a split has
 	// no restriction.
 	Splits []rollout.Split `json:"splits,omitempty"`
+	// Shares has the workspaces that would exceed their quotas at the moment.
+	Shares []quota.Share `json:"shares,omitempty"`
 }
 
 func (RolloutResponse) response() {}
--- a/placement/event.go
+++ b/placement/event.go
@@ -230,6 +230,8 @@
 	ReasonNoConfiguration Reason = "no_configuration"
 	// ReasonNoWeight means that all services of the route have weight zero.
 	ReasonNoWeight Reason = "no_weight"
+	// ReasonQuota means that the request's workspace has used its quota.
+	ReasonQuota Reason = "quota"
 	// ReasonQuarantined means that the content of the request is quarantined, as it
 	// crashes upstreams.
 	ReasonQuarantined Reason = "quarantined"
--- a/settings/deployment.go
+++ b/settings/deployment.go
@@ -66,6 +66,13 @@
 	// key, from which on no instance may run a request with it, in contact with the others
 	// or not. Zero means that only instances in contact are bound.
 	Revocation time.Duration
+	// QuotaWindow, QuotaOverage and QuotaSlack limit the requests of a workspace that has a
+	// quota, over all entries together: in any window of length QuotaWindow, at most its
+	// rate times the window plus its burst, that times 1 + QuotaOverage, plus QuotaSlack.
+	// Without a window, quotas are not enforced.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   float64
 	// ExposureShare and ExposureSlack limit the requests that a bad version of a service may
 	// get in its roll-out: the share of the service's requests until the deadline, plus the
 	// slack. A share above zero also keeps versions that no roll-out has named from getting
