--- a/allowance/allowance.go
+++ b/allowance/allowance.go
@@ -60,10 +60,8 @@
 	pooledSafetyFactor = 0.97
 	// windowLifetime is how long the tokens of a [Window] are valid, and minBucketLifetime
 	// and maxBucketLifetime limit the lifetime of those of a [Bucket]. An answer comes
-	// within a few milliseconds, or from a busy leader up to 1.1 s later. A window's tokens
-	// last until an entry with 0.5 retries a second needs the next one; with 1.2 s
-	// such entries send 0.59 reports for a retry or hedge instead of 0.47.
-	windowLifetime    = 2 * time.Second
+	// within a few milliseconds, or from a busy leader up to 1.1 s later.
+	windowLifetime    = 1200 * time.Millisecond
 	minBucketLifetime = 100 * time.Millisecond
 	maxBucketLifetime = 2 * time.Second
 	// toleranceShare is the part of a bucket's tolerance that the lifetime uses up. The
@@ -81,8 +79,6 @@
 	// counts as of the end of its part, and a report may arrive up to a part later. A window
 	// begins and ends within a part.
 	countedParts = partsPerWindow - 4
-	// recentParts is the number of parts over which the present rate of requests is taken.
-	recentParts = 16
 	// historyParts is how many parts of requests matter: two windows.
 	historyParts = 2 * partsPerWindow
 )
@@ -112,8 +108,7 @@
 	// more, and will not spend any other that it was granted before.
 	Spent uint64 `json:"spent,omitempty"`
 	Held  int    `json:"held,omitempty"`
-	// SpentAgoMS is the time since the last of them was spent, if any was since the last
-	// report that was answered.
+	// SpentAgoMS is the time since the last of them was spent.
 	SpentAgoMS int64 `json:"spent_ago_ms,omitempty"`
 	// Wanted is the number of further tokens that the holder asks for. WantedLow is the
 	// same for requests of low priority, which leave the part Reserve of the limit to
@@ -121,9 +116,6 @@
 	Wanted    int     `json:"wanted,omitempty"`
 	WantedLow int     `json:"wanted_low,omitempty"`
 	Reserve   float64 `json:"reserve,omitempty"`
-	// Spare is the number of tokens that the holder may need besides while they are valid.
-	// The owner of a [Window] grants them unless the pool is short.
-	Spare int `json:"spare,omitempty"`
 	// StandingPerS is the standing rate that the holder has.
 	StandingPerS float64 `json:"standing_per_s,omitempty"`
 }
@@ -133,7 +125,7 @@
 	// Owner identifies the owner. A holder reports its whole history to a new one.
 	Owner string `json:"owner"`
 	// AskAfterMS is the time after which the holder may send its next report.
-	AskAfterMS int64   `json:"ask_after_ms,omitempty"`
+	AskAfterMS int64   `json:"ask_after_ms"`
 	Items      []Grant `json:"items,omitempty"`
 }
 
@@ -145,15 +137,9 @@
 	TokensLow int `json:"tokens_low,omitempty"`
 	// LifetimeMS is how long these and the tokens that the holder had are valid, counted
 	// from when the report was sent.
-	LifetimeMS int64 `json:"lifetime_ms,omitempty"`
-	// Return asks the holder to report when tokens have expired that it did not use.
-	// Otherwise the owner charges them until the next report.
-	Return bool `json:"return,omitempty"`
+	LifetimeMS int64 `json:"lifetime_ms"`
 	// AskAfterMS is the time after which asking again may succeed, if not all was granted.
 	AskAfterMS int64 `json:"ask_after_ms,omitempty"`
-	// LowAskAfterMS is the same for tokens of low priority, if that is later: what is left
-	// may be for other requests only.
-	LowAskAfterMS int64 `json:"low_ask_after_ms,omitempty"`
 	// StandingPerS is the rate at which the holder may go on for StandingMS while it has
 	// lost the owner, or if the owner is Closed: it can't grant yet because of what its
 	// predecessor has granted.
--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -230,8 +230,7 @@
 	return (&messages{now: time.Unix(1000, 0)}).run
 })
 
-// messages exchanges the messages of single holders with an owner, which has led for long
-// or was elected just now.
+// messages exchanges the messages of single holders with an owner, which has led for long.
 type messages struct {
 	now     time.Time
 	owner   *allowance.Owner
@@ -246,11 +245,7 @@
 	switch c.Command {
 	case "limit":
 		limit := allowance.Window{Ratio: 0.2, Length: 10 * time.Second, Slack: float64(c.Int("slack", 0))}
-		since := m.now.Add(-time.Hour)
-		if c.Bool("elected") {
-			since = m.now
-		}
-		m.owner = allowance.NewOwner(since, m.now.Add(-time.Hour), "1", func(string) (allowance.Limit, bool) { return limit, true })
+		m.owner = allowance.NewOwner(m.now.Add(-time.Hour), m.now.Add(-time.Hour), "1", func(string) (allowance.Limit, bool) { return limit, true })
 		m.holders = map[string]*allowance.Holder{}
 		return ""
 	case "ask":
--- a/allowance/history.go
+++ b/allowance/history.go
@@ -19,10 +19,11 @@
 	return h[index(historyParts-ago)] - h[index(historyParts-ago-countedParts)]
 }
 
-// lowestAhead returns the lowest value at any time from some parts ahead to others.
-func lowestAhead(from, to int, value func(ahead int) int) int {
-	lowest := value(from)
-	for ahead := from + 1; ahead <= to; ahead++ {
+// lowestAhead returns the lowest value at any time within the next window, which is given
+// in parts.
+func lowestAhead(value func(ahead int) int) int {
+	lowest := value(0)
+	for ahead := 1; ahead <= partsPerWindow; ahead++ {
 		lowest = min(lowest, value(ahead))
 	}
 	return lowest
--- a/allowance/holder.go
+++ b/allowance/holder.go
@@ -3,7 +3,6 @@
 import (
 	"hash/fnv"
 	"maps"
-	"math"
 	"slices"
 	"time"
 )
@@ -17,14 +16,6 @@
 	// prefetchFrom is how many tokens a holder must have spent since its last report to
 	// ask for more before they run out. A single one is no sign of further demand.
 	prefetchFrom = 2
-	// prefetchTime is the time before the next token is wanted in vain at which a holder
-	// asks for more. It is the longest pause between reports with 250 entries. With less
-	// demand, a wait for an answer now and then takes fewer messages than tokens that expire.
-	prefetchTime = 250 * time.Millisecond
-	// spendingTime is the time over which the spending of a holder is averaged, and
-	// minSpareRate the spending a second from which it asks for spare tokens.
-	spendingTime = 5 * time.Second
-	minSpareRate = 0.1
 	// standingReturn is the time after which a holder without demand returns its standing
 	// rates. It is shorter than their lifetime by the time for an answer.
 	standingReturn = time.Second
@@ -66,22 +57,10 @@
 	expiresAt time.Time
 	spent     uint64
 	spentAt   time.Time
-	// reportedSpent is the number of spent tokens that the owner has, and sentSpent that in
-	// the report under way.
-	reportedSpent, sentSpent uint64
-	// spending is a moving average of the tokens spent a second, as of spentAt.
-	spending float64
-	// counted is true if the limit grants a ratio of requests.
-	counted bool
-	// returns is true if unused tokens are to be returned when they expire. grantedAt is
-	// when the owner last answered.
-	returns   bool
-	grantedAt time.Time
 	// reserve is what requests of low priority leave to others.
 	reserve float64
-	// askAt is when asking for more may succeed, and lowAskAt when it may for requests of
-	// low priority, if that is later.
-	askAt, lowAskAt time.Time
+	// askAt is when asking for more may succeed.
+	askAt time.Time
 	// standing is the rate at which the holder goes on until standingUntil while it has lost
 	// the owner, and standingSpent how many it has spent so. draw rounds the fraction of
 	// that number, as in package retry.
@@ -116,7 +95,7 @@
 		return 0
 	}
 	past := historyOf(&h.key(key).counts, h.part(now))
-	return lowestAhead(0, partsPerWindow, func(ahead int) int { return past.within(partsPerWindow/2 - ahead + 1) })
+	return lowestAhead(func(ahead int) int { return past.within(partsPerWindow/2 - ahead + 1) })
 }
 
 // Demand is what a token is wanted for.
@@ -161,11 +140,7 @@
 }
 
 // Count counts a request for which a [Window] limit grants a ratio.
-func (h *Holder) Count(now time.Time, key string) {
-	k := h.key(key)
-	k.counted = true
-	k.counts.add(h.part(now), 1)
-}
+func (h *Holder) Count(now time.Time, key string) { h.key(key).counts.add(h.part(now), 1) }
 
 // Take spends a token and returns true. Otherwise it records the demand, and returns
 // false.
@@ -195,11 +170,6 @@
 	}
 	c.taken++
 	k.spent++
-	k.spending = k.spendingAt(now)
-	if c == &k.any {
-		// Spare tokens are for any request.
-		k.spending += 1 / spendingTime.Seconds()
-	}
 	k.spentAt = now
 	return true
 }
@@ -261,13 +231,9 @@
 // dueAt returns when a key next has something to report, or false if it has nothing.
 func (k *held) dueAt(answeredAt time.Time) (at time.Time, ok bool) {
 	switch {
-	case k.any.missed > 0 || k.standingSpent > 0 || k.taken() >= prefetchFrom && k.runsOut():
+	case k.missed() > 0 || k.standingSpent > 0 || k.taken() >= prefetchFrom && k.tokens() < k.taken():
 		return k.askAt, true
-	case k.low.missed > 0 && k.askAt.Before(k.lowAskAt):
-		return k.lowAskAt, true
-	case k.low.missed > 0:
-		return k.askAt, true
-	case k.tokens() > 0 && k.returns:
+	case k.tokens() > 0:
 		return k.expiresAt, true
 	case k.standing > 0:
 		// The owner must hear of this holder again, or it assumes that the rate is used.
@@ -278,33 +244,7 @@
 
 // idle reports whether a key needs no attention until the next demand.
 func (k *held) idle(now time.Time) bool {
-	return (k.tokens() == 0 || !k.returns) && k.standing == 0 && k.missed() == 0 && (k.taken() < prefetchFrom || !now.Before(k.expiresAt))
-}
-
-// runsOut reports whether more tokens are to be asked for before one is wanted in vain. For
-// a [Window], this is so if the spending since the last grant would use up those that are
-// left, and one more, within prefetchTime.
-func (k *held) runsOut() bool {
-	if !k.counted {
-		return k.tokens() < k.taken()
-	}
-	spendingFor := k.spentAt.Sub(k.grantedAt)
-	return k.tokens() < k.taken() && time.Duration(k.tokens()+1)*spendingFor <= time.Duration(k.taken())*prefetchTime
-}
-
-// spendingAt returns the moving average of the tokens spent a second.
-func (k *held) spendingAt(now time.Time) float64 {
-	return k.spending * math.Exp(-now.Sub(k.spentAt).Seconds()/spendingTime.Seconds())
-}
-
-// spare returns how many tokens the holder may need until they expire, besides those that
-// it has and asks for.
-func (k *held) spare(now time.Time, item ReportItem) int {
-	spending := k.spendingAt(now)
-	if !k.counted || spending < minSpareRate {
-		return 0
-	}
-	return max(0, 2+int(math.Ceil(spending*windowLifetime.Seconds()))-max(1, item.wanted())-item.Held)
+	return k.tokens() == 0 && k.standing == 0 && k.missed() == 0 && (k.taken() < prefetchFrom || !now.Before(k.expiresAt))
 }
 
 func (k *held) tokens() int { return k.any.tokens + k.low.tokens }
@@ -314,18 +254,8 @@
 // wanted returns how many further tokens the holder asks for: the demand since the last
 // report, but not many more than it could spend of the last grant. What was wanted in vain
 // may be gone by the time at which a token comes.
-func (c class) wanted(taken int) int {
-	return max(0, min(taken+c.missed, max(firstBatch, 2*c.taken))-c.tokens)
-}
-
-// wanted returns how many further tokens the holder asks for in each class. For a [Window],
-// it counts of the spending since the last grant what it expects while tokens are valid.
-func (k *held) wanted(now time.Time) (wanted, low int) {
-	expected := 1.0
-	if since := now.Sub(k.grantedAt); k.counted && since > windowLifetime {
-		expected = windowLifetime.Seconds() / since.Seconds()
-	}
-	return k.any.wanted(int(expected * float64(k.any.taken))), k.low.wanted(int(expected * float64(k.low.taken)))
+func (c class) wanted() int {
+	return max(0, min(c.taken+c.missed, max(firstBatch, 2*c.taken))-c.tokens)
 }
 
 func (k *held) report(now time.Time, key string, part int64) ReportItem {
@@ -333,20 +263,14 @@
 		k.any.tokens, k.low.tokens = 0, 0
 	}
 	first := max(k.reportedThrough+1, part-historyParts, 0)
-	item := ReportItem{Key: key, Spent: k.spent, Held: k.tokens(), Reserve: k.reserve}
-	item.Wanted, item.WantedLow = k.wanted(now)
-	if k.spent > k.reportedSpent {
+	item := ReportItem{Key: key, Spent: k.spent, Held: k.tokens(), Wanted: k.any.wanted(), WantedLow: k.low.wanted(), Reserve: k.reserve}
+	if k.spent > 0 {
 		item.SpentAgoMS = now.Sub(k.spentAt).Milliseconds()
 	}
 	if now.Before(k.standingUntil) && item.wanted() > 0 {
 		item.StandingPerS = k.standing
 	}
-	item.Spare = k.spare(now, item)
-	last := part - 1
-	for last >= first && k.counts.at(last) == 0 {
-		last--
-	}
-	for p := first; p <= last; p++ {
+	for p := first; p < part; p++ {
 		if count := k.counts.at(p); count > 0 || len(item.Counts) > 0 {
 			if len(item.Counts) == 0 {
 				item.FirstPart = p
@@ -354,7 +278,7 @@
 			item.Counts = append(item.Counts, count)
 		}
 	}
-	k.sentThrough, k.sentSpent = part-1, k.spent
+	k.sentThrough = part - 1
 	k.any, k.low = class{tokens: k.any.tokens}, class{tokens: k.low.tokens}
 	return item
 }
@@ -398,7 +322,6 @@
 		if usable {
 			k.reportedThrough = k.sentThrough
 		}
-		k.reportedSpent, k.returns, k.grantedAt = k.sentSpent, g.Return, now
 		k.any.tokens += g.Tokens
 		k.low.tokens += g.TokensLow
 		k.expiresAt = h.sentAt.Add(milliseconds(g.LifetimeMS))
@@ -406,7 +329,7 @@
 			k.lostAt = now
 		}
 		k.standing, k.standingUntil, k.standingSpent = g.StandingPerS, h.sentAt.Add(milliseconds(g.StandingMS)), 0
-		k.askAt, k.lowAskAt = now.Add(milliseconds(g.AskAfterMS)), now.Add(milliseconds(g.LowAskAfterMS))
+		k.askAt = now.Add(milliseconds(g.AskAfterMS))
 		h.active[g.Key] = k
 	}
 }
--- a/allowance/owner.go
+++ b/allowance/owner.go
@@ -24,14 +24,6 @@
 	// leave much of the limit unused for several intervals.
 	askersPerShare = 8
 	minShares      = 4
-	// shortShare is the part of a pool below which it is short: holders get no spare tokens
-	// and are to return those that they did not use. At a quarter, ordinary hedges of 9 in
-	// 100 requests made it short.
-	shortShare = 0.05
-	// maxRefusedInterval limits the time after which asking a used-up pool again may
-	// succeed. How soon requests will raise its limit is not known: with 2 s, entries that
-	// restart refill too slowly.
-	maxRefusedInterval = time.Second
 	// expiryGrace is how long after their end the owner still keeps tokens as unspent, so
 	// that the report in which a holder returns them is in time.
 	expiryGrace = 100 * time.Millisecond
@@ -100,7 +92,6 @@
 
 // share is what one holder has of one pool.
 type share struct {
-	holder string
 	// countedThrough is the last part of the requests that were counted.
 	countedThrough int64
 	spent          uint64
@@ -176,15 +167,12 @@
 		if r.Owner == "" || r.Owner == o.Name {
 			p.count(now.Add(-age), item, s)
 		}
-		opens := o.opensForWindow(l)
-		g := p.grant(now, r.Holder, item, windowLifetime, opens)
-		p.finishWindow(now, s, item, &g, opens)
+		g := p.grant(now, r.Holder, item, windowLifetime, o.opensForWindow(l))
 		g.AskAfterMS = max(g.AskAfterMS, o.windowInterval().Milliseconds())
 		return g
 	case Bucket:
 		p.setStanding(now, r.Holder, item, l.Rate)
 		g := p.grant(now, r.Holder, item, l.lifetime(), o.opensForBucket(l))
-		g.Return = true
 		g.StandingPerS, g.StandingMS, g.Closed = s.standing, standingLifetime.Milliseconds(), now.Before(o.opensForBucket(l))
 		return g
 	}
@@ -267,7 +255,7 @@
 	s := p.shares[holder]
 	if s == nil {
 		// What was spent before is the concern of former reports, or of a former owner.
-		s = &share{holder: holder, countedThrough: -1, spent: item.Spent, tokens: item.Held}
+		s = &share{countedThrough: -1, spent: item.Spent, tokens: item.Held}
 		p.shares[holder] = s
 		p.outstanding += item.Held
 	}
@@ -352,50 +340,6 @@
 	return g
 }
 
-// finishWindow grants spare tokens of a [Window], and sets when asking again may succeed
-// after a refusal: when the owner opens, or when enough of what was spent is out of the
-// window for all that ask. At the opening each holder gets a time of its own, so that they
-// don't all report at once.
-func (p *pool) finishWindow(now time.Time, s *share, item ReportItem, g *Grant, opens time.Time) {
-	m, ok := p.meter.(*windowMeter)
-	if !ok {
-		return
-	}
-	if now.Before(opens) {
-		g.AskAfterMS = (opens.Sub(now) + time.Duration(len(p.shares))*windowIntervalPerHolder).Milliseconds() + 1
-		return
-	}
-	left := m.available(now, p.outstanding, 0)
-	unused := left - max(1, shortShare*m.pooledLimit(now))
-	if tokens := min(max(0, item.Spare), int(unused)); tokens > 0 && g.AskAfterMS == 0 {
-		if s.tokens == 0 {
-			p.expiring = append(p.expiring, expiry{holder: s.holder, at: s.expiresAt})
-		}
-		g.Tokens += tokens
-		s.tokens += tokens
-		p.outstanding += tokens
-	}
-	g.Return = unused < 0 && s.tokens > 0
-	wait := func(left float64) int64 {
-		if left >= p.askers+1 {
-			return 0
-		}
-		// Those that ask within the longest wait are more than within the shortest.
-		askers := p.askers * float64(maxRefusedInterval) / float64(refusedAskInterval)
-		return max(refusedAskInterval, min(m.freesAfter(now, askers+1-left), maxRefusedInterval)).Milliseconds()
-	}
-	g.AskAfterMS = 0
-	if g.Tokens < item.Wanted {
-		g.AskAfterMS = wait(left)
-	}
-	if g.TokensLow < item.WantedLow {
-		g.LowAskAfterMS = wait(m.available(now, p.outstanding, item.Reserve))
-	}
-	if s.tokens == 0 {
-		g.LifetimeMS = 0
-	}
-}
-
 // windowInterval returns the pause before a holder's next report on the same window.
 func (o *Owner) windowInterval() time.Duration {
 	return time.Duration(o.recent) * windowIntervalPerHolder
