--- a/control/task.go
+++ b/control/task.go
@@ -42,9 +42,9 @@
 	snapshotAfterEntries = 128
 	// snapshotAfterBytes is the size of the commands applied since the last
 	// snapshot after which another one is taken, however few entries they are.
-	// A restarted instance reads this many bytes within a few tens of
-	// milliseconds.
-	snapshotAfterBytes = 256 << 10
+	// A restarted instance with 0.24 of a core took 0.46 s to apply 250 KB of
+	// configurations, during which a new leader answers nobody.
+	snapshotAfterBytes = 128 << 10
 	// heartbeatInterval and electionTimeout set the timing of the replicated
 	// log. Five heartbeats fit into an election timeout, and a new leader is
 	// elected within about a second. Entries then learn of it within the 2 s in
