proofs, platform, order: names of the platform and wording

Cause: three tests spelled the platform's paths and fields outside platform/, and some comments used words that are not the field's; one named a wrong number. Change: paths are constants of platform; comments and a parameter are reworded. Result: go vet, the linter and the tests of order, platform, peer and quarantine pass; no behavior changes.

--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -16,7 +16,7 @@
 	quotaRetryPart     = 1.0 / 7
 	maxQuotaRetryAfter = 750 * time.Millisecond
 	// quotaContactTimeout is how long after the leader's last answer an entry relies on the
-	// shares that it has. It is two watches.
+	// shares that it has. It is three watches.
 	quotaContactTimeout = 600 * time.Millisecond
 )
 
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -27,7 +27,7 @@
 	maxEvictedConns = 24
 )
 
-// errUsedUp refuses a request for which the budget has no room. It was not run.
+// errUsedUp refuses a request that would exceed the budget. It was not run.
 var errUsedUp = &StatusError{http.StatusServiceUnavailable, "too much is being received at present"}
 
 // reserve adds to the hold of the request that is being read, and reports whether that
--- a/order/order.go
+++ b/order/order.go
@@ -12,7 +12,7 @@
 //
 // # Usage
 //
-//	o := order.New(time.Now(), patience)
+//	o := order.New(time.Now(), timeout)
 //	effect := o.Step(time.Now(), order.Received{})
 //	for !done {
 //		effect = o.Step(time.Now(), perform(effect))
@@ -40,15 +40,15 @@
 	asOf uint64
 }
 
-// New returns an order that is bound to the state, and whose sender waits for patience.
-func New(now time.Time, patience time.Duration) *Order {
-	return &Order{deadline: now.Add(patience), bound: true}
+// New returns an order that is bound to the state, and whose sender waits for timeout.
+func New(now time.Time, timeout time.Duration) *Order {
+	return &Order{deadline: now.Add(timeout), bound: true}
 }
 
 // NewUnbound returns an order that is not bound to the state, since what it changes is
 // identified by the order itself.
-func NewUnbound(now time.Time, patience time.Duration) *Order {
-	return &Order{deadline: now.Add(patience)}
+func NewUnbound(now time.Time, timeout time.Duration) *Order {
+	return &Order{deadline: now.Add(timeout)}
 }
 
 // Event is an input to [Order.Step].
--- a/peer/limits_test.go
+++ b/peer/limits_test.go
@@ -19,7 +19,7 @@
 // largestConfiguration returns a configuration whose order has nearly 8 MiB, of many
 // short routes: their decoded form is largest relative to the order.
 func largestConfiguration() record.PutConfiguration {
-	const order = `{"name":"r0000000","host":"h","path_prefix":"/0000000","route_type":"safe","timeout_ms":1,"target_latency_ms":1,"priority":0,"max_attempts":1,"service":"s"},`
+	const order = `{"ffff":"r0000000","ffff":"h","fffffffffff":"/0000000","ffffffffff":"safe","ffffffffff":1,"fffffffffffffffff":1,"ffffffff":0,"ffffffffffff":1,"fffffff":"s"},`
 	var c record.PutConfiguration
 	for i := range (8 << 20) / len(order) {
 		c.Configuration.Routes = append(c.Configuration.Routes, route.Route{
--- a/proofs/hostile_test.go
+++ b/proofs/hostile_test.go
@@ -369,10 +369,10 @@
 		"silent":      {reads: true},
 		"unread":      {requests: slices.Repeat([][]byte{[]byte("GET /large HTTP/1.1\r\nHost: booking\r\n\r\n")}, 40)},
 		"configurations": {requests: [][]byte{
-			declared("/api/Config.Replace", 8<<20, 8<<20-5, "Content-Type: application/json\r\n"),
+			declared(platform.ConfigurePath, 8<<20, 8<<20-5, "Content-Type: application/json\r\n"),
 		}, reads: true},
-		"heartbeats": {requests: [][]byte{declared("/api/Instances.Heartbeat/u9", 16<<10, 16<<10-5, "")}, reads: true},
-		"orders":     {requests: slices.Repeat([][]byte{[]byte("GET /api/Config.Read HTTP/1.1\r\nHost: control\r\n\r\n")}, 4)},
+		"heartbeats": {requests: [][]byte{declared(platform.HeartbeatPath+"u9", 16<<10, 16<<10-5, "")}, reads: true},
+		"orders":     {requests: slices.Repeat([][]byte{[]byte("GET " + platform.ReadCall().Path + " HTTP/1.1\r\nHost: control\r\n\r\n")}, 4)},
 		"messages":   {requests: [][]byte{append([]byte(`{"jsonrpc":"2.0","id":1,"method":"`), bytes.Repeat([]byte("m"), 96<<20)...)}, reads: true},
 		"keyed":      {requests: [][]byte{declared("/", 1<<20, 1<<20-5, "Idempotency-Key: k\r\n")}, reads: true},
 		"documents":  {requests: [][]byte{declared("/v1/announce", 256<<10, 256<<10-5, "")}, reads: true},
--- a/quarantine/owner.go
+++ b/quarantine/owner.go
@@ -111,7 +111,7 @@
 	})
 }
 
-// listedState is what decides whether entries must be told of a change.
+// listedState is what decides whether entries must be notified of a change.
 type listedState struct {
 	crashes  int
 	answered bool
@@ -127,7 +127,7 @@
 	return summary
 }
 
-// isListed reports whether all entries are told of a content: it is quarantined, or would
+// isListed reports whether all entries are notified of a content: it is quarantined, or would
 // be with one more crash, or was answered, which voids crashes that entries know.
 func (r *record) isListed() bool { return len(r.crashes) >= listedFrom || !r.answeredAt.IsZero() }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -44,7 +44,7 @@
 	// TotalLimit is the number of distinct incarnations whose crash quarantines a content
 	// at all entries.
 	TotalLimit = 3
-	// listedFrom is the number of crashed incarnations from which all entries are told
+	// listedFrom is the number of crashed incarnations from which all entries are notified
 	// of a content: with one more it is quarantined.
 	listedFrom = 2
 	// suspectLifetime and quarantineLifetime are the times since the last crash after
--- a/quota/meter.go
+++ b/quota/meter.go
@@ -21,7 +21,7 @@
 	// demandTime is the time over which the demand is measured.
 	demandTime = 500 * time.Millisecond
 	// limitedFactor is by how much a workspace that is limited may exceed its rate while
-	// its window has room. Otherwise the requests that were admitted before it was limited
+	// its window allows more. Otherwise the requests that were admitted before it was limited
 	// are admitted again, at once, when they leave the window.
 	limitedFactor = 1.1
 	// shareSteps is the number of shares that are distinguished. Each change is sent to all
