--- a/review/harness/system.go
+++ b/review/harness/system.go
@@ -47,6 +47,8 @@
 	maxFDs   int
 	control  bool
 	port     int
+	// internal is the first of its ports between the machines.
+	internal int
 	dir      string
 	cmd      *exec.Cmd
 	ended    chan struct{}
@@ -87,7 +89,7 @@
 		s.fronts = append(s.fronts, &machine{name: "front-" + strconv.Itoa(i+1), ip: s.prefix + strconv.Itoa(40+i), zone: zones[i%len(zones)], memoryMB: 284, maxFDs: 4100})
 	}
 	for _, m := range s.machines() {
-		m.port = s.port
+		m.port, m.internal = s.port, s.port+internalOffset
 		m.dir = filepath.Join(dir, m.name)
 		if err := os.MkdirAll(filepath.Join(m.dir, "data"), 0o700); err != nil {
 			return nil, err
@@ -122,7 +124,7 @@
 			"limits": map[string]any{"cpu_share": cpu, "cores": 1, "memory_mb": m.memoryMB, "max_fds": m.maxFDs, "link_mbps": 1000.0, "disk_mb": 256},
 		},
 		"network": map[string]any{
-			"listen": listen, "internal_ports": []int{m.port + internalOffset, m.port + internalOffset + internalPorts - 1}, "seeds": seeds,
+			"listen": listen, "internal_ports": []int{m.internal, m.internal + internalPorts - 1}, "seeds": seeds,
 			"zones": map[string]string{"palermo": "sicilia", "catania": "sicilia", "ragusa": "sicilia"},
 		},
 		"provider": map[string]any{"discovery": "registration", "entry": "vip", "heartbeat_ms": 1500, "config_mode": "highest"},
