review: traffic starts 8 s after the machines, a link closes nothing itself

Cause: the cases began about a second after the start of the machines, inside contact_ms and catch_up_s, and the link of case 7 closed its client's side when a write to the machine failed, which could cut answers itself.

--- a/review/harness/link.go
+++ b/review/harness/link.go
@@ -53,8 +53,15 @@
 		return
 	}
 	defer machine.Close()
-	go copyDelayed(machine, client)
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		copyDelayed(machine, client)
+	}()
 	copyDelayed(client, machine)
+	// The link closes nothing that its ends have not closed: the client's side stays open
+	// until the client has read everything and leaves.
+	<-sent
 }
 
 // copyDelayed copies bytes in one direction, and its end.
@@ -77,13 +84,13 @@
 			}
 		}
 	}()
+	failed := false
 	for p := range pieces {
 		time.Sleep(time.Until(p.due))
-		if _, err := to.Write(p.data); err != nil {
-			_ = from.Close()
-			for range pieces {
-			}
-			return
+		if !failed {
+			_, err := to.Write(p.data)
+			// What cannot be delivered is lost; the other direction goes on.
+			failed = err != nil
 		}
 	}
 	if half, ok := to.(*net.TCPConn); ok {
--- a/review/harness/system.go
+++ b/review/harness/system.go
@@ -34,6 +34,9 @@
 	metricsPort = 9464
 	// program is the command of the deploy file, relative to the repository root.
 	program = "target/oriolepost"
+	// leadTime is the time from the start of the machines to that of the traffic. It is longer
+	// than contact_ms and catch_up_s.
+	leadTime = 8 * time.Second
 	// firstServer is the last part of the address of the first server.
 	firstServer = 100
 )
@@ -224,6 +227,7 @@
 // startAll starts all machines, has the first configuration acknowledged, and waits until
 // every front is ready.
 func (s *system) startAll(configuration map[string]any) error {
+	trafficAt := time.Now().Add(leadTime)
 	for _, m := range s.machines() {
 		if err := s.start(m); err != nil {
 			return err
@@ -237,6 +241,7 @@
 			return fmt.Errorf("front %s is not ready: %w", f.name, err)
 		}
 	}
+	time.Sleep(time.Until(trafficAt))
 	return nil
 }
 
