httplisten: limited servers keep their ConnContext

Callers saw: an order whose sender had closed the connection was carried out late where the end of the connection stood behind unread bytes, such as an empty body in chunks.

Cause: trackActivity replaced the server's ConnContext. Connected found no connection and looked at the request's context only, in every process that limits its connections. The platform tests set no limit.

Change: both functions apply, and a limited connection hands out its socket.

--- a/connlimit/connlimit.go
+++ b/connlimit/connlimit.go
@@ -12,8 +12,10 @@
 package connlimit
 
 import (
+	"errors"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -51,6 +53,14 @@
 	return err
 }
 
+// SyscallConn implements [syscall.Conn].
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	if conn, ok := c.Conn.(syscall.Conn); ok {
+		return conn.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 // CloseWrite closes the sending direction, as net/http does before it closes a
 // connection on which the client still sends.
 func (c *Conn) CloseWrite() error {
--- a/httplisten/limits.go
+++ b/httplisten/limits.go
@@ -58,7 +58,11 @@
 // trackActivity reports to package connlimit what each connection is doing: it is idle
 // between requests, and a request is arriving until its body has been read.
 func trackActivity(s *http.Server) {
+	connContext := s.ConnContext
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if connContext != nil {
+			ctx = connContext(ctx, c)
+		}
 		return context.WithValue(ctx, connKey{}, c)
 	}
 	onState := s.ConnState
