order: an order is proven by the age of its connection

Cause: the instance took the absence of the end of the connection for a proof that the sender still waits. It gave the end 40 ms to arrive; nothing bounds its delay.

Change: the state to which an order is bound must be read within 500 ms of the opening of its connection, when a sender that waits for a second can't have given up. A newer order then has a higher index. Otherwise the order is refused as not carried out. The age counts from the kernel's queue, the handshake and a suspension.

--- a/httplisten/connected.go
+++ b/httplisten/connected.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -12,12 +11,6 @@
 // connectionKey is the context key of a request's connection.
 type connectionKey struct{}
 
-// KeepConnection is an [net/http.Server.ConnContext] with which [Connected] finds the
-// connection of a request.
-func KeepConnection(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connectionKey{}, conn)
-}
-
 // Connected reports whether the sender of a request still waits: its context has not ended,
 // and the end of the connection has not arrived. It never waits.
 //
@@ -28,7 +21,8 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	conn, ok := ctx.Value(connectionKey{}).(syscall.Conn)
+	kept, _ := ctx.Value(connectionKey{}).(connection)
+	conn, ok := kept.conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/order/order.go
+++ b/order/order.go
@@ -2,10 +2,12 @@
 // order.
 //
 // An operator waits for one second, closes the connection and sends the order to another
-// instance. A delayed copy may arrive after a newer order was acknowledged. So an order
-// whose sender has given up is not started, and an order is bound to the state that was
-// known when its sender still waited: it is not applied on top of a later change, but
-// bound again while its sender waits.
+// instance. A delayed copy may arrive after a newer order was acknowledged, and the end of
+// its connection later still. So an order is bound to a state that was read when its sender
+// can't have given up yet, and is not applied on top of a later change. The proof is the age
+// of the connection: the order was not sent before it was opened. An order on an older
+// connection may have been overtaken; it is refused as not carried out, and a sender that
+// still waits goes to another instance.
 //
 // The package is part of the core and does no input or output. It does not know what an
 // order changes; the caller performs the effects and encodes the command.
@@ -31,11 +33,18 @@
 // waits, and with a late timer still below 50 ms.
 const checkDelay = 40 * time.Millisecond
 
+// provenFor is how long after its sender opened the connection an order can't have been
+// given up. The sender waits for one second, and may count the time to open the connection.
+const provenFor = 500 * time.Millisecond
+
 // Order is the state of one order at the instance that received it.
 type Order struct {
 	deadline time.Time
 	// bound is true if the order is bound to the state.
 	bound bool
+	// identified is true if the order names what it changes so that a delayed copy does no
+	// harm.
+	identified bool
 	// asOf is the index of that state, or zero before it is read.
 	asOf uint64
 }
@@ -45,9 +54,15 @@
 	return &Order{deadline: now.Add(timeout), bound: true}
 }
 
-// NewUnbound returns an order that is not bound to the state, since what it changes is
-// identified by the order itself.
-func NewUnbound(now time.Time, timeout time.Duration) *Order {
+// NewIdentified returns an order that is not bound to the state, since it identifies what it
+// changes, such as the incarnation of an upstream.
+func NewIdentified(now time.Time, timeout time.Duration) *Order {
+	return &Order{deadline: now.Add(timeout), identified: true}
+}
+
+// NewResolved returns an order that is not bound to the state. What it changes was looked up
+// when the order was received.
+func NewResolved(now time.Time, timeout time.Duration) *Order {
 	return &Order{deadline: now.Add(timeout)}
 }
 
@@ -59,8 +74,16 @@
 // Received starts the order.
 type Received struct{}
 
-// SenderChecked reports whether the sender still waits.
-type SenderChecked struct{ Waiting bool }
+// SenderChecked reports what is known of the sender.
+type SenderChecked struct {
+	// Waiting is false if the end of its connection has arrived.
+	Waiting bool
+	// OpenedFor is the longest time for which the sender can have had its connection, on a
+	// clock that goes on while the machine is suspended.
+	OpenedFor time.Duration
+	// OpenedKnown is true if OpenedFor is known.
+	OpenedKnown bool
+}
 
 // StateRead reports the index up to which the state is known. An index of zero comes from
 // a leader of an earlier version, which knows no bound orders.
@@ -85,7 +108,7 @@
 //sumtype:decl
 type Effect interface{ effect() }
 
-// CheckSender checks after a time whether the sender still waits.
+// CheckSender finds out after a time what is known of the sender.
 type CheckSender struct{ After time.Duration }
 
 // ReadState reads, through the leader and the log, the index up to which the state is
@@ -115,6 +138,10 @@
 // time was up.
 var ErrOvertaken = errors.New("newer orders came until the time was up")
 
+// ErrUnproven is the error of an order whose sender may have given up without this instance
+// knowing it.
+var ErrUnproven = errors.New("the order may be a delayed copy, since its connection is not new; send it on a new one")
+
 // Step handles one event and returns the effect that follows.
 func (o *Order) Step(now time.Time, event Event) Effect {
 	switch e := event.(type) {
@@ -124,6 +151,8 @@
 		switch {
 		case !e.Waiting:
 			return Abandon{}
+		case !o.identified && (!e.OpenedKnown || e.OpenedFor >= provenFor):
+			return Fail{Err: ErrUnproven}
 		case o.bound && o.asOf == 0:
 			return ReadState{}
 		}
@@ -135,7 +164,7 @@
 		o.asOf = e.Index
 		o.bound = e.Index > 0
 		// The sender may have given up while the state was read. A newer order may then
-		// be part of that state.
+		// be part of that state. If it had not, each newer order has a higher index.
 		return CheckSender{}
 	case Proposed:
 		return o.proposed(now, e)
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -27,8 +27,11 @@
 	return func(c script.Case) string {
 		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 		o := order.New(now, 900*time.Millisecond)
-		if c.Command == "unbound" {
-			o = order.NewUnbound(now, 900*time.Millisecond)
+		switch c.Command {
+		case "identified":
+			o = order.NewIdentified(now, 900*time.Millisecond)
+		case "resolved":
+			o = order.NewResolved(now, 900*time.Millisecond)
 		}
 		return c.RunSteps(func(step script.Case) string {
 			now = now.Add(time.Duration(step.Int("after_ms", 0)) * time.Millisecond)
@@ -45,7 +48,10 @@
 	}
 	switch c.Command {
 	case "checked":
-		return order.SenderChecked{Waiting: c.Bool("waiting")}
+		return order.SenderChecked{
+			Waiting: c.Bool("waiting"), OpenedKnown: !c.Bool("unknown"),
+			OpenedFor: time.Duration(c.Int("opened_ms", 0)) * time.Millisecond,
+		}
 	case "read":
 		return order.StateRead{Index: uint64(c.Int("index", 0)), Err: err}
 	case "done":
