upstream, server: a response whose status HTTP doesn't have is malformed

On our own interface the status was passed on, and below 100 the write panicked, which closed the caller's connection.

Cause: net/http accepts any three digits as a status, and nothing checked them before the response was used.

Change: statuses below 100, above 599 and 101 are malformed before anything of the header is taken; the request may have run. Interim responses say nothing about the upstream, also to a probe.

--- a/call/call.go
+++ b/call/call.go
@@ -97,6 +97,8 @@
 	// ReasonAnswerCut means that the server's answer was not passed on to its end: its
 	// body was incomplete, or the caller could not be written to.
 	ReasonAnswerCut Reason = "answer_cut"
+	// ReasonAnswerMalformed means that the server's answer has a status that HTTP doesn't have.
+	ReasonAnswerMalformed Reason = "answer_malformed"
 	// ReasonNoQuorum means that the claim of the idempotency key was not
 	// confirmed, for example because no quorum of the voters was reached.
 	ReasonNoQuorum Reason = "no_quorum"
--- a/caller/problem.go
+++ b/caller/problem.go
@@ -50,7 +50,7 @@
 		return http.StatusUnprocessableEntity
 	case call.ReasonKeyInDoubt, call.ReasonResultNotKept:
 		return http.StatusConflict
-	case call.ReasonConnectionLost, call.ReasonAnswerCut:
+	case call.ReasonConnectionLost, call.ReasonAnswerCut, call.ReasonAnswerMalformed:
 		return http.StatusBadGateway
 	case call.ReasonNoSlot, call.ReasonQueueFull, call.ReasonNoLease, call.ReasonStopping,
 		call.ReasonConnectFailed, call.ReasonShed, call.ReasonCanceled, call.ReasonDeadline,
@@ -70,7 +70,7 @@
 		return true
 	case call.ReasonNoService, call.ReasonMalformed, call.ReasonTooLarge, call.ReasonTooDeep,
 		call.ReasonKeyMismatch, call.ReasonKeyInDoubt, call.ReasonResultNotKept, call.ReasonConnectionLost,
-		call.ReasonAnswerCut, call.ReasonNoLease, call.ReasonStopping, call.ReasonConnectFailed,
+		call.ReasonAnswerCut, call.ReasonAnswerMalformed, call.ReasonNoLease, call.ReasonStopping, call.ReasonConnectFailed,
 		call.ReasonCanceled, call.ReasonDeadline, call.ReasonNoQuorum:
 		return false
 	}
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -271,7 +271,7 @@
 // retryableReason reports whether an idempotent call may be retried after an
 // outcome that is unknown for this reason.
 func retryableReason(r call.Reason) bool {
-	return r == call.ReasonConnectionLost || r == call.ReasonAnswerCut
+	return r == call.ReasonConnectionLost || r == call.ReasonAnswerCut || r == call.ReasonAnswerMalformed
 }
 
 // spendRetry reports whether a call may be retried, and if so takes the retry
--- a/server/exchange.go
+++ b/server/exchange.go
@@ -157,10 +157,18 @@
 // connection can be reused.
 const maxDiscardedBytes = 4 << 10
 
+// maxStatus is the highest status of HTTP.
+const maxStatus = 599
+
 // responseResult returns the result for a response: not run if the server shed the
-// call, which is status 429 or 503 with [HeaderNotRun], and answered otherwise.
+// call, which is status 429 or 503 with [HeaderNotRun], unknown if it has no status of a
+// final answer, and answered otherwise. net/http accepts any three digits.
 func responseResult(response *http.Response, took time.Duration) Result {
 	status := response.StatusCode
+	if status < http.StatusOK || status > maxStatus {
+		_ = response.Body.Close()
+		return Result{Outcome: call.Unknown{Reason: call.ReasonAnswerMalformed}, ServiceTime: took}
+	}
 	shed := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
 	if !shed || response.Header.Get(HeaderNotRun) == "" {
 		return Result{Response: response, Outcome: call.Answered{Status: status}, ServiceTime: took}
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -81,10 +81,41 @@
 		return b.exchange(c)
 	case "cut":
 		return cut(c)
+	case "answer":
+		text := strings.ReplaceAll(strings.TrimSuffix(c.Input, "\n"), "\n", "\r\n")
+		return exchangeCut(strings.ReplaceAll(text, "<empty>", ""), false)
+	case "probe":
+		return probe(c.Args["status"])
 	}
 	return "unknown command"
 }
 
+// probe probes a server that answers with a status.
+func probe(status string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = l.Close() }()
+	go answerOnce(l, "HTTP/1.1 "+status+" Status\r\nContent-Length: 0\r\n\r\n", false)
+	connection := server.NewConnection(membership.Announcement{Address: l.Addr().String()}, func(membership.Announcement) {})
+	defer connection.Close()
+	return fmt.Sprint(connection.Probe(context.Background()))
+}
+
+// answerOnce answers one request with a text and then closes or resets the connection.
+func answerOnce(l net.Listener, text string, reset bool) {
+	conn, err := l.Accept()
+	if err != nil {
+		return
+	}
+	if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+		_, _ = io.WriteString(conn, text)
+	}
+	if reset {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // cut sends the answer of a case once for each of its beginnings, each on a
 // connection of its own that then ends. It returns the outcome of the whole answer,
 // and each beginning that was taken for a complete one.
@@ -106,19 +137,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	defer func() { _ = l.Close() }()
-	go func() {
-		conn, err := l.Accept()
-		if err != nil {
-			return
-		}
-		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-			_, _ = io.WriteString(conn, text)
-		}
-		if reset {
-			_ = conn.(*net.TCPConn).SetLinger(0)
-		}
-		_ = conn.Close()
-	}()
+	go answerOnce(l, text, reset)
 	connection := server.NewConnection(membership.Announcement{Address: l.Addr().String()}, func(membership.Announcement) {})
 	defer connection.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), attemptTimeout)
--- a/upstream/claim.go
+++ b/upstream/claim.go
@@ -6,8 +6,11 @@
 	"github.com/oriolepost/oriolepost/placement"
 )
 
-// maxStatus is the highest status of HTTP.
-const maxStatus = 599
+// minStatus and maxStatus are the lowest and the highest status of HTTP.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
 
 // Claim is what a complete response claims about the request to which it belongs.
 type Claim struct {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -186,7 +186,7 @@
 			c.broken = true
 			return Response{}, c.failureOutcome(ctx, err)
 		}
-		if received.StatusCode < 200 {
+		if isInterim(received) {
 			continue
 		}
 		response, err := c.readBody(received, request)
--- a/upstream/limit.go
+++ b/upstream/limit.go
@@ -46,15 +46,27 @@
 	c.source.remaining = maxHeadBytes
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	c.source.remaining = math.MaxInt64
-	if err == nil && response.Proto != "HTTP/1.1" {
+	switch {
+	case err != nil:
+		return nil, err
+	case response.Proto != "HTTP/1.1":
 		return nil, errNotHTTP11
+	case response.StatusCode < minStatus || response.StatusCode > maxStatus, response.StatusCode == http.StatusSwitchingProtocols:
+		return nil, errInvalidStatus
 	}
-	if err == nil {
+	if !isInterim(response) {
 		c.reportNotice(names, response, id)
 	}
-	return response, err
+	return response, nil
 }
 
+// errInvalidStatus reports a status that no final or interim response has. net/http accepts
+// any three digits.
+var errInvalidStatus = errors.New("response status is not valid")
+
+// isInterim reports whether another response follows to the same request.
+func isInterim(response *http.Response) bool { return response.StatusCode < http.StatusOK }
+
 // reportNotice reports what a response says about the upstream. All responses on a
 // connection come from the same process. Once one of them shows that this is another
 // upstream, which has the address now, none says anything about the expected one.
--- a/upstream/probe.go
+++ b/upstream/probe.go
@@ -61,14 +61,17 @@
 	}
 }
 
-// readProbeResponse reads the response to a probe with its body. It skips late copies
-// of the responses to earlier requests: those have an ID, and a probe has none.
+// readProbeResponse reads the response to a probe with its body. It skips interim responses
+// and late copies of the responses to earlier requests: those have an ID, and a probe has none.
 func (c *Conn) readProbeResponse(names header.Names, id string) (*http.Response, error) {
 	for range maxSkippedResponses + 1 {
 		response, err := c.readHead(names, http.MethodGet, id)
 		if err != nil {
 			return nil, err
 		}
+		if isInterim(response) {
+			continue
+		}
 		body, err := io.ReadAll(io.LimitReader(response.Body, maxHealthBodyBytes+1))
 		if err != nil {
 			return nil, err
