upstream: the test of a streamed body without end has no size

Cause: the flood of "Chunks without end" ended after 64 MiB.

Change: a streamed body goes on until the other end closes the connection or 5 s have passed; only the close passes, as before. A flood that ends by itself closes its connection, so that the test fails instead of hanging.

--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -114,7 +115,14 @@
 	text := strings.ReplaceAll(strings.TrimSuffix(c.Input, "\n"), "\n", "\r\n")
 	text = strings.ReplaceAll(text, "<empty>", "")
 	if unit := floodUnits[c.Args["flood"]]; unit != "" {
-		result <- fmt.Sprintf("%s flood stopped=%v", r.Method, flood(peer, text, unit))
+		most := maxFloodBytes
+		if c.Bool("streamed") {
+			most = math.MaxInt
+		}
+		stopped := flood(peer, text, unit, most)
+		// A reader that has not stopped would wait for ever.
+		_ = peer.Close()
+		result <- fmt.Sprintf("%s flood stopped=%v", r.Method, stopped)
 		return
 	}
 	_, _ = io.WriteString(peer, text)
@@ -134,19 +142,21 @@
 }
 
 // maxFloodBytes is more than the buffers of a loopback connection hold, so that a
-// flood ends below it only if the other end closes the connection.
+// flood ends below it only if the other end closes the connection. A body that is streamed
+// has no such limit: how much of it is read until the deadline depends on the machine.
 const maxFloodBytes = 64 << 20
 
-// floodTimeout is how long a flood waits for the other end to read or to close.
+// floodTimeout is the time after which a flood ends by itself. It is many times the deadline
+// of the request.
 const floodTimeout = 5 * time.Second
 
 // flood sends a beginning and then repeats a text until the connection is closed.
-// It returns false if the connection stays open, or accepts maxFloodBytes.
-func flood(peer net.Conn, beginning, unit string) bool {
+// It returns false if the connection stays open, or accepts most bytes.
+func flood(peer net.Conn, beginning, unit string, most int) bool {
 	block := strings.Repeat(unit, 4096/len(unit))
 	_ = peer.SetWriteDeadline(time.Now().Add(floodTimeout))
 	_, err := io.WriteString(peer, beginning+block)
-	for sent := 0; err == nil && sent < maxFloodBytes; sent += len(block) {
+	for sent := 0; err == nil && sent < most; sent += len(block) {
 		_, err = io.WriteString(peer, block)
 	}
 	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
