ingress: a drain closes connections once their responses are delivered

Cause: the writer closed the socket right behind the last response. If bytes of further requests were unread, or arrived before the response was delivered, the kernel reset the connection.

Change: while the entry drains, it half-closes the connection, discards what comes until the kernel says that everything is acknowledged, for 5 s at most, and then waits 500 ms at most for the caller's close. The reader, or an attempt that forwards a body, no longer takes that deadline away.

--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -166,7 +167,7 @@
 	case "send":
 		return b.send(name, c)
 	case "dial":
-		b.dial(name)
+		b.dialSmall(name, c.Int("window", 0))
 		return ""
 	case "lose_contact":
 		b.outdated.Store(true)
@@ -227,6 +228,21 @@
 	}
 }
 
+// dialSmall opens a connection that takes only so many bytes before they are read; zero means
+// no limit.
+func (b *fixture) dialSmall(name string, window int) {
+	if window == 0 {
+		b.dial(name)
+		return
+	}
+	d := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, window) })
+	}}
+	conn, err := d.Dial("tcp", b.address)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	b.conns[name] = conn
+}
+
 // forward reads the streamed part of a body, as an attempt does.
 func (b *fixture) forward(id string) string {
 	n, err := io.Copy(io.Discard, b.exchange(id).Request.Rest)
@@ -243,6 +259,9 @@
 // repeated matches <x*100>, which stands for 100 times the letter x.
 var repeated = regexp.MustCompile(`<(\w)\*(\d+)>`)
 
+// longRun matches the filler of an answer.
+var longRun = regexp.MustCompile(`x{1000,}`)
+
 // send writes the input with CR LF line ends, and an empty line after it unless
 // the case says "unended". In a line, \n and \t stand for a bare line feed and a
 // tab, <empty> stands for an empty line, <filler> for many bytes and <x*N> for N
@@ -297,7 +316,7 @@
 
 func (b *fixture) answer(c script.Case) string {
 	e := b.exchange(c.Args["id"])
-	body := c.Args["body"]
+	body := c.Args["body"] + strings.Repeat("x", c.Int("filler", 0))
 	e.Response <- upstream.Response{
 		Status: c.Int("status", http.StatusOK), Header: http.Header{"Request-Id": {e.Request.ID}},
 		Body: []byte(body), Length: int64(c.Int("length", len(body))),
@@ -317,6 +336,7 @@
 			continue
 		}
 		text := strings.ReplaceAll(string(received), "\r\n", "\n")
+		text = longRun.ReplaceAllStringFunc(text, func(run string) string { return fmt.Sprintf("%d times x", len(run)) })
 		if !strings.Contains(err.Error(), "timeout") {
 			text += "\nclosed"
 		}
--- a/ingress/response.go
+++ b/ingress/response.go
@@ -40,13 +40,11 @@
 // writeResponses writes the responses in the order of the requests, until the
 // connection ends.
 func (c *conn) writeResponses() {
-	lingers := false
+	var until linger = closeAtOnce{}
 	var next *Exchange
 	defer func() {
 		close(c.writerDone)
-		if lingers {
-			c.discardUnread()
-		}
+		c.linger(until)
 		_ = c.Close()
 		go c.discardExchanges(next)
 	}()
@@ -77,8 +75,11 @@
 		e.writtenAt = time.Now()
 		c.endServing(e.writtenAt)
 		close(e.written)
-		if !ok || last {
-			lingers = ok && e.unreadBytes
+		if !ok {
+			return
+		}
+		if last {
+			until = c.lingerAfter(e)
 			return
 		}
 		if next == nil {
@@ -99,33 +100,6 @@
 	}
 }
 
-const (
-	// lingerTimeout and maxLingerBytes limit the reading of unread bytes before the
-	// connection is closed.
-	lingerTimeout  = 500 * time.Millisecond
-	maxLingerBytes = 1 << 20
-)
-
-// discardUnread reads what the caller is still sending. Closing a connection with
-// unread bytes resets it, and the caller could lose the response.
-func (c *conn) discardUnread() {
-	if halfCloser, ok := c.Conn.(interface{ CloseWrite() error }); !ok || halfCloser.CloseWrite() != nil {
-		return
-	}
-	end := time.Now().Add(lingerTimeout)
-	buffer := make([]byte, streamBufferBytes)
-	for discarded := 0; discarded < maxLingerBytes; {
-		if c.SetReadDeadline(end) != nil {
-			return
-		}
-		n, err := c.Read(buffer)
-		if err != nil {
-			return
-		}
-		discarded += n
-	}
-}
-
 // pollNext takes the next request if one is queued. last is true when the queue
 // is empty and the reader has ended, so that no request will follow.
 func (c *conn) pollNext() (next *Exchange, more, last bool) {
--- a/ingress/source.go
+++ b/ingress/source.go
@@ -21,6 +21,10 @@
 	// evicted is true once the connection is to be closed in favor of others. Then the
 	// read deadline ends every read, also in the middle of a request.
 	evicted atomic.Bool
+	// finished is true once the last response is written. Then the read deadline ends every
+	// read of the connection's reader, also one in the middle of a body, and the writer
+	// discards what still arrives.
+	finished atomic.Bool
 	// headBytes is how much more of a header may be read before admitHead is called;
 	// zero outside a header.
 	headBytes int
@@ -39,16 +43,19 @@
 	return s.applyDeadline()
 }
 
-// applyDeadline sets the deadline of the current read. After an eviction it is in the
-// past.
+// applyDeadline sets the deadline of the current read. After an eviction or the last response
+// it is in the past.
 func (s *drainableSource) applyDeadline() error {
 	err := s.SetReadDeadline(s.end)
-	if err == nil && s.evicted.Load() {
+	if err == nil && s.ended() {
 		return s.SetReadDeadline(time.Now())
 	}
 	return err
 }
 
+// ended reports whether nothing more is read on the connection.
+func (s *drainableSource) ended() bool { return s.evicted.Load() || s.finished.Load() }
+
 // countHead asks for the bytes of a header that is longer than the allowance.
 func (s *drainableSource) countHead(n int) error {
 	s.headBytes -= n
@@ -65,6 +72,12 @@
 	_ = s.SetReadDeadline(time.Now())
 }
 
+// finish interrupts the current read, and every later one, after the last response.
+func (s *drainableSource) finish() {
+	s.finished.Store(true)
+	_ = s.SetReadDeadline(time.Now())
+}
+
 // Read implements io.Reader.
 func (s *drainableSource) Read(p []byte) (int, error) {
 	for {
@@ -75,10 +88,10 @@
 				return n, headErr
 			}
 		}
-		if n > 0 || !interrupted || s.interruptible || s.evicted.Load() {
+		if n > 0 || !interrupted || s.interruptible || s.ended() {
 			return n, err
 		}
-		if err := s.SetReadDeadline(s.end); err != nil {
+		if err := s.applyDeadline(); err != nil {
 			return 0, err
 		}
 	}
