ingress: an idle connection does not keep its last request

Cause: the reader kept the last exchanges of a connection, with the buffered bodies of their requests, until the next request. Their reservations in the budget had ended with the responses.

Evidence: a test that forgets the request finds its body alive as long as the connection is open (idle_memory.txt, red before).

Change: the reader keeps the progress of a request, which refers to the exchange only until its response is written.

--- a/ingress/await.go
+++ b/ingress/await.go
@@ -89,22 +89,22 @@
 		return time.Now()
 	}
 	var last time.Time
-	for _, e := range c.pending {
-		if e.writtenAt.After(last) {
-			last = e.writtenAt
+	for _, p := range c.pending {
+		if p.writtenAt.After(last) {
+			last = p.writtenAt
 		}
 	}
 	return last
 }
 
 // unanswered returns the requests whose response is not written yet.
-func (c *conn) unanswered() []*Exchange {
-	var unwritten []*Exchange
-	for _, e := range c.pending {
+func (c *conn) unanswered() []*progress {
+	var unwritten []*progress
+	for _, p := range c.pending {
 		select {
-		case <-e.written:
+		case <-p.written:
 		default:
-			unwritten = append(unwritten, e)
+			unwritten = append(unwritten, p)
 		}
 	}
 	return unwritten
@@ -112,9 +112,9 @@
 
 // awaitResponses waits until all requests that were read are answered.
 func (c *conn) awaitResponses() {
-	for _, e := range c.unanswered() {
+	for _, p := range c.unanswered() {
 		select {
-		case <-e.written:
+		case <-p.written:
 		case <-c.writerDone:
 		}
 	}
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -82,11 +82,28 @@
 	unreadBytes bool
 	// hold is what is reserved for the request; nil while it is within the allowance.
 	hold *budget.Hold
+	// progress is what the reader of the connection keeps of the request.
+	progress *progress
+}
+
+// progress tells the reader of a connection whether a request is answered. It does not keep
+// the request, whose body may be large, beyond its response: the connection may be idle for
+// long after that.
+type progress struct {
+	// exchange is nil once the writer has finished with the response.
+	exchange atomic.Pointer[Exchange]
 	// written is closed when the writer has finished with the response, at writtenAt.
 	written   chan struct{}
 	writtenAt time.Time
 }
 
+// end records that the writer has finished with the response.
+func (p *progress) end(now time.Time) {
+	p.writtenAt = now
+	p.exchange.Store(nil)
+	close(p.written)
+}
+
 // Callbacks holds the functions that send messages to the entry's task.
 type Callbacks struct {
 	// Arrived delivers a request that has a route.
@@ -106,9 +123,9 @@
 	reader *bufio.Reader
 	// exchanges carries the requests from the reader to the writer.
 	exchanges chan *Exchange
-	// pending holds the last request that was read, and the requests before it
-	// that were unanswered then. It belongs to the reader.
-	pending []*Exchange
+	// pending is the progress of the last request that was read, and of the requests before
+	// it that were unanswered then. It belongs to the reader.
+	pending []*progress
 	// receivedRequest is true once a request was read on the connection. It
 	// belongs to the reader.
 	receivedRequest bool
@@ -226,7 +243,7 @@
 // reports whether another request may be read.
 func (c *conn) awaitStreamedBody(e *Exchange) bool {
 	select {
-	case <-e.written:
+	case <-e.progress.written:
 	case <-c.writerDone:
 	}
 	return !e.closeAfter
@@ -235,7 +252,7 @@
 // enqueue passes a request to the writer, and waits while maxPipelined requests
 // are queued.
 func (c *conn) enqueue(e *Exchange) {
-	c.pending = append(c.unanswered(), e)
+	c.pending = append(c.unanswered(), e.progress)
 	c.receivedRequest = true
 	c.serving.Add(1)
 	c.endReading()
@@ -268,13 +285,21 @@
 }
 
 func (c *conn) reportDisconnected() {
-	if abandoned := c.unanswered(); len(abandoned) > 0 {
+	var abandoned []*Exchange
+	for _, p := range c.unanswered() {
+		if e := p.exchange.Load(); e != nil {
+			abandoned = append(abandoned, e)
+		}
+	}
+	if len(abandoned) > 0 {
 		c.server.options.Callbacks.Disconnected(abandoned)
 	}
 }
 
 func newExchange(r *Request, matched *route.Route) *Exchange {
-	return &Exchange{Request: r, Route: matched, Response: make(chan upstream.Response, 1), written: make(chan struct{})}
+	e := &Exchange{Request: r, Route: matched, Response: make(chan upstream.Response, 1), progress: &progress{written: make(chan struct{})}}
+	e.progress.exchange.Store(e)
+	return e
 }
 
 // readRequest reads one request and dispatches it. It returns
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"regexp"
+	"runtime"
 	"sort"
 	"strconv"
 	"strings"
@@ -14,6 +15,7 @@
 	"syscall"
 	"testing"
 	"time"
+	"weak"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
@@ -195,6 +197,8 @@
 		return b.answer(c)
 	case "read":
 		return b.read(name)
+	case "collect":
+		return b.collect(c.Args["id"])
 	case "close":
 		_ = b.conns[name].Close()
 		delete(b.conns, name)
@@ -324,6 +328,18 @@
 	return b.waitEvents(true)
 }
 
+// collect reports whether the body of a request is garbage, once the fixture has forgotten it.
+func (b *fixture) collect(id string) string {
+	body := weak.Make(&b.exchange(id).Request.Body[0])
+	delete(b.exchanges, id)
+	collected := false
+	for end := time.Now().Add(eventTimeout); !collected && time.Now().Before(end); {
+		runtime.GC()
+		collected = body.Value() == nil
+	}
+	return fmt.Sprintf("collected=%v", collected)
+}
+
 // read returns what was received on the connection, and whether it was closed.
 func (b *fixture) read(name string) string {
 	var received []byte
--- a/ingress/response.go
+++ b/ingress/response.go
@@ -72,9 +72,9 @@
 		}
 		response.Hold.Release()
 		e.release()
-		e.writtenAt = time.Now()
-		c.endServing(e.writtenAt)
-		close(e.written)
+		now := time.Now()
+		c.endServing(now)
+		e.progress.end(now)
 		if !ok {
 			return
 		}
