ingress: a test that a stalled body is not forwarded beyond its response

Cause: after the response at the timeout, the attempt that forwards the body and the writer that discards unread bytes read from the same connection. The attempt took the writer's deadline for a drain and removed it, so that both waited until the caller left, and the body stayed in memory.

--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -58,6 +58,8 @@
 	exchanges map[string]*ingress.Exchange
 	arrived   chan *ingress.Exchange
 	conns     map[string]net.Conn
+	// forwarded has the results of what is forwarded in the background.
+	forwarded chan string
 	// outdated is true while the table may not be the newest.
 	outdated atomic.Bool
 	// expired is true while the keys of the table may not be relied on, and keys is true
@@ -71,7 +73,7 @@
 var _ = script.Describe("ingress", "testdata/*.txt", func() script.Handler {
 	b := &fixture{
 		events: make(chan string, 64), arrived: make(chan *ingress.Exchange, 64),
-		exchanges: map[string]*ingress.Exchange{}, conns: map[string]net.Conn{}, configured: make(chan struct{}),
+		exchanges: map[string]*ingress.Exchange{}, conns: map[string]net.Conn{}, forwarded: make(chan string, 1), configured: make(chan struct{}),
 	}
 	b.configure()
 	b.listen(admission.Limits{})
@@ -192,7 +194,21 @@
 		b.setLimits(route.Limits{HeaderBytes: 1024, BodyBytes: 1 << 20, HeaderTimeout: 300 * time.Millisecond})
 		return ""
 	case "forward":
-		return b.forward(c.Args["id"])
+		if c.Bool("background") {
+			body := b.exchange(c.Args["id"]).Request.Rest
+			go func() { b.forwarded <- forward(body) }()
+			return ""
+		}
+		return forward(b.exchange(c.Args["id"]).Request.Rest)
+	case "forwarded":
+		select {
+		case result := <-b.forwarded:
+			// How much was read until the body was cut depends on the time.
+			_, cut, _ := strings.Cut(result, " ")
+			return cut
+		case <-time.After(eventTimeout):
+			return "still reading"
+		}
 	case "answer":
 		return b.answer(c)
 	case "read":
@@ -248,8 +264,8 @@
 }
 
 // forward reads the streamed part of a body, as an attempt does.
-func (b *fixture) forward(id string) string {
-	n, err := io.Copy(io.Discard, b.exchange(id).Request.Rest)
+func forward(body io.Reader) string {
+	n, err := io.Copy(io.Discard, body)
 	return fmt.Sprintf("streamed=%d cut=%v", n, err != nil)
 }
 
