upstream: an attempt ends when its body fails on the caller's side

Cause: after a streamed body failed, the attempt waited for a response until the deadline, as an upstream may respond early. It did so also when the caller's side had failed, as after an eviction, whose place in the budget others had already.

Change: the attempt ends at once, with an unknown outcome that does not count against the upstream, and closes the connection.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -94,20 +94,45 @@
 		c.broken = true
 		return Response{}, placement.NotRun{Reason: placement.ReasonUnsent}
 	}
+	var rest *callerBody
+	if request.Rest != nil {
+		rest = &callerBody{source: request.Rest}
+		request.Rest = rest
+	}
 	written, writeErr := c.writeRequest(names, request, remaining)
 	if writeErr != nil {
 		c.broken = true
-		if written == 0 {
+		switch {
+		case written == 0:
 			return Response{}, placement.NotRun{Reason: placement.ReasonUnsent}
-		}
-		if request.Rest == nil {
+		case rest == nil:
 			return Response{}, c.failureOutcome(ctx, writeErr)
+		case rest.failed:
+			// The upstream waits for the rest of the body, which never comes. Waiting for its
+			// response would keep the body in memory until the deadline.
+			return Response{}, placement.Unknown{Reason: placement.ReasonCanceled}
 		}
 		// An upstream may respond before it has read the whole of a long body.
 	}
 	return c.readResponse(ctx, names, request)
 }
 
+// callerBody is a body that is streamed from a caller. It remembers whether the caller's
+// side failed.
+type callerBody struct {
+	source io.Reader
+	failed bool
+}
+
+// Read implements io.Reader.
+func (b *callerBody) Read(p []byte) (int, error) {
+	n, err := b.source.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.failed = true
+	}
+	return n, err
+}
+
 // writeRequest sends the request. It returns how many bytes the connection
 // accepted. For a chunked body that is streamed, the count is that of the header
 // only.
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -174,13 +175,22 @@
 	} else {
 		header.Set("Request-Id", id)
 	}
-	return upstream.Request{
+	r := upstream.Request{
 		Method: cmp.Or(c.Args["method"], "POST"), Target: "/book/1?x=%20", Host: "booking", Header: header, ID: id,
 		Body: []byte(body), Length: int64(len(body)), HasBody: body != "", Upstream: "i-1",
 		Deadline: time.Now().Add(time.Duration(c.Int("deadline", 1000)) * time.Millisecond),
 	}
+	if name := c.Args["rest"]; name != "" {
+		r.Rest = io.MultiReader(strings.NewReader("part"), iotest.ErrReader(bodyErrors[name]))
+		r.Length += int64(c.Int("rest_length", 0))
+	}
+	return r
 }
 
+// bodyErrors are, by name, the errors with which a streamed body ends on the way from the
+// caller: the caller sends nothing more, or too little, or the connection is closed.
+var bodyErrors = map[string]error{"stalled": os.ErrDeadlineExceeded, "short": io.ErrUnexpectedEOF, "closed": net.ErrClosed}
+
 func (b *fixture) exchange(c script.Case) string {
 	replied := make(chan string, 1)
 	go reply(b.peer, c, replied)
