ingress: a header is reserved by its number of fields, before it is parsed

Cause: the budget counted a header by twice its size. Parsed, each field takes some 90 bytes besides its text: 250 KB for a header of 16 KB, of which 32 KB were reserved, and nothing of one below 4 KB.

Change: 128 bytes are reserved for each field, before the header is parsed.

--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -17,9 +17,12 @@
 	headAllowance = 4 << 10
 	// responseAllowance is the part of the allowance for a response.
 	responseAllowance = 4 << 10
-	// headFactor is the memory of a parsed header relative to its size: the lines as
-	// sent and the fields.
+	// headFactor is the memory of a parsed header relative to its size, besides its fields:
+	// the lines as sent and as text.
 	headFactor = 2
+	// fieldBytes is the memory of a parsed header field besides its text: its place in the
+	// map, which may be half empty, and its list of values.
+	fieldBytes = 128
 	// pipelinedDescriptors are those of a pipelined request: an attempt and a hedge.
 	pipelinedDescriptors = 2
 	// maxEvictedConns is how many connections that are being closed may be open beyond
@@ -41,34 +44,48 @@
 
 // admitHead reserves a header that is longer than the allowance.
 func (c *conn) admitHead() error {
-	if !c.reserve(int64(headFactor*c.limits().HeaderBytes), 0) {
+	reserved := headFactor * c.limits().HeaderBytes
+	if !c.reserve(int64(reserved), 0) {
 		return errUsedUp
 	}
+	c.headReserved = reserved
 	return nil
 }
 
-// admitRequest reserves what a request takes beyond the allowance, once its header has
-// been read. A pipelined request needs a reservation in any case, since it may run
-// beside the others; without one it waits until those are answered.
-func (c *conn) admitRequest(r *Request, headBytes int) error {
-	r.conn = c
+// memory returns what the header takes once it is parsed. A header of short fields takes many
+// times its size.
+func (h *requestHead) memory() int { return headFactor*len(h.bytes) + fieldBytes*h.fields }
+
+// admitFields reserves what a header takes beyond the allowance and what was reserved while it
+// was read, before it is parsed.
+func (c *conn) admitFields(head requestHead) error {
 	if c.server.options.Budget == nil {
 		return nil
 	}
-	r.cost = headFactor*headBytes + responseAllowance
-	unanswered := c.unanswered()
-	if len(unanswered) > 0 {
-		if c.reserve(int64(r.cost), pipelinedDescriptors) {
-			return nil
-		}
-		c.awaitResponses()
+	cost := head.memory()
+	if cost+responseAllowance <= connAllowance || cost <= c.headReserved {
+		return nil
 	}
-	if r.cost > connAllowance && c.hold == nil && !c.reserve(int64(r.cost), 0) {
+	if !c.reserve(int64(cost-c.headReserved), 0) {
 		return errUsedUp
 	}
+	c.headReserved = cost
 	return nil
 }
 
+// admitRequest reserves what a request takes beyond the allowance, once its header has
+// been read. A pipelined request needs a reservation in any case, since it may run
+// beside the others; without one it waits until those are answered.
+func (c *conn) admitRequest(r *Request, head requestHead) {
+	r.conn = c
+	if c.server.options.Budget == nil || len(c.unanswered()) == 0 {
+		return
+	}
+	if cost := head.memory() + responseAllowance - c.headReserved; !c.reserve(int64(max(0, cost)), pipelinedDescriptors) {
+		c.awaitResponses()
+	}
+}
+
 // growBody reserves bytes of a body. If that is refused, it tries once more when the
 // earlier requests of the connection are answered.
 func (r *Request) growBody(bytes int64) error {
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -134,6 +134,9 @@
 	// hold is that of the request that is being read; nil while it is within the
 	// allowance. It belongs to the reader.
 	hold *budget.Hold
+	// headReserved is what is reserved for the header that is being read, in bytes. It
+	// belongs to the reader.
+	headReserved int
 	// readingSince is the time from which a request is arriving, and idleFrom that of
 	// the last response, in Unix nanoseconds; zero for none. serving is the number of
 	// requests that were read and are not answered.
@@ -320,20 +323,21 @@
 		return nil, err
 	}
 	names := c.server.options.Names
-	c.source.headBytes = headAllowance
+	c.source.headBytes, c.headReserved = headAllowance, 0
 	head, err := readHead(c.reader, limits.HeaderBytes)
 	c.source.headBytes = 0
 	if err != nil {
 		buffered, _ := c.reader.Peek(c.reader.Buffered())
 		return nil, refusal(identify(append(head.bytes, buffered...), names), err)
 	}
+	if err := c.admitFields(head); err != nil {
+		return nil, refusal(identify(head.bytes, names), err)
+	}
 	r, err := parseHead(head, names, time.Now())
 	if err != nil {
 		return nil, refusal(identify(head.bytes, names), err)
 	}
-	if err := c.admitRequest(r, len(head.bytes)); err != nil {
-		return nil, refusal(r, err)
-	}
+	c.admitRequest(r, head)
 	if err := c.readBody(r, limits, c.bodyTimeout(r, limits)); err != nil {
 		return nil, refusal(r, err)
 	}
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -282,6 +282,9 @@
 // longRun matches the filler of an answer.
 var longRun = regexp.MustCompile(`x{1000,}`)
 
+// fields matches <fields*100>, which stands for 100 empty header fields.
+var fields = regexp.MustCompile(`<fields\*(\d+)>`)
+
 // send writes the input with CR LF line ends, and an empty line after it unless
 // the case says "unended". In a line, \n and \t stand for a bare line feed and a
 // tab, <empty> stands for an empty line, <filler> for many bytes and <x*N> for N
@@ -291,6 +294,15 @@
 	text := strings.TrimSuffix(c.Input, "\n")
 	text = strings.ReplaceAll(text, "\n", "\r\n")
 	text = strings.NewReplacer(`\n`, "\n", `\t`, "\t", "<empty>", "", "<filler>", strings.Repeat("x", filler)).Replace(text)
+	text = fields.ReplaceAllStringFunc(text, func(match string) string {
+		n, err := strconv.Atoi(fields.FindStringSubmatch(match)[1])
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		var lines []string
+		for i := range n {
+			lines = append(lines, fmt.Sprintf("f%x:", i))
+		}
+		return strings.Join(lines, "\r\n")
+	})
 	text = repeated.ReplaceAllStringFunc(text, func(match string) string {
 		parts := repeated.FindStringSubmatch(match)
 		n, err := strconv.Atoi(parts[2])
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -81,9 +81,6 @@
 	close bool
 	// http10 is true for a request in HTTP/1.0.
 	http10 bool
-	// cost is the memory for the header and a small response. It is zero without a
-	// budget.
-	cost int
 	// conn is the connection of the request, and bodyTimeout the time for the buffered
 	// part of the body. conn is nil in tests of the decoding.
 	conn        *conn
@@ -129,10 +126,11 @@
 	}
 }
 
-// requestHead is the request line and the header of a request as sent, and how often
-// the header has the fields that determine the host and the length of the body.
+// requestHead is the request line and the header of a request as sent, the number of its
+// fields, and how often it has those that determine the host and the length of the body.
 type requestHead struct {
 	bytes             []byte
+	fields            int
 	hosts             int
 	contentLengths    int
 	transferEncodings int
@@ -182,6 +180,7 @@
 	if line[0] == ' ' || line[0] == '\t' {
 		return malformed("a header line is continued")
 	}
+	h.fields++
 	name, _, _ := bytes.Cut(line, []byte(":"))
 	if bytes.ContainsAny(name, " \t") {
 		return malformed("a header name holds a space")
