httplisten: large headers are reserved in the budget

Change: a header that takes more than 12 KB once it is parsed is reserved while its request is handled; 503 if the budget is used up.

Measured: httplisten/testdata/headers.txt served both requests before and refuses the second now. Not played with a crowd.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -46,6 +46,10 @@
 	adminRatio = 0.1
 )
 
+// FieldBytes is the memory of a parsed header field besides its text: its place in the map,
+// which may be half empty, and its list of values.
+const FieldBytes = 128
+
 // Limits are the limits of one process. A limit of 0 is not enforced.
 type Limits struct {
 	// Bytes limits what is buffered for requests and responses beyond the allowances.
--- a/httplisten/limits.go
+++ b/httplisten/limits.go
@@ -23,7 +23,7 @@
 type Limits struct {
 	// MaxConns limits the open connections.
 	MaxConns int
-	// Budget limits what is buffered of bodies.
+	// Budget limits what is buffered of bodies, and large headers.
 	Budget *budget.Budget
 	// WriteTimeout limits the time from the header of a request to the end of its
 	// response. It is for servers with short responses.
@@ -57,7 +57,7 @@
 
 // trackActivity reports to package connlimit what each connection is doing: it is idle
 // between requests, and a request is arriving until its body has been read.
-func trackActivity(s *http.Server) {
+func trackActivity(s *http.Server, b *budget.Budget) {
 	connContext := s.ConnContext
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if connContext != nil {
@@ -89,10 +89,32 @@
 				r.Body = &arrivingBody{ReadCloser: r.Body, conn: c}
 			}
 		}
+		hold := b.Hold(nil)
+		defer hold.Release()
+		if cost := headerMemory(r.Header); cost > headerAllowance && !hold.Reserve(cost, 0, false) {
+			w.Header().Set("Connection", "close")
+			http.Error(w, budget.ErrUsedUp.Error(), http.StatusServiceUnavailable)
+			return
+		}
 		handler.ServeHTTP(w, r)
 	})
 }
 
+// headerAllowance is the memory of a header that needs no reservation.
+const headerAllowance = 12 << 10
+
+// headerMemory returns the memory of a header in bytes.
+func headerMemory(h http.Header) int64 {
+	total := 0
+	for name, values := range h {
+		total += len(name)
+		for _, value := range values {
+			total += admission.FieldBytes + len(value)
+		}
+	}
+	return int64(total)
+}
+
 // arrivingBody is a body whose connection counts as being served once it is read.
 type arrivingBody struct {
 	io.ReadCloser
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -20,9 +20,6 @@
 	// headFactor is the memory of a parsed header relative to its size, besides its fields:
 	// the lines as sent and as text.
 	headFactor = 2
-	// fieldBytes is the memory of a parsed header field besides its text: its place in the
-	// map, which may be half empty, and its list of values.
-	fieldBytes = 128
 	// pipelinedDescriptors are those of a pipelined request: an attempt and a hedge.
 	pipelinedDescriptors = 2
 	// maxEvictedConns is how many connections that are being closed may be open beyond
@@ -54,7 +51,7 @@
 
 // memory returns what the header takes once it is parsed. A header of short fields takes many
 // times its size.
-func (h *requestHead) memory() int { return headFactor*len(h.bytes) + fieldBytes*h.fields }
+func (h *requestHead) memory() int { return headFactor*len(h.bytes) + admission.FieldBytes*h.fields }
 
 // admitFields reserves what a header takes beyond the allowance and what was reserved while it
 // was read, before it is parsed.
