--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -45,6 +45,7 @@
 // It guards against a workspace whose demand rises half a second before the leader is lost,
 // for a second. See KNOWN-RED.txt.
 func TestRiseWithoutLeader(t *testing.T) {
+	gomega.RegisterTestingT(t)
 	for seed := range uint64(4) {
 		r := newReplay(script.Case{Args: map[string]string{"rate": "577", "usual": "360", "hot": "1200", "hot_from": "9500", "hot_to": "25000", "leaderless_from": "10000", "leaderless_to": "11000"}}, seed)
 		r.run()
