upstream: closing a streamed response closes its connection

Cause: the close of the body of net/http reads it to its end, in the task that closes it: the writer of the caller's connection, or the entry's task where another attempt has answered. Nobody closed the connection.

Change: the close of a streamed body closes the connection and reads nothing.

Measured: abandoned_stream.txt, chunks without end: the close took 5 s before, until the stand-in stopped, and is immediate now. An entry that waits was not played.

--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -63,7 +63,8 @@
 	Header http.Header
 	Body   []byte
 	// Rest is the part of the body after Body when the body is too long to be
-	// buffered; nil otherwise. Whoever receives it must close it.
+	// buffered; nil otherwise. Whoever receives it must close it, which closes the
+	// connection.
 	Rest io.ReadCloser
 	// Length is the length of the whole body in bytes; -1 if it is not known.
 	Length int64
@@ -300,8 +301,7 @@
 	switch length := received.ContentLength; {
 	case length > maxBufferedBodyBytes || length > maxCopiedBytes && !response.Hold.Reserve(length, 0, false):
 		// Without a reservation, a shorter body is streamed too.
-		response.Rest = received.Body
-		c.broken = true
+		response.Rest = c.stream(received.Body)
 		return response, nil
 	case length >= 0:
 		response.Body = make([]byte, length)
@@ -317,13 +317,29 @@
 	err := buffer.Fill(received.Body)
 	response.Body = buffer.Bytes
 	if errors.Is(err, budget.ErrUsedUp) || err == nil && len(response.Body) == limit {
-		response.Rest = received.Body
-		c.broken = true
+		response.Rest = c.stream(received.Body)
 		return response, nil
 	}
 	return c.whole(response, err)
 }
 
+// stream returns the part of a body that is read while it is passed on. The connection is not
+// used again.
+func (c *Conn) stream(body io.Reader) io.ReadCloser {
+	c.broken = true
+	return &streamedBody{Reader: body, conn: c}
+}
+
+// streamedBody is the part of a body that is streamed. Its close closes the connection; that
+// of the body itself would first read to its end.
+type streamedBody struct {
+	io.Reader
+	conn *Conn
+}
+
+// Close implements io.Closer.
+func (b *streamedBody) Close() error { return b.conn.Close() }
+
 // whole returns a response whose body is buffered whole, unless that failed.
 func (c *Conn) whole(response Response, err error) (Response, error) {
 	if err != nil {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -201,9 +201,14 @@
 	}
 	response, outcome := b.conn.Exchange(ctx, names, request(c))
 	rest := ""
-	if response.Rest != nil {
+	switch {
+	case response.Rest != nil && c.Bool("abandon"):
+		gomega.Expect(response.Rest.Close()).To(gomega.Succeed())
+		return <-replied + "\n" + formatOutcome(outcome)
+	case response.Rest != nil:
 		_, err := io.Copy(io.Discard, response.Rest)
 		rest = fmt.Sprintf("\nrest cut=%v", err != nil)
+		gomega.Expect(response.Rest.Close()).To(gomega.Succeed())
 	}
 	if !b.conn.Reusable() {
 		_ = b.conn.Close()
