upstream: large response headers are reserved in the budget

Change: a header that takes more than 12 KB is reserved. If it does not fit, the response is not passed on: its outcome is unknown, since it has run. The same function serves httplisten.

Measured: header_memory.txt passed the response on before, red. Not played with a crowd.

--- a/httplisten/limits.go
+++ b/httplisten/limits.go
@@ -91,7 +91,7 @@
 		}
 		hold := b.Hold(nil)
 		defer hold.Release()
-		if cost := headerMemory(r.Header); cost > headerAllowance && !hold.Reserve(cost, 0, false) {
+		if !hold.ReserveHeader(r.Header) {
 			w.Header().Set("Connection", "close")
 			http.Error(w, budget.ErrUsedUp.Error(), http.StatusServiceUnavailable)
 			return
@@ -100,21 +100,6 @@
 	})
 }
 
-// headerAllowance is the memory of a header that needs no reservation.
-const headerAllowance = 12 << 10
-
-// headerMemory returns the memory of a header in bytes.
-func headerMemory(h http.Header) int64 {
-	total := 0
-	for name, values := range h {
-		total += len(name)
-		for _, value := range values {
-			total += admission.FieldBytes + len(value)
-		}
-	}
-	return int64(total)
-}
-
 // arrivingBody is a body whose connection counts as being served once it is read.
 type arrivingBody struct {
 	io.ReadCloser
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -288,16 +288,19 @@
 
 // readBody reads the body of a response if it can be buffered. Of a longer body
 // it reads the beginning or nothing, and leaves the remainder in Rest. A response
-// to HEAD has no body, and its length is that of the body that GET would get.
+// to HEAD has no body, and its length is that of the body that GET would get. A header that
+// does not fit into the budget is an error, since it can't be passed on in parts.
 func (c *Conn) readBody(received *http.Response, request Request) (Response, error) {
-	response := Response{Status: received.StatusCode, Header: received.Header, Length: received.ContentLength}
+	response := Response{
+		Status: received.StatusCode, Header: received.Header, Length: received.ContentLength, Hold: request.Budget.Hold(nil),
+	}
+	if !response.Hold.ReserveHeader(received.Header) {
+		return Response{}, budget.ErrUsedUp
+	}
 	if request.Method == http.MethodHead {
 		return response, nil
 	}
 	limit := maxBufferedBodyBytes + 1
-	if received.ContentLength < 0 || received.ContentLength > maxCopiedBytes {
-		response.Hold = request.Budget.Hold(nil)
-	}
 	switch length := received.ContentLength; {
 	case length > maxBufferedBodyBytes || length > maxCopiedBytes && !response.Hold.Reserve(length, 0, false):
 		// Without a reservation, a shorter body is streamed too.
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -16,9 +16,14 @@
 	"testing/iotest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"github.com/oriolepost/oriolepost/admission"
+	"github.com/oriolepost/oriolepost/budget"
 	"github.com/oriolepost/oriolepost/header"
 	"github.com/oriolepost/oriolepost/placement"
 	"github.com/oriolepost/oriolepost/script"
@@ -115,6 +120,7 @@
 	body, _ := io.ReadAll(r.Body)
 	text := strings.ReplaceAll(strings.TrimSuffix(c.Input, "\n"), "\n", "\r\n")
 	text = strings.ReplaceAll(text, "<empty>", "")
+	text = strings.ReplaceAll(text, "<fields>", manyFields)
 	if unit := floodUnits[c.Args["flood"]]; unit != "" {
 		most := maxFloodBytes
 		if c.Bool("streamed") {
@@ -137,6 +143,15 @@
 	result <- fmt.Sprintf("%s %s target=%s body=%q", r.Method, r.RequestURI, r.Header.Get("Target"), body)
 }
 
+// manyFields stands for short header fields that take 90 KB once they are parsed.
+var manyFields = func() string {
+	var lines []string
+	for i := range 700 {
+		lines = append(lines, fmt.Sprintf("F%x:", i))
+	}
+	return strings.Join(lines, "\r\n")
+}()
+
 // floodUnits holds, by name, what an upstream in trouble repeats without end.
 var floodUnits = map[string]string{
 	"byte": "0", "line": "Filler: x\r\n", "interim": "HTTP/1.1 100 Continue\r\n\r\n", "chunk": "5\r\nhello\r\n",
@@ -199,7 +214,9 @@
 	if c.Bool("cancel") {
 		time.AfterFunc(50*time.Millisecond, cancel)
 	}
-	response, outcome := b.conn.Exchange(ctx, names, request(c))
+	r := request(c)
+	r.Budget = budget.Start(ctx, admission.Limits{Bytes: int64(c.Int("budget", 0))}, metrics.NewSet(), &log.Logger{Handler: discard.New()})
+	response, outcome := b.conn.Exchange(ctx, names, r)
 	rest := ""
 	switch {
 	case response.Rest != nil && c.Bool("abandon"):
