proofs, deploy: control machines that are removed for good

The scenario removes a voter without and one with a stop, with a replacement at another address in between, and then kills the rest.

The product is unchanged.

--- a/proofs/verbs_test.go
+++ b/proofs/verbs_test.go
@@ -70,7 +70,8 @@
 // wrote. The option tokens sets the operator tokens "root" for all teams and
 // "dental" for the team dental. The option trace samples all calls into the
 // files trace-n1 to trace-nN. The option impatient sets a timeout of 100 ms for
-// each part of a body.
+// each part of a body. With the option standbys, the instances behind the first voters
+// have a disk, and replace a voter after 1.5 s without contact.
 func writeSettings(ts *testscript.TestScript, _ bool, args []string) {
 	total, err := strconv.Atoi(args[0])
 	ts.Check(err)
@@ -87,6 +88,10 @@
 			"instance": name(i), "failure_domain": domains[(i-1)%3], "address": address(i, 4), "voter": true,
 		})
 	}
+	standbys := slices.Contains(args[2:], "standbys")
+	for i := voters + 1; standbys && i <= total; i++ {
+		control = append(control, map[string]any{"instance": name(i), "failure_domain": domains[(i-1)%3], "address": address(i, 4)})
+	}
 	for i := 1; i <= total; i++ {
 		settings := map[string]any{
 			"instance": name(i), "failure_domain": domains[(i-1)%3],
@@ -96,7 +101,7 @@
 			"control": control, "peer_plain_text": true,
 			"stop": map[string]int{"balancer_ms": 500, "deadline_ms": 4000},
 		}
-		if i <= voters {
+		if i <= voters || standbys {
 			settings["data_folder"] = ts.MkAbs("data-" + name(i))
 		}
 		for _, option := range args[2:] {
@@ -129,10 +134,12 @@
 		}
 	case "impatient":
 		settings["http"] = map[string]any{"body_idle_timeout_ms": 100}
+	case "standbys":
+		settings["replace_voter_after_ms"] = 1500
 	case "trace":
 		settings["trace"] = map[string]any{"share": 1, "file": ts.MkAbs("trace-" + name)}
 	default:
-		ts.Fatalf("cluster: unknown option %q, want tls, tokens, impatient or trace", option)
+		ts.Fatalf("cluster: unknown option %q, want tls, tokens, impatient, standbys or trace", option)
 	}
 }
 
