--- a/httplisten/httplisten.go
+++ b/httplisten/httplisten.go
@@ -70,7 +70,8 @@
 		if s.MaxHeaderBytes == 0 {
 			s.MaxHeaderBytes = maxHeaderBytes
 		}
-		trackActivity(s, limits.Budget)
+		trackActivity(s)
+		limitHeaders(s, limits.Budget)
 		l = connlimit.Listen(l, limits.MaxConns, m, "oriolepost_http_connections_evicted_total")
 	}
 	listener := &Listener{http: s, serveResult: make(chan error, 1)}
--- a/httplisten/limits.go
+++ b/httplisten/limits.go
@@ -57,7 +57,7 @@
 
 // trackActivity reports to package connlimit what each connection is doing: it is idle
 // between requests, and a request is arriving until its body has been read.
-func trackActivity(s *http.Server, b *budget.Budget) {
+func trackActivity(s *http.Server) {
 	connContext := s.ConnContext
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if connContext != nil {
@@ -89,6 +89,15 @@
 				r.Body = &arrivingBody{ReadCloser: r.Body, conn: c}
 			}
 		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// limitHeaders reserves large headers while their requests are handled, and refuses those that
+// do not fit into the budget.
+func limitHeaders(s *http.Server, b *budget.Budget) {
+	handler := s.Handler
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		hold := b.Hold(nil)
 		defer hold.Release()
 		if !hold.ReserveHeader(r.Header) {
--- a/ingress/linger.go
+++ b/ingress/linger.go
@@ -17,11 +17,11 @@
 	maxLingerBytes = 1 << 20
 )
 
-// linger is how a connection ends after its last response. Closing a connection resets it if
-// bytes are unread or still arrive, and what was not delivered of the response is lost.
+// closeMode is how a connection is closed after its last response. Closing a connection resets
+// it if bytes are unread or still arrive, and what was not delivered of the response is lost.
 //
 //sumtype:decl
-type linger interface{ linger() }
+type closeMode interface{ closeMode() }
 
 // closeAtOnce closes the connection: the caller sends nothing more, or the write failed.
 type closeAtOnce struct{}
@@ -35,12 +35,12 @@
 // until it reads that.
 type awaitDelivery struct{}
 
-func (closeAtOnce) linger()   {}
-func (discardRest) linger()   {}
-func (awaitDelivery) linger() {}
+func (closeAtOnce) closeMode()   {}
+func (discardRest) closeMode()   {}
+func (awaitDelivery) closeMode() {}
 
-// lingerAfter returns how the connection ends after the last response.
-func (c *conn) lingerAfter(e *Exchange) linger {
+// closeModeAfter returns how the connection is closed after the last response.
+func (c *conn) closeModeAfter(e *Exchange) closeMode {
 	callerCloses := e.Request.close || e.Request.http10
 	switch {
 	case c.server.draining.Load() && !callerCloses && !c.source.evicted.Load():
@@ -52,16 +52,16 @@
 }
 
 // linger discards what the caller still sends, before the connection is closed.
-func (c *conn) linger(how linger) {
+func (c *conn) linger(mode closeMode) {
 	halfCloser, ok := c.Conn.(interface{ CloseWrite() error })
-	if _, atOnce := how.(closeAtOnce); atOnce || !ok {
+	if _, atOnce := mode.(closeAtOnce); atOnce || !ok {
 		return
 	}
 	c.source.finish()
 	if halfCloser.CloseWrite() != nil {
 		return
 	}
-	switch how.(type) {
+	switch mode.(type) {
 	case discardRest:
 		c.discardUntil(time.Now().Add(lingerTimeout), maxLingerBytes)
 	case awaitDelivery:
--- a/ingress/response.go
+++ b/ingress/response.go
@@ -40,11 +40,11 @@
 // writeResponses writes the responses in the order of the requests, until the
 // connection ends.
 func (c *conn) writeResponses() {
-	var until linger = closeAtOnce{}
+	var mode closeMode = closeAtOnce{}
 	var next *Exchange
 	defer func() {
 		close(c.writerDone)
-		c.linger(until)
+		c.linger(mode)
 		_ = c.Close()
 		go c.discardExchanges(next)
 	}()
@@ -79,7 +79,7 @@
 			return
 		}
 		if last {
-			until = c.lingerAfter(e)
+			mode = c.closeModeAfter(e)
 			return
 		}
 		if next == nil {
