--- a/header/header.go
+++ b/header/header.go
@@ -23,6 +23,13 @@
 	"github.com/oriolepost/oriolepost/placement"
 )
 
+// MinStatus and MaxStatus are the lowest and the highest status of HTTP. net/http accepts any
+// three digits in a response.
+const (
+	MinStatus = 100
+	MaxStatus = 599
+)
+
 // Names holds the names of the headers in one deployment.
 type Names struct {
 	// RequestID identifies one try of a caller. Upstreams echo it.
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -86,24 +86,6 @@
 	progress *progress
 }
 
-// progress tells the reader of a connection whether a request is answered. It does not keep
-// the request, whose body may be large, beyond its response: the connection may be idle for
-// long after that.
-type progress struct {
-	// exchange is nil once the writer has finished with the response.
-	exchange atomic.Pointer[Exchange]
-	// written is closed when the writer has finished with the response, at writtenAt.
-	written   chan struct{}
-	writtenAt time.Time
-}
-
-// end records that the writer has finished with the response.
-func (p *progress) end(now time.Time) {
-	p.writtenAt = now
-	p.exchange.Store(nil)
-	close(p.written)
-}
-
 // Callbacks holds the functions that send messages to the entry's task.
 type Callbacks struct {
 	// Arrived delivers a request that has a route.
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -73,8 +73,8 @@
 	downSteps int
 	// clockRate is the rate of the node's clock relative to the simulated time.
 	clockRate float64
-	// acknowledged is the last entry, and the term, of which the node has told a leader
-	// that its log matches.
+	// acknowledged is the reply with the highest index up to which the node has
+	// acknowledged its log to the leader of its term.
 	acknowledged replica.AppendReply
 }
 
--- a/server/exchange.go
+++ b/server/exchange.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/oriolepost/oriolepost/call"
+	"github.com/oriolepost/oriolepost/header"
 )
 
 // HeaderNotRun is set by a server that did not run a call, on an answer with
@@ -157,15 +158,12 @@
 // connection can be reused.
 const maxDiscardedBytes = 4 << 10
 
-// maxStatus is the highest status of HTTP.
-const maxStatus = 599
-
 // responseResult returns the result for a response: not run if the server shed the
 // call, which is status 429 or 503 with [HeaderNotRun], unknown if it has no status of a
-// final answer, and answered otherwise. net/http accepts any three digits.
+// final answer, and answered otherwise.
 func responseResult(response *http.Response, took time.Duration) Result {
 	status := response.StatusCode
-	if status < http.StatusOK || status > maxStatus {
+	if status < http.StatusOK || status > header.MaxStatus {
 		_ = response.Body.Close()
 		return Result{Outcome: call.Unknown{Reason: call.ReasonAnswerMalformed}, ServiceTime: took}
 	}
--- a/upstream/claim.go
+++ b/upstream/claim.go
@@ -3,15 +3,10 @@
 import (
 	"net/http"
 
+	"github.com/oriolepost/oriolepost/header"
 	"github.com/oriolepost/oriolepost/placement"
 )
 
-// minStatus and maxStatus are the lowest and the highest status of HTTP.
-const (
-	minStatus = 100
-	maxStatus = 599
-)
-
 // Claim is what a complete response claims about the request to which it belongs.
 type Claim struct {
 	Status int
@@ -30,9 +25,9 @@
 	switch {
 	case c.Status == http.StatusMisdirectedRequest:
 		return placement.NotRun{Reason: placement.ReasonMisdirected}
-	case c.NotRun && c.Status >= http.StatusBadRequest && c.Status <= maxStatus:
+	case c.NotRun && c.Status >= http.StatusBadRequest && c.Status <= header.MaxStatus:
 		return placement.NotRun{Reason: placement.ReasonShed, Sent: true}
-	case c.NotRun, c.Status > maxStatus, promisesNotRun(c.Status):
+	case c.NotRun, c.Status > header.MaxStatus, promisesNotRun(c.Status):
 		return placement.Unknown{Reason: placement.ReasonMalformed}
 	case !c.Signed && c.Status < http.StatusInternalServerError:
 		return placement.Unknown{Reason: placement.ReasonMalformed}
--- a/upstream/limit.go
+++ b/upstream/limit.go
@@ -51,7 +51,7 @@
 		return nil, err
 	case response.Proto != "HTTP/1.1":
 		return nil, errNotHTTP11
-	case response.StatusCode < minStatus || response.StatusCode > maxStatus, response.StatusCode == http.StatusSwitchingProtocols:
+	case response.StatusCode < header.MinStatus || response.StatusCode > header.MaxStatus, response.StatusCode == http.StatusSwitchingProtocols:
 		return nil, errInvalidStatus
 	}
 	if !isInterim(response) {
@@ -60,8 +60,7 @@
 	return response, nil
 }
 
-// errInvalidStatus reports a status that no final or interim response has. net/http accepts
-// any three digits.
+// errInvalidStatus reports a status that no final or interim response has.
 var errInvalidStatus = errors.New("response status is not valid")
 
 // isInterim reports whether another response follows to the same request.
