replica, peer: large messages no longer delay heartbeats

What callers saw: a configuration of 300 KB was not acknowledged within 5 s where the machine is slow.

Cause: an instance had one connection for all messages to another one. A leader's heartbeats waited until the order before them was encoded, sent, read and decoded. When this took longer than an election timeout, the followers started an election, the leader got no replies and stepped down, and the order was lost with it.

Change: large requests use a connection of their own. A message holds at most 1 MiB of entries, except for its last one.

--- a/control/task.go
+++ b/control/task.go
@@ -221,7 +221,7 @@
 func replicaConfig(id string) replica.Config {
 	return replica.Config{
 		ID: id, HeartbeatInterval: heartbeatInterval, ElectionTimeout: electionTimeout,
-		VoteAtStart: true, MaxDrift: maxClockDrift, MaxAppendEntries: maxAppendEntries,
+		VoteAtStart: true, MaxDrift: maxClockDrift, MaxAppendEntries: maxAppendEntries, LargeBytes: peer.LargeBytes,
 	}
 }
 
@@ -470,7 +470,7 @@
 	case replica.SaveHardState, replica.SaveEntries, replica.SaveSnapshot:
 	case replica.Send:
 		t.pool.Notify(PeerAddress(replica.InstanceOf(effect.To), t.settings.PeerPort),
-			peer.ReplicaMessage{From: t.id(), To: effect.To, Message: effect.Message})
+			peer.ReplicaMessage{From: t.id(), To: effect.To, Message: effect.Message, Large: effect.Large})
 	case replica.Apply:
 		return t.apply(effect.Entry)
 	case replica.Restore:
--- a/node/votertask.go
+++ b/node/votertask.go
@@ -51,6 +51,7 @@
 		ElectionTimeout:   500 * time.Millisecond,
 		MaxDrift:          25 * time.Millisecond,
 		MaxAppendEntries:  512,
+		LargeBytes:        peer.LargeBytes,
 	}
 }
 
@@ -261,7 +262,7 @@
 	if !ok {
 		return
 	}
-	t.pool.Notify(address, peer.ReplicaMessage{From: t.id(), To: e.To, Message: e.Message})
+	t.pool.Notify(address, peer.ReplicaMessage{From: t.id(), To: e.To, Message: e.Message, Large: e.Large})
 }
 
 // apply applies a committed log entry and answers its proposer.
--- a/peer/message.go
+++ b/peer/message.go
@@ -42,6 +42,8 @@
 	From    string
 	To      string
 	Message replica.Message
+	// Large is that of [replica.Send]. It is not transmitted.
+	Large bool
 }
 
 // ReportRequest delivers an entry's report to the slot owner.
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/oriolepost/oriolepost/budget"
+	"github.com/oriolepost/oriolepost/record"
 	"github.com/oriolepost/oriolepost/tcp"
 )
 
@@ -30,6 +31,8 @@
 	dialBackoff = 40 * time.Millisecond
 	// writeTimeout limits a write to an instance that does not read.
 	writeTimeout = time.Second
+	// LargeBytes is the size of a request beyond which it gets a connection of its own.
+	LargeBytes = 64 << 10
 	// maxTimeoutsPerConnection is the number of timed-out calls at which a
 	// connection counts as dead and is closed. A response in between does not
 	// reset the count; only a new connection does.
@@ -57,7 +60,9 @@
 	return o.Metrics
 }
 
-// Pool is a task that owns the links to other instances, one for each address.
+// Pool is a task that owns the links to other instances. An address has a link for large
+// requests, which take long to encode, send and decode, and one for all others. Requests
+// over the same link are sent one after the other.
 type Pool struct {
 	options Options
 	mailbox chan outgoingRequest
@@ -136,17 +141,42 @@
 	outgoing.fail(&OverloadError{Address: outgoing.address})
 }
 
+// linkKey names a link: its address, and whether it is the one for large requests.
+type linkKey struct {
+	address string
+	large   bool
+}
+
+// isLarge reports whether other requests must not wait behind a request.
+func isLarge(r Request) bool {
+	if m, ok := r.(ReplicaMessage); ok {
+		return m.Large
+	}
+	return orderBytes(r) > LargeBytes
+}
+
+// orderBytes returns the size of the configuration in a request, or zero if it has none.
+func orderBytes(r Request) int {
+	propose, ok := r.(ProposeRequest)
+	if !ok {
+		return 0
+	}
+	put, _ := propose.Command.(record.PutConfiguration)
+	return len(put.Original)
+}
+
 func (p *Pool) run() {
-	links := map[string]chan outgoingRequest{}
+	links := map[linkKey]chan outgoingRequest{}
 	for {
 		select {
 		case <-p.ctx.Done():
 			return
 		case outgoing := <-p.mailbox:
-			mailbox := links[outgoing.address]
+			key := linkKey{outgoing.address, isLarge(outgoing.request)}
+			mailbox := links[key]
 			if mailbox == nil {
 				mailbox = make(chan outgoingRequest, linkMailboxSize)
-				links[outgoing.address] = mailbox
+				links[key] = mailbox
 				newLink := &link{address: outgoing.address, options: p.options, timeouts: make(chan *jsonrpc2.Conn, linkMailboxSize)}
 				go newLink.run(p.ctx, mailbox)
 			}
--- a/replica/event.go
+++ b/replica/event.go
@@ -75,6 +75,10 @@
 type Send struct {
 	To      string
 	Message Message
+	// Large is true when the message takes long to send and to decode. Messages that are
+	// sent later must not wait for it: heartbeats behind it could be late by more than an
+	// election timeout.
+	Large bool
 }
 
 // Apply applies a committed entry to the state machine. Entries are applied in
--- a/replica/log.go
+++ b/replica/log.go
@@ -31,16 +31,17 @@
 	return l.entries[index-l.snapshot.Index-1], true
 }
 
-// entriesFrom returns a copy of up to limit entries, starting at index.
+// entriesFrom returns a copy of up to limit entries, starting at index. It stops after the
+// entry with which their data reaches maxAppendBytes.
 func (l *log) entriesFrom(index uint64, limit int) []Entry {
-	if index > l.lastIndex() {
-		return nil
+	var entries []Entry
+	bytes := 0
+	for ; index <= l.lastIndex() && len(entries) < limit && bytes < maxAppendBytes; index++ {
+		e, _ := l.entry(index)
+		entries = append(entries, e)
+		bytes += len(e.Data)
 	}
-	rest := l.entries[index-l.snapshot.Index-1:]
-	if len(rest) > limit {
-		rest = rest[:limit]
-	}
-	return append([]Entry(nil), rest...)
+	return entries
 }
 
 // append adds entries. Existing entries from the first new index on are dropped.
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -61,6 +61,9 @@
 	VoteAtStart bool
 	// MaxAppendEntries is the maximum number of entries in one AppendRequest.
 	MaxAppendEntries int
+	// LargeBytes is the number of bytes of data beyond which a message is sent as large,
+	// see [Send]. Zero means that none is.
+	LargeBytes int
 }
 
 // Role is the Raft role of a replica: follower, candidate or leader.
@@ -128,8 +131,11 @@
 	ackedSendTime time.Time
 	// addedAt is when this leader added the peer, or zero if it was elected with it.
 	addedAt time.Time
-	// snapshotSentAt is the time at which the last snapshot was sent.
-	snapshotSentAt time.Time
+	// repliedAt is the time of the peer's last reply.
+	repliedAt time.Time
+	// pending is the snapshot or the large append that the peer has not answered yet; nil
+	// if there is none.
+	pending *pendingData
 }
 
 // Replica is the state of one replica. It is owned by one task and is not safe
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -136,6 +136,10 @@
 		ID: node.id, HeartbeatInterval: 50 * time.Millisecond, ElectionTimeout: 300 * time.Millisecond,
 		MaxDrift: 30 * time.Millisecond, MaxAppendEntries: 8,
 	}
+	if s.seed%2 == 1 {
+		// Three entries are large.
+		cfg.LargeBytes = 15
+	}
 	saved := node.durable
 	saved.Entries = append([]replica.Entry(nil), node.durable.Entries...)
 	node.replica = replica.New(cfg, saved, rand.New(rand.NewPCG(s.seed, uint64(len(node.id)))), s.clock(node))
--- a/replica/replication.go
+++ b/replica/replication.go
@@ -5,9 +5,31 @@
 	"time"
 )
 
-// minSnapshotInterval is the minimum time between two snapshots sent to the same
-// peer.
-const minSnapshotInterval = time.Second
+const (
+	// maxAppendBytes limits the data in one message, except for its last entry.
+	maxAppendBytes = 1 << 20
+	// minRepeatDelay is the time without an answer after which a small snapshot is sent
+	// again for the first time, and repeatBytesPerSecond the rate at which the time of larger
+	// messages grows. It then doubles: the message may still be under way.
+	minRepeatDelay       = time.Second
+	repeatBytesPerSecond = 256 << 10
+)
+
+// repeatDelayOf returns the time after which data is sent again for the first time.
+func repeatDelayOf(bytes int) time.Duration {
+	return minRepeatDelay + time.Duration(bytes)*time.Second/repeatBytesPerSecond
+}
+
+// pendingData is a snapshot, or a large append, that a peer has not answered. Until then the
+// peer gets heartbeats only, which may overtake it.
+type pendingData struct {
+	sentNS int64
+	// prevIndex is the index before its first entry, and lastIndex that of its last one. A
+	// snapshot replaces the entries from prevIndex to lastIndex.
+	prevIndex, lastIndex uint64
+	repeatAt             time.Time
+	repeatDelay          time.Duration
+}
 
 func (r *Replica) propose(p Propose) {
 	if r.Role != RoleLeader || r.transferring {
@@ -48,33 +70,89 @@
 
 // replicate sends a peer the entries that it lacks, or a snapshot if they are no
 // longer in the log. It assumes that the entries arrive and advances nextIndex; a
-// failed AppendReply moves nextIndex back.
+// failed AppendReply moves nextIndex back. While a snapshot or a large append is pending,
+// it sends a heartbeat.
 func (r *Replica) replicate(now time.Time, id string) {
 	peer := r.progress[id]
 	if peer == nil {
 		peer = &progress{nextIndex: r.log.lastIndex() + 1, addedAt: now}
 		r.progress[id] = peer
 	}
-	sentNS := now.Sub(r.createdAt).Nanoseconds()
-	prevTerm, ok := r.log.term(peer.nextIndex - 1)
+	repeatDelay := time.Duration(0)
+	if pending := peer.pending; pending != nil {
+		if now.Before(pending.repeatAt) {
+			r.sendHeartbeat(now, id, pending.prevIndex)
+			return
+		}
+		repeatDelay = 2 * pending.repeatDelay
+		peer.giveUpPending()
+	}
+	data := pendingData{sentNS: r.sendTime(now), prevIndex: peer.nextIndex - 1}
+	prevTerm, ok := r.log.term(data.prevIndex)
 	if !ok {
-		r.sendSnapshot(now, id, peer, sentNS)
+		snapshot := r.log.snapshot
+		data.lastIndex = snapshot.Index
+		peer.setPending(now, data, max(repeatDelay, repeatDelayOf(len(snapshot.Data))))
+		r.emit(Send{To: id, Message: SnapshotRequest{Term: r.Term, Snapshot: snapshot, SentNS: data.sentNS}, Large: r.isLarge(len(snapshot.Data))})
 		return
 	}
 	entries := r.log.entriesFrom(peer.nextIndex, r.Config.MaxAppendEntries)
-	r.send(id, AppendRequest{
-		Term: r.Term, PrevIndex: peer.nextIndex - 1, PrevTerm: prevTerm,
-		Entries: entries, CommitIndex: r.CommitIndex, SentNS: sentNS,
-	})
 	peer.nextIndex += uint64(len(entries))
+	bytes := dataBytes(entries)
+	if r.isLarge(bytes) {
+		data.lastIndex = peer.nextIndex - 1
+		peer.setPending(now, data, max(repeatDelay, repeatDelayOf(bytes)))
+	}
+	r.emit(Send{To: id, Message: AppendRequest{
+		Term: r.Term, PrevIndex: data.prevIndex, PrevTerm: prevTerm,
+		Entries: entries, CommitIndex: r.CommitIndex, SentNS: data.sentNS,
+	}, Large: r.isLarge(bytes)})
 }
 
-func (r *Replica) sendSnapshot(now time.Time, id string, peer *progress, sentNS int64) {
-	if now.Sub(peer.snapshotSentAt) < minSnapshotInterval {
-		return
+// sendHeartbeat sends a peer a message without entries. The log may begin after prevIndex
+// by now.
+func (r *Replica) sendHeartbeat(now time.Time, id string, prevIndex uint64) {
+	prevIndex = max(prevIndex, r.log.snapshot.Index)
+	prevTerm, _ := r.log.term(prevIndex)
+	r.send(id, AppendRequest{Term: r.Term, PrevIndex: prevIndex, PrevTerm: prevTerm, CommitIndex: r.CommitIndex, SentNS: r.sendTime(now)})
+}
+
+// sendTime returns the SentNS of a message that is sent now.
+func (r *Replica) sendTime(now time.Time) int64 { return now.Sub(r.createdAt).Nanoseconds() }
+
+func (r *Replica) isLarge(bytes int) bool {
+	return r.Config.LargeBytes > 0 && bytes > r.Config.LargeBytes
+}
+
+func dataBytes(entries []Entry) int {
+	sum := 0
+	for _, e := range entries {
+		sum += len(e.Data)
+	}
+	return sum
+}
+
+func (p *progress) setPending(now time.Time, data pendingData, repeatDelay time.Duration) {
+	data.repeatAt, data.repeatDelay = now.Add(repeatDelay), repeatDelay
+	p.pending = &data
+}
+
+// giveUpPending makes the next message begin where the pending one began.
+func (p *progress) giveUpPending() {
+	p.nextIndex = max(p.matchIndex, p.pending.prevIndex) + 1
+	p.pending = nil
+}
+
+// settlePending ends the wait for the answer to the pending message if a reply is that
+// answer. A peer that was silent for a while may have lost the message.
+func (p *progress) settlePending(reply AppendReply, silent bool) {
+	switch pending := p.pending; {
+	case pending == nil:
+	case reply.SentNS == pending.sentNS || reply.Success && reply.MatchIndex >= pending.lastIndex:
+		p.pending = nil
+	case silent:
+		p.giveUpPending()
 	}
-	peer.snapshotSentAt = now
-	r.send(id, SnapshotRequest{Term: r.Term, Snapshot: r.log.snapshot, SentNS: sentNS})
 }
 
 func (r *Replica) recordLeaderContact(now time.Time, from string) {
@@ -166,7 +244,13 @@
 	if !sent.Before(r.leaderSince) && sent.After(peer.ackedSendTime) {
 		peer.ackedSendTime = sent
 	}
+	silent := now.Sub(peer.repliedAt) > 2*r.Config.ElectionTimeout
+	peer.repliedAt = now
+	peer.settlePending(reply, silent)
 	if !reply.Success {
+		if peer.pending != nil {
+			return
+		}
 		peer.nextIndex = max(peer.matchIndex, min(reply.MatchIndex, r.log.lastIndex())) + 1
 		r.replicate(now, from)
 		return
@@ -174,7 +258,7 @@
 	peer.matchIndex = max(peer.matchIndex, reply.MatchIndex)
 	peer.nextIndex = max(peer.nextIndex, peer.matchIndex+1)
 	r.advanceCommit()
-	if peer.nextIndex <= r.log.lastIndex() {
+	if peer.pending == nil && peer.nextIndex <= r.log.lastIndex() {
 		r.replicate(now, from)
 	}
 }
--- a/replica/starved_test.go
+++ b/replica/starved_test.go
@@ -18,17 +18,40 @@
 	// nextRun is when it gets the processor, and blockedUntil when its last sync ends.
 	nextRun      time.Time
 	blockedUntil time.Time
-	inbox        []replica.Receive
+	inbox        []delivery
 	// absent is true until a voter that returns runs for the first time.
 	absent bool
 }
 
+// delivery is a message that arrives at a time.
+type delivery struct {
+	at      time.Time
+	receive replica.Receive
+}
+
+// wire is a connection from one voter to another. It carries one message after the other.
+type wire struct {
+	from, to string
+	large    bool
+}
+
 // starvedGroup is a group of voters whose time the test file advances.
 type starvedGroup struct {
-	nodes     []*starvedNode
-	now       time.Time
-	elections int
-	leader    string
+	nodes []*starvedNode
+	// bytesPerMS is the rate of each wire; zero means that messages take no time. freeAt is
+	// when a wire has carried what was sent over it.
+	bytesPerMS int
+	freeAt     map[wire]time.Time
+	// sharedWires makes large messages use the wires of all others.
+	sharedWires bool
+	// loseLarge is how many large messages are lost yet.
+	loseLarge int
+	// orderBytes is the size of a command, of which one is proposed every second; zero means none.
+	orderBytes int
+	applied    map[uint64]bool
+	now        time.Time
+	elections  int
+	leader     string
 	// timersFirst makes a voter handle its timers before the messages that wait.
 	timersFirst bool
 }
@@ -55,7 +78,7 @@
 	for i, id := range members.Voters {
 		config := replica.Config{
 			ID: id, HeartbeatInterval: 90 * time.Millisecond, ElectionTimeout: 450 * time.Millisecond,
-			MaxDrift: 25 * time.Millisecond, MaxAppendEntries: 128, VoteAtStart: true,
+			MaxDrift: 25 * time.Millisecond, MaxAppendEntries: 128, LargeBytes: 64 << 10, VoteAtStart: true,
 		}
 		saved := replica.PersistentState{Snapshot: replica.Snapshot{Index: 1, Term: 1, Members: members}}
 		g.nodes = append(g.nodes, &starvedNode{
@@ -77,6 +100,9 @@
 		g.leader = ""
 	}
 	g.elections, g.timersFirst = 0, c.Bool("timers_first")
+	g.bytesPerMS, g.sharedWires, g.orderBytes = c.Int("bytes_per_ms", 0), c.Bool("shared_wires"), c.Int("order_kb", 0)<<10
+	g.loseLarge = c.Int("lose_large", 0)
+	g.freeAt, g.applied = map[wire]time.Time{}, map[uint64]bool{}
 	start := g.now
 	elected := time.Duration(0)
 	for i, ms := range c.List("return_ms") {
@@ -87,6 +113,7 @@
 		g.returnAt(g.nodes[i], g.now.Add(time.Duration(delay)*time.Millisecond), uint64(c.Int("seed", 1)), uint64(i))
 	}
 	for end := g.now.Add(time.Duration(c.Int("ms", 1000)) * time.Millisecond); g.now.Before(end); g.now = g.now.Add(time.Millisecond) {
+		g.proposeOrder(g.now.Sub(start))
 		for _, n := range g.nodes {
 			if n.id == killed || g.now.Before(n.nextRun) || g.now.Before(n.blockedUntil) {
 				continue
@@ -102,6 +129,9 @@
 	}
 	g.nodes = without(g.nodes, killed)
 	text := fmt.Sprintf("elections=%d", g.elections)
+	if g.orderBytes > 0 {
+		text += fmt.Sprintf(" orders_applied=%d", len(g.applied))
+	}
 	if within := c.Int("within_ms", 0); within > 0 {
 		text += fmt.Sprintf(" within_%d_ms=%v", within, elected > 0 && elected <= time.Duration(within)*time.Millisecond)
 	}
@@ -130,25 +160,86 @@
 	return kept
 }
 
+// proposeOrder proposes a command to the leader at each full second of a run.
+func (g *starvedGroup) proposeOrder(age time.Duration) {
+	if g.orderBytes == 0 || age%time.Second != 0 {
+		return
+	}
+	for _, n := range g.nodes {
+		if n.replica.Role == replica.RoleLeader {
+			g.perform(n, n.replica.Step(g.now, replica.Propose{Data: make([]byte, g.orderBytes)}), 0)
+		}
+	}
+}
+
+// arrivalOf returns when a message arrives that is sent now, and occupies its wire until then.
+func (g *starvedGroup) arrivalOf(from string, send replica.Send) time.Time {
+	if g.bytesPerMS == 0 {
+		return g.now
+	}
+	w := wire{from, send.To, send.Large && !g.sharedWires}
+	if g.freeAt[w].Before(g.now) {
+		g.freeAt[w] = g.now
+	}
+	g.freeAt[w] = g.freeAt[w].Add(time.Duration(messageBytes(send.Message)/g.bytesPerMS) * time.Millisecond)
+	return g.freeAt[w]
+}
+
+func messageBytes(m replica.Message) int {
+	sum := 100
+	switch m := m.(type) {
+	case replica.AppendRequest:
+		for _, e := range m.Entries {
+			sum += len(e.Data)
+		}
+	case replica.SnapshotRequest:
+		sum += len(m.Snapshot.Data)
+	case replica.AppendReply, replica.VoteRequest, replica.VoteReply, replica.ElectionRequest:
+	}
+	return sum
+}
+
+// arrived removes the messages that have arrived from an inbox and returns them.
+func (n *starvedNode) arrived(now time.Time) []replica.Receive {
+	var due []replica.Receive
+	var later []delivery
+	for _, d := range n.inbox {
+		if d.at.After(now) {
+			later = append(later, d)
+			continue
+		}
+		due = append(due, d.receive)
+	}
+	n.inbox = later
+	return due
+}
+
 func (g *starvedGroup) turn(n *starvedNode, sync time.Duration) {
 	var effects []replica.Effect
 	if g.timersFirst {
 		effects = n.replica.Step(g.now, replica.Tick{})
 	}
-	inbox := n.inbox
-	n.inbox = nil
-	for _, m := range inbox {
+	for _, m := range n.arrived(g.now) {
 		effects = append(effects, n.replica.Step(g.now, m)...)
 	}
 	effects = append(effects, n.replica.Step(g.now, replica.Tick{})...)
+	g.perform(n, effects, sync)
+}
+
+func (g *starvedGroup) perform(n *starvedNode, effects []replica.Effect, sync time.Duration) {
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case replica.SaveHardState, replica.SaveEntries, replica.SaveSnapshot:
 			n.blockedUntil = g.now.Add(sync)
 		case replica.Send:
+			if e.Large && g.loseLarge > 0 {
+				g.loseLarge--
+				continue
+			}
+			at := g.arrivalOf(n.id, e)
 			for _, to := range g.nodes {
 				if to.id == e.To && !to.absent {
-					to.inbox = append(to.inbox, replica.Receive{From: n.id, Message: e.Message})
+					to.inbox = append(to.inbox, delivery{at, replica.Receive{From: n.id, Message: e.Message}})
 				}
 			}
 		case replica.RoleChanged:
@@ -156,7 +247,11 @@
 				g.elections++
 				g.leader = n.id
 			}
-		case replica.Apply, replica.Restore, replica.Appended, replica.ProposalRefused:
+		case replica.Apply:
+			if len(e.Entry.Data) > 0 {
+				g.applied[e.Entry.Index] = true
+			}
+		case replica.Restore, replica.Appended, replica.ProposalRefused:
 		}
 	}
 }
