peer: an attempt to reach the leader lasts as long as its order takes

Cause: LeaderClient gave each attempt 0.7 s, however large the order was, and asked another instance after it, although the leader worked on the order.

Change: an order gets the time of its bytes at 256 KB/s in addition.

--- a/peer/leader.go
+++ b/peer/leader.go
@@ -11,8 +11,11 @@
 )
 
 const (
-	// attemptTimeout limits one request to the presumed leader.
-	attemptTimeout = 700 * time.Millisecond
+	// attemptTimeout limits one request to the presumed leader. An order with a
+	// configuration gets the time that its bytes take at orderBytesPerSecond in addition:
+	// it is sent to the leader, and from there to the followers.
+	attemptTimeout      = 700 * time.Millisecond
+	orderBytesPerSecond = 256 << 10
 	// minRetryDelay is the mean delay before the next attempt if the leader is known,
 	// and before the first repeated attempt otherwise. The delay then doubles up to
 	// maxRetryDelay. All delays are drawn at random: after a power loss hundreds of
@@ -150,7 +153,7 @@
 }
 
 func (l *LeaderClient) callOnce(ctx context.Context, address string, r Request) (Response, error) {
-	timeout := attemptTimeout
+	timeout := attemptTimeout + time.Duration(orderBytes(r))*time.Second/orderBytesPerSecond
 	if watch, ok := r.(WatchRequest); ok {
 		timeout = max(timeout, WatchTimeout(watch.Followers)+watchAnswerMargin)
 	}
