ingress: callers that leave during a wait are noticed

After a streamed body, and before a pipelined request that must not run twice or 100 (Continue), the reader of the connection waited for responses without reading. When the earlier request was answered, the one behind it was even sent to a server, although its caller had left.

Cause: a close is noticed by reading only.

Change: the reader looks for further bytes during such a wait and leaves them in its buffer; the end of the wait interrupts the read.

--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -73,14 +73,15 @@
 // admitRequest reserves what a request takes beyond the allowance, once its header has
 // been read. A pipelined request needs a reservation in any case, since it may run
 // beside the others; without one it waits until those are answered.
-func (c *conn) admitRequest(r *Request, head requestHead) {
+func (c *conn) admitRequest(r *Request, head requestHead) error {
 	r.conn = c
 	if c.server.options.Budget == nil || len(c.unanswered()) == 0 {
-		return
+		return nil
 	}
 	if cost := head.memory() + responseAllowance - c.headReserved; !c.reserve(int64(max(0, cost)), pipelinedDescriptors) {
-		c.awaitResponses()
+		return c.awaitResponses()
 	}
+	return nil
 }
 
 // growBody reserves bytes of a body. If that is refused, it tries once more when the
@@ -93,7 +94,9 @@
 	if len(c.unanswered()) == 0 {
 		return errUsedUp
 	}
-	c.awaitResponses()
+	if err := c.awaitResponses(); err != nil {
+		return err
+	}
 	if !c.reserve(bytes, 0) {
 		return errUsedUp
 	}
--- a/ingress/await.go
+++ b/ingress/await.go
@@ -54,7 +54,7 @@
 	for {
 		if c.source.evicted.Load() {
 			// The next read returns that the deadline is exceeded.
-			c.awaitResponses()
+			c.awaitWritten(c.unanswered())
 			return errEvicted
 		}
 		if _, err := c.reader.Peek(1); err != nil {
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -7,7 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/oriolepost/oriolepost/budget"
@@ -50,18 +50,20 @@
 	}
 	r.Body = buffer.Bytes
 	if r.Length > maxBufferedBodyBytes || r.Length < 0 && int64(len(r.Body)) == bufferedLimit {
-		r.Rest = &streamedBody{source: body, conn: r.conn}
+		r.Rest = &streamedBody{source: body, conn: r.conn, ended: make(chan struct{})}
 	}
 	return nil
 }
 
 // streamedBody is the part of a body that is forwarded while it arrives. The task
-// that forwards it reads it, and the writer of the connection asks whether it was
-// read to its end.
+// that forwards it reads it, and the tasks of the connection ask whether it was read to its
+// end.
 type streamedBody struct {
 	source io.Reader
-	ended  atomic.Bool
 	conn   *conn
+	// ended is closed once the body was read to its end.
+	ended   chan struct{}
+	endOnce sync.Once
 }
 
 // Read implements io.Reader.
@@ -70,7 +72,7 @@
 	n, err := b.source.Read(p)
 	b.conn.endReading()
 	if errors.Is(err, io.EOF) {
-		b.ended.Store(true)
+		b.endOnce.Do(func() { close(b.ended) })
 	}
 	return n, err
 }
@@ -78,7 +80,15 @@
 // bodyUnread reports whether bytes of the body may still arrive on the connection.
 func (r *Request) bodyUnread() bool {
 	body, streamed := r.Rest.(*streamedBody)
-	return streamed && !body.ended.Load()
+	if !streamed {
+		return false
+	}
+	select {
+	case <-body.ended:
+		return false
+	default:
+		return true
+	}
 }
 
 // fixedLengthBody is a body with a Content-Length. A body that ends before that
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -5,9 +5,11 @@
 // the order of the requests. A request that must not run twice starts only when
 // everything before it on the connection is answered. When the caller closes
 // the connection, the reader detects that and the requests of the connection
-// are canceled. The reader does not detect it while it waits for other
-// responses: before a request that must not run twice, before it sends 100
-// (Continue), and after a request with a streamed body.
+// are canceled. While the reader waits for other responses (before a request that
+// must not run twice, before it sends 100 (Continue), and after a streamed body), it
+// watches the connection, and does not detect a close behind more than its buffer
+// holds. It does not detect one while a body is being forwarded: whoever forwards
+// it does.
 //
 // Requests are parsed strictly. A request that could be understood in two ways
 // is refused and the connection closed, so that no request is smuggled to an
@@ -169,13 +171,17 @@
 			c.handleReadError(err)
 			return false
 		}
-		streamed := e.Request.Rest != nil
+		body, streamed := e.Request.Rest.(*streamedBody)
 		c.enqueue(e)
-		if streamed && !c.awaitStreamedBody(e) {
-			return false
+		if streamed {
+			err = c.awaitStreamedBody(e, body)
 		}
-		if e.closeAfter && !streamed {
-			return true
+		switch {
+		case err != nil:
+			c.handleReadError(err)
+			return false
+		case e.closeAfter:
+			return !streamed
 		}
 	}
 }
@@ -190,7 +196,7 @@
 	_, err := io.Copy(io.Discard, c.reader)
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.source.evicted.Load() {
 		// The requests that were read are still answered.
-		c.awaitResponses()
+		c.awaitWritten(c.unanswered())
 		return
 	}
 	if err == nil {
@@ -205,7 +211,7 @@
 func (c *conn) awaitRefusal() {
 	for len(c.unanswered()) > 0 {
 		if c.source.evicted.Load() {
-			c.awaitResponses()
+			c.awaitWritten(c.unanswered())
 			return
 		}
 		if c.source.setInterruptibleDeadline(time.Time{}) != nil {
@@ -223,15 +229,21 @@
 	}
 }
 
-// awaitStreamedBody waits until the response to a request with a streamed body
-// is written, since the next bytes on the connection belong to that body. It
-// reports whether another request may be read.
-func (c *conn) awaitStreamedBody(e *Exchange) bool {
+// awaitStreamedBody waits until the response to a request with a streamed body is written,
+// since the next bytes on the connection may belong to that body. It returns the error of the
+// connection if the caller disconnects after the end of the body.
+func (c *conn) awaitStreamedBody(e *Exchange, body *streamedBody) error {
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		c.awaitWritten([]*progress{e.progress})
+	}()
 	select {
-	case <-e.progress.written:
-	case <-c.writerDone:
+	case <-body.ended:
+		return c.watchUntil(written)
+	case <-written:
+		return nil
 	}
-	return !e.closeAfter
 }
 
 // enqueue passes a request to the writer, and waits while maxPipelined requests
@@ -319,7 +331,9 @@
 	if err != nil {
 		return nil, refusal(identify(head.bytes, names), err)
 	}
-	c.admitRequest(r, head)
+	if err := c.admitRequest(r, head); err != nil {
+		return nil, err
+	}
 	if err := c.readBody(r, limits, c.bodyTimeout(r, limits)); err != nil {
 		return nil, refusal(r, err)
 	}
@@ -329,7 +343,7 @@
 	if err := c.source.setDeadline(time.Time{}); err != nil {
 		return nil, err
 	}
-	return c.dispatch(r), nil
+	return c.dispatch(r)
 }
 
 // limits returns the limits of the newest configuration.
@@ -365,7 +379,9 @@
 		return err
 	}
 	if r.expectsContinue() && c.reader.Buffered() == 0 {
-		c.awaitResponses()
+		if err := c.awaitResponses(); err != nil {
+			return err
+		}
 		if _, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return err
 		}
@@ -403,8 +419,8 @@
 
 // dispatch sends a request to the entry task, or refuses it if no route for it is
 // known. A request that must not run twice first waits until the requests before it are
-// answered.
-func (c *conn) dispatch(request *Request) *Exchange {
+// answered. It is dropped, with the error of the connection, if the caller disconnects before.
+func (c *conn) dispatch(request *Request) (*Exchange, error) {
 	exchange := newExchange(request, nil)
 	exchange.hold, c.hold = c.hold, nil
 	exchange.closeAfter = c.isLast(request)
@@ -418,27 +434,30 @@
 	switch l := table.Lookup(request.Host, request.Path, trust.Newest).(type) {
 	case route.Unconfigured:
 		c.refuse(exchange, http.StatusServiceUnavailable, "no configuration yet")
-		return exchange
+		return exchange, nil
 	case route.Unconfirmed:
 		c.refuse(exchange, http.StatusServiceUnavailable, "no route for this host and path in a configuration that may be outdated")
-		return exchange
+		return exchange, nil
 	case route.Absent:
 		c.refuse(exchange, http.StatusNotFound, "no route for this host and path")
-		return exchange
+		return exchange, nil
 	case route.Found:
 		exchange.Route = l.Route
 	}
 	if table.Workspaces != nil && !c.admit(exchange, table.Workspaces, trust) {
-		return exchange
+		return exchange, nil
 	}
 	if !exchange.Route.Idempotent {
-		c.awaitResponses()
+		if err := c.awaitResponses(); err != nil {
+			exchange.release()
+			return nil, err
+		}
 	}
 	// The drain may have begun during the wait.
 	exchange.closeAfter = c.isLast(request)
 	header.RemoveHopByHop(request.Header)
 	c.server.options.Callbacks.Arrived(exchange)
-	return exchange
+	return exchange, nil
 }
 
 // isLast reports whether no request after this one is read: the caller asked for a
