control, terminal: SIGTERM ends the wait for space on a full disk

What operators saw: an instance whose disk is full at its start ignored SIGTERM until it was killed.

Cause: the wait for space ended only with the context of the instance, which is canceled after the start.

Change: control.Options.Stop ends the wait; the process then exits with 0, as after any planned stop.

The exit of the process was not played: it needs a full disk.

--- a/control/control.go
+++ b/control/control.go
@@ -55,6 +55,11 @@
 	// CreateFile replaces the opening of the files in the data folder, after that was read.
 	// Tests use it for disks that fail.
 	CreateFile func(path string) (disk.File, error)
+	// OpenFolder replaces [disk.Open]. Tests use it for disks that are full.
+	OpenFolder func(path, instance, id string) (*disk.Folder, error)
+	// Stop ends the wait for space on a full disk at the start; nil means that only the
+	// context of the instance does.
+	Stop context.Context
 }
 
 // Control is a running control instance.
@@ -106,7 +111,7 @@
 	if err != nil {
 		return nil, err
 	}
-	folder, err := openFolder(ctx, deployment, options.Log)
+	folder, err := openFolder(ctx, deployment, options)
 	if err != nil {
 		return nil, err
 	}
@@ -131,14 +136,25 @@
 	return c, nil
 }
 
-// openFolder opens the data folder. While the disk is full, it retries.
-func openFolder(ctx context.Context, deployment settings.Deployment, logger log.Interface) (*disk.Folder, error) {
+// openFolder opens the data folder. While the disk is full, it retries until the instance is
+// to stop.
+func openFolder(ctx context.Context, deployment settings.Deployment, options Options) (*disk.Folder, error) {
+	open := options.OpenFolder
+	if open == nil {
+		open = disk.Open
+	}
+	if options.Stop != nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(options.Stop, cancel)()
+	}
 	for {
-		folder, err := disk.Open(deployment.DataFolder, deployment.IP, randomID())
+		folder, err := open(deployment.DataFolder, deployment.IP, randomID())
 		if !errors.Is(err, syscall.ENOSPC) {
 			return folder, err
 		}
-		logger.WithError(err).WithField("change", "disk").Error("disk is full; retrying to open the data folder until there is space")
+		options.Log.WithError(err).WithField("change", "disk").Error("disk is full; retrying to open the data folder until there is space")
 		if !timer.Pause(ctx, diskFullRetryInterval) {
 			return nil, err
 		}
--- a/terminal/serve.go
+++ b/terminal/serve.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -94,7 +95,11 @@
 	defer cancel()
 	s.limits = admission.LimitsOf(s.settings.MemoryMB, s.settings.MaxFDs)
 	s.budget = budget.Start(instanceCtx, s.limits, s.metrics, s.log)
-	if err := s.start(instanceCtx); err != nil {
+	if err := s.start(instanceCtx, ctx); err != nil {
+		if ctx.Err() != nil && errors.Is(err, syscall.ENOSPC) {
+			s.log.WithFields(log.Fields{"change": "instance", "from": "starting", "to": "stopped"}).Info("instance stopped")
+			return nil, nil
+		}
 		return nil, err
 	}
 	s.log.WithFields(log.Fields{"change": "instance", "from": "stopped", "to": "started"}).Info("instance started")
@@ -135,12 +140,12 @@
 }
 
 // start starts the control instance, the gateway for callers, or both, and their
-// listeners.
-func (s *serveWork) start(ctx context.Context) error {
+// listeners. Stop ends a wait for space on the disk.
+func (s *serveWork) start(ctx, stop context.Context) error {
 	deployment := s.settings
 	if deployment.Control != "" {
 		var err error
-		if s.control, err = control.Start(ctx, deployment, control.Options{Log: s.log, Metrics: s.metrics, Budget: s.budget, MaxConns: s.limits.Conns}); err != nil {
+		if s.control, err = control.Start(ctx, deployment, control.Options{Log: s.log, Metrics: s.metrics, Budget: s.budget, MaxConns: s.limits.Conns, Stop: stop}); err != nil {
 			return err
 		}
 		l, err := platform.ListenControl(deployment.Control, platform.Calls{Leader: s.control.Call, Metrics: s.metrics, Log: s.log, Limits: httplisten.Limits{MaxConns: s.limits.Conns, Budget: s.budget}})
