ingress: a caller that leaves before the first configuration is noticed

What callers saw: nothing. After a loss of power, a request that waited up to 0.8 s for the entry's first configuration was sent to a server although its caller had left, and then canceled.

Tests of ingress green once, and once under the race detector.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -5,11 +5,10 @@
 // the order of the requests. A request that must not run twice starts only when
 // everything before it on the connection is answered. When the caller closes
 // the connection, the reader detects that and the requests of the connection
-// are canceled. While the reader waits for other responses (before a request that
-// must not run twice, before it sends 100 (Continue), and after a streamed body), it
-// watches the connection, and does not detect a close behind more than its buffer
-// holds. It does not detect one while a body is being forwarded: whoever forwards
-// it does.
+// are canceled. While the reader waits (for other responses, or for the first
+// configuration), it watches the connection, and does not detect a close behind
+// more than its buffer holds. It does not detect one while a body is being
+// forwarded: whoever forwards it does.
 //
 // Requests are parsed strictly. A request that could be understood in two ways
 // is refused and the connection closed, so that no request is smuggled to an
@@ -424,7 +423,10 @@
 	exchange := newExchange(request, nil)
 	exchange.hold, c.hold = c.hold, nil
 	exchange.closeAfter = c.isLast(request)
-	c.awaitConfiguration(request)
+	if err := c.awaitConfiguration(request); err != nil {
+		exchange.release()
+		return nil, err
+	}
 	// The table is looked up only now, so that a request that took long to read
 	// is routed by the newest one.
 	// What is known of the table is asked before: what is confirmed later may be a newer
--- a/ingress/start.go
+++ b/ingress/start.go
@@ -28,23 +28,28 @@
 }
 
 // awaitConfiguration holds a request until this entry can route it, or until its time to
-// wait is up.
-func (c *conn) awaitConfiguration(r *Request) {
+// wait is up. It returns the error of the connection if the caller disconnects before.
+func (c *conn) awaitConfiguration(r *Request) error {
 	select {
 	case <-c.server.options.Configured:
-		return
+		return nil
 	default:
 	}
 	wait := startWait(time.Since(c.server.startedAt), time.Since(r.Received), r.CallerTimeout)
 	if wait == 0 {
-		return
+		return nil
 	}
 	c.server.options.Metrics.GetOrCreateCounter("oriolepost_requests_held_at_start_total").Inc()
-	expired := time.NewTimer(wait)
-	defer expired.Stop()
-	select {
-	case <-c.server.options.Configured:
-	case <-expired.C:
-	case <-c.writerDone:
-	}
+	waited := make(chan struct{})
+	go func() {
+		defer close(waited)
+		expired := time.NewTimer(wait)
+		defer expired.Stop()
+		select {
+		case <-c.server.options.Configured:
+		case <-expired.C:
+		case <-c.writerDone:
+		}
+	}()
+	return c.watchUntil(waited)
 }
