--- a/ingress/await.go
+++ b/ingress/await.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"os"
 	"time"
 )
@@ -81,3 +82,125 @@
 		}
 	}
 }
+
+// awaitClose detects that the caller disconnects before its last response is
+// written. Whatever the caller still sends is discarded, and not read as a
+// request.
+func (c *conn) awaitClose() {
+	if c.source.setDeadline(time.Time{}) != nil {
+		return
+	}
+	_, err := io.Copy(io.Discard, c.reader)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.source.evicted.Load() {
+		// The requests that were read are still answered.
+		c.awaitWritten(c.unanswered())
+		return
+	}
+	if err == nil {
+		err = io.EOF
+	}
+	c.handleReadError(err)
+}
+
+// awaitRefusal detects that the caller disconnects before a refusal is written behind
+// other responses. The read deadline of the writer, which discards unread bytes after
+// the refusal, ends the wait, and a drain does not.
+func (c *conn) awaitRefusal() {
+	for len(c.unanswered()) > 0 {
+		if c.source.evicted.Load() {
+			c.awaitWritten(c.unanswered())
+			return
+		}
+		if c.source.setInterruptibleDeadline(time.Time{}) != nil {
+			return
+		}
+		if len(c.unanswered()) == 0 {
+			// The writer may have set its deadline before.
+			_ = c.source.setInterruptibleDeadline(time.Now().Add(lingerTimeout))
+			return
+		}
+		if _, err := io.Copy(io.Discard, c.reader); !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.reportDisconnected()
+			return
+		}
+	}
+}
+
+// awaitStreamedBody waits until the response to a request with a streamed body is written,
+// since the next bytes on the connection may belong to that body. It returns the error of the
+// connection if the caller disconnects after the end of the body.
+func (c *conn) awaitStreamedBody(e *Exchange, body *streamedBody) error {
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		c.awaitWritten([]*progress{e.progress})
+	}()
+	select {
+	case <-body.ended:
+		return c.watchUntil(written)
+	case <-written:
+		return nil
+	}
+}
+
+// awaitResponses waits until all requests that were read are answered. It returns the error
+// of the connection if the caller disconnects before.
+func (c *conn) awaitResponses() error {
+	waiting := c.unanswered()
+	if len(waiting) == 0 {
+		return nil
+	}
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		c.awaitWritten(waiting)
+	}()
+	return c.watchUntil(answered)
+}
+
+// awaitWritten waits until requests are answered or the writer has ended.
+func (c *conn) awaitWritten(requests []*progress) {
+	for _, p := range requests {
+		select {
+		case <-p.written:
+		case <-c.writerDone:
+		}
+	}
+}
+
+// watchUntil waits until done is closed. It returns the error of the connection if the caller
+// disconnects before. What the caller sends meanwhile stays in the buffer; a disconnect behind
+// more than fits there goes unnoticed.
+func (c *conn) watchUntil(done <-chan struct{}) error {
+	stop, interrupterDone := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(interrupterDone)
+		select {
+		case <-done:
+			_ = c.SetReadDeadline(time.Now())
+		case <-stop:
+		}
+	}()
+	defer func() {
+		close(stop)
+		<-interrupterDone
+	}()
+	for c.reader.Buffered() < c.reader.Size() {
+		if err := c.source.setInterruptibleDeadline(time.Time{}); err != nil {
+			return err
+		}
+		select {
+		case <-done:
+			return nil
+		default:
+		}
+		if c.source.ended() {
+			break
+		}
+		if _, err := c.reader.Peek(c.reader.Buffered() + 1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+	}
+	<-done
+	return nil
+}
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -25,7 +25,6 @@
 	"bufio"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -33,7 +32,6 @@
 	"time"
 
 	"github.com/oriolepost/oriolepost/budget"
-	"github.com/oriolepost/oriolepost/header"
 	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/upstream"
 	"github.com/oriolepost/oriolepost/workspace"
@@ -185,66 +183,6 @@
 	}
 }
 
-// awaitClose detects that the caller disconnects before its last response is
-// written. Whatever the caller still sends is discarded, and not read as a
-// request.
-func (c *conn) awaitClose() {
-	if c.source.setDeadline(time.Time{}) != nil {
-		return
-	}
-	_, err := io.Copy(io.Discard, c.reader)
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.source.evicted.Load() {
-		// The requests that were read are still answered.
-		c.awaitWritten(c.unanswered())
-		return
-	}
-	if err == nil {
-		err = io.EOF
-	}
-	c.handleReadError(err)
-}
-
-// awaitRefusal detects that the caller disconnects before a refusal is written behind
-// other responses. The read deadline of the writer, which discards unread bytes after
-// the refusal, ends the wait, and a drain does not.
-func (c *conn) awaitRefusal() {
-	for len(c.unanswered()) > 0 {
-		if c.source.evicted.Load() {
-			c.awaitWritten(c.unanswered())
-			return
-		}
-		if c.source.setInterruptibleDeadline(time.Time{}) != nil {
-			return
-		}
-		if len(c.unanswered()) == 0 {
-			// The writer may have set its deadline before.
-			_ = c.source.setInterruptibleDeadline(time.Now().Add(lingerTimeout))
-			return
-		}
-		if _, err := io.Copy(io.Discard, c.reader); !errors.Is(err, os.ErrDeadlineExceeded) {
-			c.reportDisconnected()
-			return
-		}
-	}
-}
-
-// awaitStreamedBody waits until the response to a request with a streamed body is written,
-// since the next bytes on the connection may belong to that body. It returns the error of the
-// connection if the caller disconnects after the end of the body.
-func (c *conn) awaitStreamedBody(e *Exchange, body *streamedBody) error {
-	written := make(chan struct{})
-	go func() {
-		defer close(written)
-		c.awaitWritten([]*progress{e.progress})
-	}()
-	select {
-	case <-body.ended:
-		return c.watchUntil(written)
-	case <-written:
-		return nil
-	}
-}
-
 // enqueue passes a request to the writer, and waits while maxPipelined requests
 // are queued.
 func (c *conn) enqueue(e *Exchange) {
@@ -415,67 +353,3 @@
 	}
 	return err
 }
-
-// dispatch sends a request to the entry task, or refuses it if no route for it is
-// known. A request that must not run twice first waits until the requests before it are
-// answered. It is dropped, with the error of the connection, if the caller disconnects before.
-func (c *conn) dispatch(request *Request) (*Exchange, error) {
-	exchange := newExchange(request, nil)
-	exchange.hold, c.hold = c.hold, nil
-	exchange.closeAfter = c.isLast(request)
-	if err := c.awaitConfiguration(request); err != nil {
-		exchange.release()
-		return nil, err
-	}
-	// The table is looked up only now, so that a request that took long to read
-	// is routed by the newest one.
-	// What is known of the table is asked before: what is confirmed later may be a newer
-	// table.
-	trust := workspace.Trust{Newest: c.server.options.TableConfirmed(), Valid: c.server.options.KeysValid()}
-	table := c.server.options.Table()
-	switch l := table.Lookup(request.Host, request.Path, trust.Newest).(type) {
-	case route.Unconfigured:
-		c.refuse(exchange, http.StatusServiceUnavailable, "no configuration yet")
-		return exchange, nil
-	case route.Unconfirmed:
-		c.refuse(exchange, http.StatusServiceUnavailable, "no route for this host and path in a configuration that may be outdated")
-		return exchange, nil
-	case route.Absent:
-		c.refuse(exchange, http.StatusNotFound, "no route for this host and path")
-		return exchange, nil
-	case route.Found:
-		exchange.Route = l.Route
-	}
-	if table.Workspaces != nil && !c.admit(exchange, table.Workspaces, trust) {
-		return exchange, nil
-	}
-	if !exchange.Route.Idempotent {
-		if err := c.awaitResponses(); err != nil {
-			exchange.release()
-			return nil, err
-		}
-	}
-	// The drain may have begun during the wait.
-	exchange.closeAfter = c.isLast(request)
-	header.RemoveHopByHop(request.Header)
-	c.server.options.Callbacks.Arrived(exchange)
-	return exchange, nil
-}
-
-// isLast reports whether no request after this one is read: the caller asked for a
-// close, or the entry drains and no further request has begun to arrive.
-func (c *conn) isLast(request *Request) bool {
-	return request.close || request.http10 || c.source.evicted.Load() || c.server.draining.Load() && c.reader.Buffered() == 0
-}
-
-// refuse answers a request that cannot be dispatched.
-func (c *conn) refuse(e *Exchange, status int, reason string) {
-	c.server.options.Callbacks.Refused(e.Request, status, reason)
-	retryAfter := time.Duration(0)
-	if status == http.StatusServiceUnavailable {
-		spread := time.Duration(rand.Int64N(int64(configurationDelay)))
-		remaining := max(0, e.Request.CallerTimeout-time.Since(e.Request.Received))
-		retryAfter = min(configurationDelay/2+spread, remaining/retryAfterDivisor)
-	}
-	e.Response <- Refusal(status, reason, retryAfter)
-}
--- a/ingress/progress.go
+++ b/ingress/progress.go
@@ -1,8 +1,6 @@
 package ingress
 
 import (
-	"errors"
-	"os"
 	"sync/atomic"
 	"time"
 )
@@ -52,65 +50,3 @@
 	}
 	return unwritten
 }
-
-// awaitResponses waits until all requests that were read are answered. It returns the error
-// of the connection if the caller disconnects before.
-func (c *conn) awaitResponses() error {
-	waiting := c.unanswered()
-	if len(waiting) == 0 {
-		return nil
-	}
-	answered := make(chan struct{})
-	go func() {
-		defer close(answered)
-		c.awaitWritten(waiting)
-	}()
-	return c.watchUntil(answered)
-}
-
-// awaitWritten waits until requests are answered or the writer has ended.
-func (c *conn) awaitWritten(requests []*progress) {
-	for _, p := range requests {
-		select {
-		case <-p.written:
-		case <-c.writerDone:
-		}
-	}
-}
-
-// watchUntil waits until done is closed. It returns the error of the connection if the caller
-// disconnects before. What the caller sends meanwhile stays in the buffer; a disconnect behind
-// more than fits there goes unnoticed.
-func (c *conn) watchUntil(done <-chan struct{}) error {
-	stop, interrupterDone := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(interrupterDone)
-		select {
-		case <-done:
-			_ = c.SetReadDeadline(time.Now())
-		case <-stop:
-		}
-	}()
-	defer func() {
-		close(stop)
-		<-interrupterDone
-	}()
-	for c.reader.Buffered() < c.reader.Size() {
-		if err := c.source.setInterruptibleDeadline(time.Time{}); err != nil {
-			return err
-		}
-		select {
-		case <-done:
-			return nil
-		default:
-		}
-		if c.source.ended() {
-			break
-		}
-		if _, err := c.reader.Peek(c.reader.Buffered() + 1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			return err
-		}
-	}
-	<-done
-	return nil
-}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -152,7 +152,7 @@
 	return strings.Join(lines, "\r\n")
 }()
 
-// floodUnits holds, by name, what an upstream in trouble repeats without end.
+// floodUnits holds, by name, what a faulty upstream repeats without end.
 var floodUnits = map[string]string{
 	"byte": "0", "line": "Filler: x\r\n", "interim": "HTTP/1.1 100 Continue\r\n\r\n", "chunk": "5\r\nhello\r\n",
 }
