--- a/review/standin3/system.go
+++ b/review/standin3/system.go
@@ -36,6 +36,9 @@
 	began    time.Time
 	mutex    sync.Mutex
 	machines []*machine
+	// addresses and requests count the servers and the requests of clients.
+	addresses int
+	requests  int
 }
 
 // machine is a machine with one process. A core machine has a data folder.
@@ -246,11 +249,16 @@
 
 // configure sends a version to one control address after the other until it is acknowledged.
 func (s *system) configure(limit time.Duration, version int, at ...*machine) error {
+	return s.configureWith(limit, version, configuration(version), at...)
+}
+
+// configureWith does the same with the text of a configuration.
+func (s *system) configureWith(limit time.Duration, version int, text string, at ...*machine) error {
 	i := 0
 	acknowledged := within(limit, func() bool {
 		m := at[i%len(at)]
 		i++
-		status, answer := s.operator(m, http.MethodPost, "/api/Config.Replace", configuration(version))
+		status, answer := s.operator(m, http.MethodPost, "/api/Config.Replace", text)
 		s.note("operator sends r%d to %s: %d %s", version, m.name, status, strings.TrimSpace(answer))
 		return status == http.StatusOK
 	})
