review: case 15, a first configuration with version r0

Cause: version 0 stands for no configuration in the watches of entries, so they never get it. Added: a script.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -24,7 +24,7 @@
 		os.Exit(2)
 	}
 	run, known := map[string]func(*system) (broken bool, err error){
-		"replaced": replaced, "writer": writer, "leaving": leaving,
+		"replaced": replaced, "writer": writer, "leaving": leaving, "zero": zero,
 	}[os.Args[1]]
 	if !known {
 		fmt.Fprintln(os.Stderr, "no such case")
