--- a/control/members.go
+++ b/control/members.go
@@ -21,6 +21,9 @@
 	// housekeepingInterval is the interval between two checks of the members
 	// and the upstreams.
 	housekeepingInterval = 300 * time.Millisecond
+	// learnerCheckInterval is the interval between two checks of the members while there is
+	// a learner, which may have caught up.
+	learnerCheckInterval = 20 * time.Millisecond
 	// joinInterval is the interval between two join requests to the leader.
 	joinInterval = 600 * time.Millisecond
 	// standbyLifetime is how long a join request is valid: several join
@@ -35,9 +38,8 @@
 	identifyTimeout = 400 * time.Millisecond
 )
 
-// runHousekeeping does the periodic work: it removes expired upstreams, sends join
-// requests and replaces lost voters. An error, such as a failed disk, ends the
-// instance.
+// runHousekeeping does the periodic work: it removes expired upstreams and sends join
+// requests. An error, such as a failed disk, ends the instance.
 func (t *task) runHousekeeping(now time.Time) error {
 	if now.Before(t.housekeepingAt) {
 		return nil
@@ -54,7 +56,7 @@
 	}
 	t.notifySeeds(now)
 	t.joinOrBootstrap(now)
-	return t.replaceVoters(now)
+	return nil
 }
 
 // withdrawExpired removes the upstreams whose announcements have expired. Among the
@@ -111,9 +113,15 @@
 }
 
 // replaceVoters forgets expired join requests and takes the next step towards the
-// planned set of voters.
+// planned set of voters. While a replacement is under way, the steps follow one another
+// without a pause.
 func (t *task) replaceVoters(now time.Time) error {
-	if !t.leads() {
+	if !t.leads() || now.Before(t.replaceVotersAt) {
+		return nil
+	}
+	t.replaceVotersAt = now.Add(housekeepingInterval)
+	if t.replica.ChangingMembers() {
+		t.replaceVotersAt = time.Time{}
 		return nil
 	}
 	maps.DeleteFunc(t.standbys, func(_ string, standby replica.Identity) bool {
@@ -127,8 +135,12 @@
 	}
 	members, due := t.plan.Next(t.replica, standbys, now)
 	if !due {
+		if len(t.replica.Members.Learners) > 0 {
+			t.replaceVotersAt = now.Add(learnerCheckInterval)
+		}
 		return nil
 	}
+	t.replaceVotersAt = time.Time{}
 	t.log.WithFields(log.Fields{"change": "members", "from": t.replica.Members, "to": members}).Info("changing the replicas of the log")
 	return t.perform(t.replica.Step(now, replica.ChangeMembers{Members: members}))
 }
--- a/control/task.go
+++ b/control/task.go
@@ -164,6 +164,9 @@
 	// place is this instance's place in the voter group, as last logged.
 	place          string
 	housekeepingAt time.Time
+	// replaceVotersAt is the earliest time of the next step of the plan; the zero time means
+	// that the next step is due as soon as the previous one is committed.
+	replaceVotersAt time.Time
 	// formation decides how this instance takes part in the formation of the voter group.
 	formation replica.Formation
 	// bootstrapping is true while all seeds are asked for their identities.
@@ -271,6 +274,9 @@
 		if err := t.runHousekeeping(now); err != nil {
 			return err
 		}
+		if err := t.replaceVoters(now); err != nil {
+			return err
+		}
 		if err := t.recordMissing(now); err != nil {
 			return err
 		}
--- a/replica/plan.go
+++ b/replica/plan.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -54,6 +55,13 @@
 
 // MembershipPlan computes the membership changes that keep the number of voters
 // at a target and replace voters that are lost.
+//
+// While a voter is replaced, the group must still tolerate the loss of the disks
+// that the target allows for: once everybody else is back, a majority with every
+// committed entry must remain. A voter that may return is therefore removed only
+// after its successor votes. The identity of a lost disk can't return, so to
+// remove it first costs nothing, and the group also tolerates that its successor
+// is lost again. See docs/design/replacement-of-voters.md.
 type MembershipPlan struct {
 	// Target is the number of voters that the system should have.
 	Target int
@@ -63,18 +71,24 @@
 	Domains map[string]string
 }
 
-// Next returns the next membership, and true if a change is due. Each call makes
-// at most one step: it adds a learner, removes a learner that no longer answers, removes a lost voter, or promotes a learner that has caught up. A
-// voter is removed only when a learner is ready to replace it. The learner is
-// promoted by the first call after the removal is committed; until then the group
-// is one voter short.
+// silenceFactor is the number of election timeouts without an answer after which a
+// replica counts as unresponsive in a decision that needs no standby.
+const silenceFactor = 2
+
+// Next returns the next membership, and true if a change is due. Each call makes at most one
+// step: it adds a learner, removes one that no longer answers, promotes one that has caught
+// up, or removes a voter. Nothing is due while the previous step is not committed.
 func (p MembershipPlan) Next(replica *Replica, standbys []Identity, now time.Time) (Members, bool) {
 	members := Members{Voters: slices.Clone(replica.Members.Voters), Learners: slices.Clone(replica.Members.Learners)}
-	if replica.Role != RoleLeader {
+	if replica.Role != RoleLeader || replica.ChangingMembers() {
 		return members, false
 	}
+	dead := p.deadVoter(replica, standbys, now)
+	if len(members.Voters) > p.Target {
+		return removeVoter(members, cmp.Or(dead, p.surplusVoter(replica, now)))
+	}
 	lost := p.lostVoters(replica, standbys, now)
-	if len(lost) == 0 && len(members.Voters) >= p.Target {
+	if len(lost) == 0 && len(members.Voters) == p.Target {
 		return members, false
 	}
 	learner, ready := p.readyLearner(replica, now)
@@ -86,9 +100,11 @@
 		return members, true
 	case !ready:
 		return members, false
-	case len(members.Voters) >= p.Target && len(lost) > 0:
-		members.Voters = slices.DeleteFunc(members.Voters, func(id string) bool { return id == lost[0] })
-		return members, true
+	case dead != "":
+		return removeVoter(members, dead)
+	case len(members.Voters) == p.Target && slices.ContainsFunc(lost, func(id string) bool { return hasNewFolder(id, standbys) }):
+		// Unless that voter answers, it will count as dead.
+		return members, false
 	}
 	members.Learners = slices.DeleteFunc(members.Learners, func(id string) bool { return id == learner })
 	members.Voters = append(members.Voters, learner)
@@ -96,30 +112,68 @@
 	return members, true
 }
 
-// lostVoters returns the voters that are not expected to return: placeholders, those that
-// have not answered for too long, and those whose instance now sends join requests with
-// another data folder. Placeholders are first: to remove one never costs a vote.
+// removeVoter removes a voter, and reports false if there is none to remove.
+func removeVoter(members Members, id string) (Members, bool) {
+	members.Voters = slices.DeleteFunc(members.Voters, func(v string) bool { return v == id })
+	return members, id != ""
+}
+
+// lostVoters returns the voters that are not expected to return: placeholders,
+// those that have not answered for too long, and those whose
+// instance now sends join requests with another data folder.
 func (p MembershipPlan) lostVoters(replica *Replica, standbys []Identity, now time.Time) []string {
 	var lost []string
 	for _, id := range replica.Members.Voters {
-		if IsPlaceholder(id) {
+		if id != replica.Config.ID && (IsPlaceholder(id) || replica.Unresponsive(now, id, p.ReplaceAfter) || hasNewFolder(id, standbys)) {
 			lost = append(lost, id)
 		}
 	}
-	lost = append(lost, replica.UnresponsiveVoters(now, p.ReplaceAfter)...)
+	return lost
+}
+
+// deadVoter returns a voter that can never answer again, or an empty string: a placeholder,
+// or one whose instance has another data folder. A join request may be late, so the voter
+// must be silent as well.
+func (p MembershipPlan) deadVoter(replica *Replica, standbys []Identity, now time.Time) string {
 	for _, id := range replica.Members.Voters {
-		if hasNewFolder(id, standbys) && id != replica.Config.ID && !slices.Contains(lost, id) {
-			lost = append(lost, id)
+		if IsPlaceholder(id) || hasNewFolder(id, standbys) && replica.Unresponsive(now, id, silenceFactor*replica.Config.ElectionTimeout) {
+			return id
 		}
 	}
-	return lost
+	return ""
+}
+
+// surplusVoter returns the voter to remove from a group that has more than its target, or an
+// empty string if none of them can be removed yet: one that does not answer. Among voters that all answer, it is one whose failure domain has
+// another voter, if there is one.
+func (p MembershipPlan) surplusVoter(r *Replica, now time.Time) string {
+	perDomain := map[string]int{}
+	for _, id := range r.Members.Voters {
+		perDomain[p.Domains[InstanceOf(id)]]++
+	}
+	surplus, surplusRank := "", 0
+	for _, id := range r.Members.Voters {
+		rank := 1
+		switch {
+		case id == r.Config.ID:
+			continue
+		case r.Unresponsive(now, id, silenceFactor*r.Config.ElectionTimeout):
+			rank = 3
+		case perDomain[p.Domains[InstanceOf(id)]] > 1:
+			rank = 2
+		}
+		if rank >= surplusRank {
+			surplus, surplusRank = id, rank
+		}
+	}
+	return surplus
 }
 
 // readyLearner returns a learner that can be promoted: it has every committed entry, and
 // answers.
 func (p MembershipPlan) readyLearner(r *Replica, now time.Time) (string, bool) {
 	for _, id := range r.Members.Learners {
-		if r.CaughtUp(id) && !r.Unresponsive(now, id, 2*r.Config.ElectionTimeout) {
+		if r.CaughtUp(id) && !r.Unresponsive(now, id, silenceFactor*r.Config.ElectionTimeout) {
 			return id, true
 		}
 	}
@@ -165,8 +219,8 @@
 		if slices.ContainsFunc(lost, func(id string) bool { return InstanceOf(id) == s.Instance }) {
 			rank++
 		}
-		isVoter := slices.Contains(members.Voters, s.ReplicaID)
-		if !isVoter && (rank > bestRank || rank == bestRank && s.ReplicaID < bestID) {
+		eligible := !slices.Contains(members.Voters, s.ReplicaID)
+		if eligible && (rank > bestRank || rank == bestRank && s.ReplicaID < bestID) {
 			bestID, bestRank = s.ReplicaID, rank
 		}
 	}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -304,6 +304,13 @@
 	return now.Sub(contact)
 }
 
+// ChangingMembers reports whether this leader refuses a change of the members for now: the
+// previous one, or the first entry of its term, is not committed yet.
+func (r *Replica) ChangingMembers() bool {
+	term, _ := r.log.term(r.CommitIndex)
+	return r.MembersIndex() > r.CommitIndex || term != r.Term
+}
+
 // UnresponsiveVoters returns the voters that have not answered this leader for
 // longer than after. It returns nil if this replica is not the leader.
 func (r *Replica) UnresponsiveVoters(now time.Time, after time.Duration) []string {
--- a/replica/replication.go
+++ b/replica/replication.go
@@ -270,12 +270,10 @@
 }
 
 func (r *Replica) changeMembers(change ChangeMembers) {
-	_, changedAt := r.log.membersAt(r.log.lastIndex())
-	commitTerm, _ := r.log.term(r.CommitIndex)
 	switch {
 	case r.Role != RoleLeader || r.transferring:
 		r.emit(ProposalRefused{Token: change.Token, Leader: r.Leader, Reason: "not the leader"})
-	case changedAt > r.CommitIndex || commitTerm != r.Term:
+	case r.ChangingMembers():
 		r.emit(ProposalRefused{Token: change.Token, Leader: r.Leader, Reason: "the previous membership change, or the first entry of this term, is not committed yet"})
 	case !atMostOneVoterDiffers(r.Members.Voters, change.Members.Voters) || len(change.Members.Voters) == 0:
 		r.emit(ProposalRefused{Token: change.Token, Leader: r.Leader, Reason: "a change must keep at least one voter and may add or remove one voter at most"})
