--- a/control/control.go
+++ b/control/control.go
@@ -30,7 +30,6 @@
 	"net"
 	"strconv"
 	"syscall"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
@@ -184,35 +183,6 @@
 	return c.task.post(seedsMessage{seeds})
 }
 
-// TransferLeadership transfers leadership to another instance before this one
-// stops. It returns when this instance no longer leads, when its mailbox is
-// full, or when the context ends.
-func (c *Control) TransferLeadership(ctx context.Context) {
-	for {
-		done := make(chan bool, 1)
-		if c.task.post(transferMessage{done}) != nil {
-			return
-		}
-		select {
-		case transferred := <-done:
-			if transferred {
-				return
-			}
-		case <-ctx.Done():
-			return
-		}
-		select {
-		case <-time.After(transferPollInterval):
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// transferPollInterval is the interval between two checks whether leadership
-// was transferred.
-const transferPollInterval = 50 * time.Millisecond
-
 // randomID returns a new identity for a data folder.
 func randomID() string {
 	var b [8]byte
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -113,6 +114,9 @@
 			b.stop(n)
 		}
 		return ""
+	case "leave":
+		b.leave(testCase.List("names"))
+		return ""
 	case "wipe":
 		gomega.Expect(os.RemoveAll(filepath.Join(b.folder, testCase.Args["name"]))).To(gomega.Succeed())
 		return ""
@@ -354,6 +358,21 @@
 	}, callTimeout).Should(gomega.Succeed())
 }
 
+// leave stops instances at the same time as SIGTERM does.
+func (b *fixture) leave(names []string) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	var left sync.WaitGroup
+	for _, name := range names {
+		left.Go(func() { b.instances[name].control.Leave(ctx) })
+	}
+	left.Wait()
+	gomega.Expect(ctx.Err()).NotTo(gomega.HaveOccurred())
+	for _, name := range names {
+		b.stop(name)
+	}
+}
+
 func (b *fixture) call(testCase script.Case, name string, request peer.Request) string {
 	timeout := callTimeout
 	if testCase.Bool("no_quorum") {
--- a/control/members.go
+++ b/control/members.go
@@ -127,6 +127,7 @@
 	maps.DeleteFunc(t.standbys, func(_ string, standby replica.Identity) bool {
 		return now.Sub(standby.LastContact) > standbyLifetime
 	})
+	t.forgetLeaving(now)
 	var standbys []replica.Identity
 	for _, id := range slices.Sorted(maps.Keys(t.standbys)) {
 		standby := t.standbys[id]
@@ -158,11 +159,11 @@
 }
 
 // joinOrBootstrap sends the leader a join request, unless this instance is a
-// voter that knows the leader. At the very first start, an initial voter also
+// voter that knows the leader, or stops. At the very first start, an initial voter also
 // begins to bootstrap the voter group.
 func (t *task) joinOrBootstrap(now time.Time) {
 	voter := slices.Contains(t.replica.Members.Voters, t.id())
-	if now.Before(t.joinAt) || (voter && t.replica.Leader != "") {
+	if now.Before(t.joinAt) || t.stopping || (voter && t.replica.Leader != "") {
 		return
 	}
 	t.joinAt = now.Add(joinInterval)
--- a/control/message.go
+++ b/control/message.go
@@ -127,7 +127,7 @@
 	switch message.(type) {
 	case replicaMessage, renewMessage, groupMessage:
 		return peer.Nothing{}, nil
-	case proposeMessage, readMessage, incarnationMessage, announceMessage, watchMessage, copyMessage, joinMessage, joinEndedMessage, relayAnswerMessage, seedsMessage, identifyMessage, bootstrapMessage, transferMessage, suspectMessage, suspectsPassedOnMessage, quarantineProbeMessage, allowanceMessage, rolloutMessage:
+	case proposeMessage, readMessage, incarnationMessage, announceMessage, watchMessage, copyMessage, joinMessage, leaveMessage, joinEndedMessage, relayAnswerMessage, seedsMessage, identifyMessage, bootstrapMessage, transferMessage, suspectMessage, suspectsPassedOnMessage, quarantineProbeMessage, allowanceMessage, rolloutMessage:
 	}
 	select {
 	case a := <-reply:
@@ -182,6 +182,8 @@
 		return identifyMessage{reply}, nil
 	case peer.JoinRequest:
 		return joinMessage{replica.Identity{ReplicaID: request.ReplicaID, Instance: request.Instance, Domain: request.Domain}, reply}, nil
+	case peer.LeaveRequest:
+		return leaveMessage{request.ReplicaID, reply}, nil
 	case peer.ReportRequest, peer.BorrowRequest, peer.ReturnRequest, peer.ReportNowRequest,
 		peer.StatusRequest, peer.ConfirmRequest:
 	}
--- a/control/task.go
+++ b/control/task.go
@@ -153,6 +153,10 @@
 	// standbys holds, by replica ID, the instances that sent this leader a join
 	// request.
 	standbys map[string]replica.Identity
+	// leaving holds, by replica ID, when the replicas that are about to stop last said so, and
+	// stopping is true while this instance is one of them.
+	leaving  map[string]time.Time
+	stopping bool
 	// joinAt is the earliest time of the next join request.
 	joinAt time.Time
 	// joined is true while the leader accepts this instance's join requests.
@@ -184,11 +188,11 @@
 		random:    rand.New(rand.NewPCG(rand.Uint64(), ipHash(deployment.IP))),
 		proposals: proposal.NewProposals[pendingProposal](),
 		orders:    proposal.NewOrders[chan<- answer](), decodings: map[uint64]decoding{},
-		fullViews: map[fullViewKey]encodedView{}, comparisons: map[comparison]encodedView{}, watchers: watcher.New(), roster: watcher.NewRoster(), relaysSeen: map[string]relaySeen{}, watches: map[string]watchMessage{}, differences: map[peer.WatchRequest]encodedView{}, standbys: map[string]replica.Identity{},
+		fullViews: map[fullViewKey]encodedView{}, comparisons: map[comparison]encodedView{}, watchers: watcher.New(), roster: watcher.NewRoster(), relaysSeen: map[string]relaySeen{}, watches: map[string]watchMessage{}, differences: map[peer.WatchRequest]encodedView{}, standbys: map[string]replica.Identity{}, leaving: map[string]time.Time{},
 	}
 	t.rollouts = newRollouts(deployment.Bounds)
 	t.quotas = quotas{window: deployment.Bounds.QuotaWindow, collected: map[string]quota.Usage{}}
-	t.plan = replica.MembershipPlan{Target: deployment.Voters(), ReplaceAfter: replaceVoterAfter, Domains: map[string]string{}}
+	t.plan = replica.MembershipPlan{Target: deployment.Voters(), ReplaceAfter: replaceVoterAfter, Domains: map[string]string{}, Leaving: map[string]bool{}}
 	if err := t.restore(folder.Saved.Snapshot); err != nil {
 		return nil, err
 	}
@@ -370,6 +374,8 @@
 		t.grantAllowance(now, message)
 	case joinMessage:
 		t.join(now, message)
+	case leaveMessage:
+		t.leave(now, message)
 	case joinEndedMessage:
 		t.joined = message.accepted
 		t.learnGroup(message.group)
@@ -390,8 +396,7 @@
 	case bootstrapMessage:
 		return t.bootstrap(message.answers)
 	case transferMessage:
-		message.done <- t.replica.Role != replica.RoleLeader
-		return t.replica.Step(now, replica.TransferLeadership{})
+		return t.transfer(now, message)
 	}
 	return nil
 }
--- a/node/handler.go
+++ b/node/handler.go
@@ -33,7 +33,7 @@
 		return peer.Nothing{}, nil
 	case peer.ReplicaMessage, peer.ReportRequest, peer.ProposeRequest, peer.IdentifyRequest,
 		peer.JoinRequest, peer.StatusRequest, peer.ConfirmRequest,
-		peer.AnnounceRequest, peer.RenewRequest, peer.ReadRequest, peer.IncarnationRequest, peer.WatchRequest, peer.CopyRequest, peer.GroupNotice, peer.SuspectRequest, peer.QuarantineProbeRequest, peer.AllowanceRequest, peer.RolloutRequest:
+		peer.AnnounceRequest, peer.RenewRequest, peer.ReadRequest, peer.IncarnationRequest, peer.WatchRequest, peer.CopyRequest, peer.GroupNotice, peer.SuspectRequest, peer.QuarantineProbeRequest, peer.AllowanceRequest, peer.RolloutRequest, peer.LeaveRequest:
 	}
 	if n.voter == nil {
 		return nil, &peer.RefusedError{Code: peer.CodeNotLeader, Reason: "this instance has no disk"}
@@ -96,7 +96,7 @@
 		return await(ctx, t, confirmMessage{request.Index, answer, refusal}, answer, refusal,
 			func(inForce bool) peer.Response { return peer.ConfirmResponse{InForce: inForce} })
 	case peer.BorrowRequest, peer.ReturnRequest, peer.ReportNowRequest,
-		peer.AnnounceRequest, peer.RenewRequest, peer.ReadRequest, peer.IncarnationRequest, peer.WatchRequest, peer.CopyRequest, peer.GroupNotice, peer.SuspectRequest, peer.QuarantineProbeRequest, peer.AllowanceRequest, peer.RolloutRequest:
+		peer.AnnounceRequest, peer.RenewRequest, peer.ReadRequest, peer.IncarnationRequest, peer.WatchRequest, peer.CopyRequest, peer.GroupNotice, peer.SuspectRequest, peer.QuarantineProbeRequest, peer.AllowanceRequest, peer.RolloutRequest, peer.LeaveRequest:
 	}
 	return nil, &peer.RefusedError{Code: peer.CodeMalformed, Reason: "not a request for a voter"}
 }
--- a/peer/fuzz_test.go
+++ b/peer/fuzz_test.go
@@ -6,7 +6,7 @@
 // malformed message must not end an instance.
 func FuzzRequest(f *testing.F) {
 	for _, method := range []string{
-		methodReplica, methodReport, methodPropose, methodBorrow, methodReturn, methodJoin, methodConfirm, methodAnnounce,
+		methodReplica, methodReport, methodPropose, methodBorrow, methodReturn, methodJoin, methodLeave, methodConfirm, methodAnnounce,
 		methodRenew, methodWatch, methodCopy, methodSuspect, methodQuarantineProbe,
 	} {
 		f.Add(method, []byte(`{"entry":"e1","epoch":1,"command":"e30=","message":{"kind":"append","body":{}}}`))
--- a/peer/message.go
+++ b/peer/message.go
@@ -85,6 +85,12 @@
 	Domain    string `json:"failure_domain"`
 }
 
+// LeaveRequest tells the leader that a replica is about to stop, so that a standby takes over
+// its vote. It is repeated until the answer says that the replica may stop.
+type LeaveRequest struct {
+	ReplicaID string `json:"replica_id"`
+}
+
 // StatusRequest asks the leader for the state of the system.
 type StatusRequest struct{}
 
@@ -244,6 +250,7 @@
 func (ReportNowRequest) request()       {}
 func (IdentifyRequest) request()        {}
 func (JoinRequest) request()            {}
+func (LeaveRequest) request()           {}
 func (StatusRequest) request()          {}
 func (ConfirmRequest) request()         {}
 func (SuspectRequest) request()         {}
@@ -294,6 +301,12 @@
 // JoinResponse answers a JoinRequest.
 type JoinResponse struct{ Group Group }
 
+// LeaveResponse answers a LeaveRequest. Done is true when the replica may stop: it is no voter
+// any more, or there is no standby that could replace it.
+type LeaveResponse struct {
+	Done bool `json:"done"`
+}
+
 // ConfirmResponse answers a ConfirmRequest.
 type ConfirmResponse struct {
 	InForce bool `json:"in_force"`
@@ -428,6 +441,7 @@
 func (WatchResponse) response()           {}
 func (CopyResponse) response()            {}
 func (JoinResponse) response()            {}
+func (LeaveResponse) response()           {}
 func (Nothing) response()                 {}
 func (ReportResponse) response()          {}
 func (ProposeResponse) response()         {}
--- a/peer/wire.go
+++ b/peer/wire.go
@@ -22,6 +22,7 @@
 	methodReportNow       = "poke"
 	methodIdentify        = "identify"
 	methodJoin            = "join"
+	methodLeave           = "leave"
 	methodStatus          = "status"
 	methodConfirm         = "confirm"
 	methodAnnounce        = "announce"
@@ -84,6 +85,8 @@
 		return methodIdentify, request, false, nil
 	case JoinRequest:
 		return methodJoin, request, false, nil
+	case LeaveRequest:
+		return methodLeave, request, false, nil
 	case StatusRequest:
 		return methodStatus, request, false, nil
 	case ConfirmRequest:
@@ -134,6 +137,8 @@
 		return IdentifyRequest{}, nil
 	case methodJoin:
 		return decode(params, func(r JoinRequest) Request { return r })
+	case methodLeave:
+		return decode(params, func(r LeaveRequest) Request { return r })
 	case methodStatus:
 		return StatusRequest{}, nil
 	case methodConfirm:
@@ -227,7 +232,7 @@
 		return response.Group, nil
 	case AllowanceResponse:
 		return response.Reply, nil
-	case Nothing, ReportResponse, BorrowResponse, IdentifyResponse, ConfirmResponse, StatusResponse, ReadResponse, IncarnationResponse, WatchResponse, CopyResponse, QuarantineProbeResponse, RolloutResponse:
+	case Nothing, ReportResponse, BorrowResponse, IdentifyResponse, LeaveResponse, ConfirmResponse, StatusResponse, ReadResponse, IncarnationResponse, WatchResponse, CopyResponse, QuarantineProbeResponse, RolloutResponse:
 		return response, nil
 	}
 	return nil, fmt.Errorf("response %T has no form", response)
@@ -260,6 +265,8 @@
 		return decode(result, func(r CopyResponse) Response { return r })
 	case JoinRequest:
 		return decode(result, func(g Group) Response { return JoinResponse{g} })
+	case LeaveRequest:
+		return decode(result, func(r LeaveResponse) Response { return r })
 	case QuarantineProbeRequest:
 		return decode(result, func(r QuarantineProbeResponse) Response { return r })
 	case AllowanceRequest:
--- a/replica/plan.go
+++ b/replica/plan.go
@@ -54,7 +54,7 @@
 }
 
 // MembershipPlan computes the membership changes that keep the number of voters
-// at a target and replace voters that are lost.
+// at a target and replace voters that are lost or about to stop.
 //
 // While a voter is replaced, the group must still tolerate the loss of the disks
 // that the target allows for: once everybody else is back, a majority with every
@@ -69,6 +69,8 @@
 	ReplaceAfter time.Duration
 	// Domains maps each instance to its failure domain.
 	Domains map[string]string
+	// Leaving holds the IDs of the replicas that are about to stop.
+	Leaving map[string]bool
 }
 
 // silenceFactor is the number of election timeouts without an answer after which a
@@ -118,13 +120,13 @@
 	return members, id != ""
 }
 
-// lostVoters returns the voters that are not expected to return: placeholders,
-// those that have not answered for too long, and those whose
+// lostVoters returns the voters that are not expected to stay or to return: placeholders,
+// those that are about to stop, those that have not answered for too long, and those whose
 // instance now sends join requests with another data folder.
 func (p MembershipPlan) lostVoters(replica *Replica, standbys []Identity, now time.Time) []string {
 	var lost []string
 	for _, id := range replica.Members.Voters {
-		if id != replica.Config.ID && (IsPlaceholder(id) || replica.Unresponsive(now, id, p.ReplaceAfter) || hasNewFolder(id, standbys)) {
+		if p.Leaving[id] || id != replica.Config.ID && (IsPlaceholder(id) || replica.Unresponsive(now, id, p.ReplaceAfter) || hasNewFolder(id, standbys)) {
 			lost = append(lost, id)
 		}
 	}
@@ -144,7 +146,8 @@
 }
 
 // surplusVoter returns the voter to remove from a group that has more than its target, or an
-// empty string if none of them can be removed yet: one that does not answer. Among voters that all answer, it is one whose failure domain has
+// empty string if none of them can be removed yet: one that is about to stop, or else one
+// that does not answer. Among voters that all answer, it is one whose failure domain has
 // another voter, if there is one.
 func (p MembershipPlan) surplusVoter(r *Replica, now time.Time) string {
 	perDomain := map[string]int{}
@@ -157,6 +160,8 @@
 		switch {
 		case id == r.Config.ID:
 			continue
+		case p.Leaving[id]:
+			rank = 4
 		case r.Unresponsive(now, id, silenceFactor*r.Config.ElectionTimeout):
 			rank = 3
 		case perDomain[p.Domains[InstanceOf(id)]] > 1:
@@ -180,10 +185,10 @@
 	return "", false
 }
 
-// learnerUnavailable reports whether a learner has not answered for too long, or has lost
-// its folder. Its join requests don't tell: a new leader has not received any yet.
+// learnerUnavailable reports whether a learner has not answered for too long, is about to
+// stop, or has lost its folder. Its join requests don't tell: a new leader has not received any yet.
 func (p MembershipPlan) learnerUnavailable(r *Replica, learner string, standbys []Identity, now time.Time) bool {
-	return r.Unresponsive(now, learner, p.ReplaceAfter) || hasNewFolder(learner, standbys)
+	return r.Unresponsive(now, learner, p.ReplaceAfter) || p.Leaving[learner] || hasNewFolder(learner, standbys)
 }
 
 // hasNewFolder reports whether the newest join request of a replica's instance came with
@@ -219,7 +224,7 @@
 		if slices.ContainsFunc(lost, func(id string) bool { return InstanceOf(id) == s.Instance }) {
 			rank++
 		}
-		eligible := !slices.Contains(members.Voters, s.ReplicaID)
+		eligible := !slices.Contains(members.Voters, s.ReplicaID) && !p.Leaving[s.ReplicaID]
 		if eligible && (rank > bestRank || rank == bestRank && s.ReplicaID < bestID) {
 			bestID, bestRank = s.ReplicaID, rank
 		}
--- a/replica/replacement_test.go
+++ b/replica/replacement_test.go
@@ -96,7 +96,7 @@
 	g := &replacedGroup{
 		replacement: r, nodes: map[string]*testNode{}, now: epoch, cut: map[string]bool{}, ended: map[string]bool{},
 		acknowledged: map[string]bool{},
-		plan:         replica.MembershipPlan{Target: r.target, ReplaceAfter: 1200 * time.Millisecond, Domains: map[string]string{}},
+		plan:         replica.MembershipPlan{Target: r.target, ReplaceAfter: 1200 * time.Millisecond, Domains: map[string]string{}, Leaving: map[string]bool{}},
 	}
 	var first replica.Snapshot
 	first.Index, first.Term = 1, 1
@@ -117,6 +117,9 @@
 		g.loseDisk(name)
 	}
 	g.leaveAt = g.now
+	for _, name := range r.leaving {
+		g.plan.Leaving[name+"/1"] = true
+	}
 	return g
 }
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -304,11 +304,12 @@
 	return now.Sub(contact)
 }
 
-// ChangingMembers reports whether this leader refuses a change of the members for now: the
-// previous one, or the first entry of its term, is not committed yet.
+// ChangingMembers reports whether this leader refuses a change of the members for now: it
+// transfers its leadership, or the previous change or the first entry of its term is not
+// committed yet.
 func (r *Replica) ChangingMembers() bool {
 	term, _ := r.log.term(r.CommitIndex)
-	return r.MembersIndex() > r.CommitIndex || term != r.Term
+	return r.transferring || r.MembersIndex() > r.CommitIndex || term != r.Term
 }
 
 // UnresponsiveVoters returns the voters that have not answered this leader for
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -202,6 +202,9 @@
 		s.step(node, replica.Compact{Index: node.lastApplied, Data: fmt.Appendf(nil, "%d", node.lastApplied)})
 	case chance < 0.22:
 		plan := replica.MembershipPlan{Target: 3, ReplaceAfter: time.Second}
+		if s.random.Float64() < 0.3 {
+			plan.Leaving = map[string]bool{s.order[s.random.IntN(nodeCount)]: true}
+		}
 		standbys := []replica.Identity{{ReplicaID: "d/1", Instance: "d"}, {ReplicaID: "a/1", Instance: "a"}, {ReplicaID: "b/1", Instance: "b"}, {ReplicaID: "c/1", Instance: "c"}}
 		if m, due := plan.Next(node.replica, standbys, s.clock(node)); due {
 			s.step(node, replica.ChangeMembers{Members: m})
--- a/terminal/serve.go
+++ b/terminal/serve.go
@@ -74,9 +74,12 @@
 	metricsPort = 9464
 	// logFlushTimeout bounds writing the last log lines at the exit.
 	logFlushTimeout = 200 * time.Millisecond
-	// controlStopTimeout bounds the end of a graceful stop: the transfer of
-	// leadership and the stop of the listeners together.
+	// controlStopTimeout bounds the end of a graceful stop: the listeners, and the control
+	// instance if the stop has taken longer than leaveShare of the time until SIGKILL.
 	controlStopTimeout = 1500 * time.Millisecond
+	// leaveShare is the share of the time until SIGKILL in which a control instance hands
+	// over its leadership and its vote.
+	leaveShare = 0.5
 )
 
 func (s *serveWork) run(ctx context.Context, args []string, t Terminal) (result any, err error) {
@@ -252,19 +255,33 @@
 }
 
 // stop stops the instance gracefully: first the gateway, then the control
-// instance transfers leadership, then the listeners stop.
+// instance hands over its leadership and its vote, then the listeners stop.
 func (s *serveWork) stop() (err error) {
+	start := time.Now()
 	s.log.WithFields(log.Fields{"change": "instance", "from": "started", "to": "stopping"}).Info("instance stopping")
 	if s.gateway != nil {
 		err = s.gateway.Stop(context.Background())
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), controlStopTimeout)
-	defer cancel()
 	if s.control != nil {
-		s.control.TransferLeadership(ctx)
+		s.leaveGroup(start.Add(time.Duration(leaveShare * float64(s.settings.Bounds.Grace))))
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), controlStopTimeout)
+	defer cancel()
 	for _, l := range s.listeners {
 		err = errors.Join(err, l.Stop(ctx))
 	}
 	return err
 }
+
+// leaveGroup hands over the control instance's leadership and vote until a time, and for
+// [controlStopTimeout] at least.
+func (s *serveWork) leaveGroup(until time.Time) {
+	began := time.Now()
+	if least := began.Add(controlStopTimeout); until.Before(least) {
+		until = least
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	s.control.Leave(ctx)
+	s.log.WithFields(log.Fields{"change": "membership", "duration_ms": time.Since(began).Milliseconds(), "in_time": ctx.Err() == nil}).Info("left the voter group")
+}
