--- a/control/follower_test.go
+++ b/control/follower_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/oriolepost/oriolepost/control"
 	"github.com/oriolepost/oriolepost/peer"
+	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/script"
 	"github.com/oriolepost/oriolepost/settings"
 	"github.com/oriolepost/oriolepost/timer"
@@ -24,7 +25,7 @@
 
 // followed is what a follower had after its last answer.
 type followed struct {
-	version   uint64
+	version   route.OptionalVersion
 	upstreams int
 	// relayed is true if a relay answered.
 	relayed      bool
@@ -92,6 +93,14 @@
 	}
 }
 
+// versionOf returns the version that a test file names, or none.
+func versionOf(testCase script.Case) route.OptionalVersion {
+	if testCase.Args["version"] == "" {
+		return route.OptionalVersion{}
+	}
+	return route.KnownVersion(uint64(testCase.Int("version", 0)))
+}
+
 // awaitFollowers waits until all followers have a version and a number of upstreams, and
 // have positions of their own, and until the leader has at most as many of them as direct
 // says. It reports what is missing after the time limit.
@@ -103,7 +112,7 @@
 		positions := map[int]bool{}
 		for _, f := range b.followers {
 			last := f.last.Load()
-			if last.version != uint64(testCase.Int("version", 0)) || last.upstreams != testCase.Int("upstreams", 0) || last.quarantined != testCase.Int("quarantined", 0) {
+			if last.version != versionOf(testCase) || last.upstreams != testCase.Int("upstreams", 0) || last.quarantined != testCase.Int("quarantined", 0) {
 				outdated++
 			}
 			if !last.relayed {
--- a/control/propose.go
+++ b/control/propose.go
@@ -7,6 +7,7 @@
 	"github.com/oriolepost/oriolepost/proposal"
 	"github.com/oriolepost/oriolepost/record"
 	"github.com/oriolepost/oriolepost/replica"
+	"github.com/oriolepost/oriolepost/route"
 )
 
 // pendingProposal is a command that was proposed and is not applied yet.
@@ -37,16 +38,13 @@
 	if !ok || !t.leads() {
 		return t.propose(now, message.data, pendingProposal{answer: message.answer})
 	}
-	committed := uint64(0)
-	if inForce := t.state.Catalog.Configuration; inForce != nil {
-		committed = inForce.Version
-	}
+	committed := route.VersionOf(t.state.Catalog.Configuration)
 	key := proposal.KeyOf(message.data)
 	switch t.orders.Add(key, put.Configuration.Version, committed, message.answer) {
 	case proposal.DecisionPropose:
 		return t.propose(now, message.data, pendingProposal{order: &key})
 	case proposal.DecisionInForce:
-		message.answer <- answer{response: peer.ProposeResponse{Result: record.Done{Index: t.state.Catalog.Index, Version: committed}}}
+		message.answer <- answer{response: peer.ProposeResponse{Result: record.Done{Index: t.state.Catalog.Index, Version: committed.Number}}}
 	case proposal.DecisionWait:
 	}
 	return nil
--- a/control/view.go
+++ b/control/view.go
@@ -6,6 +6,7 @@
 
 	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/peer"
+	"github.com/oriolepost/oriolepost/route"
 )
 
 // encodedView is a full view or the changes up to a revision, as sent to
@@ -64,8 +65,8 @@
 
 // fullViewFor returns the full view, without a configuration that the entry has
 // already.
-func (t *task) fullViewFor(now time.Time, p published, version uint64) encodedView {
-	known := p.configuration == nil || p.configuration.Version <= version
+func (t *task) fullViewFor(now time.Time, p published, version route.OptionalVersion) encodedView {
+	known := p.configuration == nil || !version.OlderThan(p.configuration.Version)
 	key := fullViewKey{source: p.source, known: known}
 	if cached := t.fullViews[key]; cached.data != nil && now.Sub(cached.encodedAt) <= fullViewLifetime {
 		return cached
@@ -140,7 +141,7 @@
 	for _, h := range held {
 		switch {
 		case t.isCopyCurrent(now):
-			view := t.fullViewFor(now, t.copiedView(now), 0)
+			view := t.fullViewFor(now, t.copiedView(now), route.OptionalVersion{})
 			h.message.answer <- answer{response: peer.CopyResponse{View: view.data}, err: view.err}
 		case now.Before(h.until):
 			t.heldCopies = append(t.heldCopies, h)
@@ -220,7 +221,7 @@
 // quarantine.
 type comparison struct {
 	digest     string
-	version    uint64
+	version    route.OptionalVersion
 	quarantine string
 }
 
@@ -235,9 +236,9 @@
 
 // view returns a view without upstreams, with the configuration if it is newer than the
 // entry's, and with the quarantine if the entry has another one.
-func (p published) view(now time.Time, version uint64, quarantine string) peer.View {
+func (p published) view(now time.Time, version route.OptionalVersion, quarantine string) peer.View {
 	view := peer.View{Quarantine: p.quarantine.view(now, quarantine), FleetRevision: p.fleet.Revision, FleetComplete: p.complete, OutDomains: p.outDomains, Control: p.control, Splits: p.splits, Shares: p.shares}
-	if p.configuration != nil && p.configuration.Version > version {
+	if p.configuration != nil && version.OlderThan(p.configuration.Version) {
 		view.Configuration = p.configuration
 	}
 	return view
--- a/gateway/copy.go
+++ b/gateway/copy.go
@@ -9,6 +9,7 @@
 
 	"github.com/oriolepost/oriolepost/control"
 	"github.com/oriolepost/oriolepost/peer"
+	"github.com/oriolepost/oriolepost/route"
 )
 
 // copyTimeout limits the search for a copy of the view. Without one, the leader sends
@@ -54,7 +55,7 @@
 	}
 	w.copied = true
 	w.following.Mirror.Put(view.Upstreams)
-	w.following.Request.Version, w.following.Request.Digest = view.Configuration.Version, peer.EncodeDigest(w.following.Mirror.Digest)
+	w.following.Request.Version, w.following.Request.Digest = route.VersionOf(view.Configuration), peer.EncodeDigest(w.following.Mirror.Digest)
 	if view.Quarantine != nil {
 		w.following.Request.Quarantine = view.Quarantine.ID
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -255,10 +255,10 @@
 	}).Info("request refused")
 }
 
-// configurationVersion returns 0 before the first configuration.
-func (g *Gateway) configurationVersion() uint64 {
+// configurationVersion returns none before the first configuration.
+func (g *Gateway) configurationVersion() route.OptionalVersion {
 	if t := g.table.Load(); t != nil {
-		return t.Configuration.Version
+		return route.KnownVersion(t.Configuration.Version)
 	}
-	return 0
+	return route.OptionalVersion{}
 }
--- a/gateway/task.go
+++ b/gateway/task.go
@@ -374,7 +374,7 @@
 	event := placement.ViewReceived{
 		Full: view.Full, FleetComplete: view.FleetComplete, Upstreams: view.Upstreams, Removed: view.Removed, OutDomains: view.OutDomains, Splits: view.Splits,
 	}
-	if configuration := view.Configuration; configuration != nil && (t.gateway.table.Load() == nil || configuration.Version > t.gateway.configurationVersion()) {
+	if configuration := view.Configuration; configuration != nil && t.gateway.configurationVersion().OlderThan(configuration.Version) {
 		table := route.NewTable(*configuration)
 		event.Services = table.Services
 		t.gateway.table.Store(table)
--- a/peer/following.go
+++ b/peer/following.go
@@ -1,6 +1,9 @@
 package peer
 
-import "github.com/oriolepost/oriolepost/fleet"
+import (
+	"github.com/oriolepost/oriolepost/fleet"
+	"github.com/oriolepost/oriolepost/route"
+)
 
 // Following is what an instance has of the view of the instance that it follows. It is
 // owned by one task.
@@ -58,9 +61,7 @@
 
 // adopt records in the next watch which view this instance has.
 func (f *Following) adopt(response WatchResponse, view View) {
-	if view.Configuration != nil {
-		f.Request.Version = max(f.Request.Version, view.Configuration.Version)
-	}
+	f.Request.Version = f.Request.Version.Later(route.VersionOf(view.Configuration))
 	f.Request.Epoch, f.Request.Source, f.Request.Revision = response.Epoch, response.Source, response.Revision
 	f.Request.FleetRevision, f.Request.FleetComplete = view.FleetRevision, view.FleetComplete
 	if view.Quarantine != nil {
--- a/peer/message.go
+++ b/peer/message.go
@@ -151,8 +151,8 @@
 	Source string `json:"source,omitempty"`
 	// FleetRevision is the revision of the upstreams in the entry's view.
 	FleetRevision uint64 `json:"fleet_revision"`
-	// Version is the version of the configuration that the entry follows.
-	Version uint64 `json:"version"`
+	// Version is the version of the configuration that the entry follows, or none.
+	Version route.OptionalVersion `json:"version,omitzero"`
 	// FleetComplete is the value of View.FleetComplete in the entry's view.
 	FleetComplete bool `json:"settled,omitempty"`
 	// Index and Count are the entry's position among the entries and their
--- a/proposal/orders.go
+++ b/proposal/orders.go
@@ -1,6 +1,10 @@
 package proposal
 
-import "crypto/sha256"
+import (
+	"crypto/sha256"
+
+	"github.com/oriolepost/oriolepost/route"
+)
 
 // Orders decides which configurations a leader proposes. Whoever waits for an order sends
 // it again after 0.7 s, and an operator sends it to several instances. Replicating hundreds
@@ -36,9 +40,9 @@
 func NewOrders[W any]() *Orders[W] { return &Orders[W]{underWay: map[OrderKey][]W{}} }
 
 // Add decides on an order with a version. committed is the version that was applied from
-// the log, or 0.
-func (o *Orders[W]) Add(key OrderKey, version, committed uint64, waiter W) Decision {
-	if committed > 0 && version <= committed {
+// the log, or none.
+func (o *Orders[W]) Add(key OrderKey, version uint64, committed route.OptionalVersion, waiter W) Decision {
+	if !committed.OlderThan(version) {
 		return DecisionInForce
 	}
 	waiters, known := o.underWay[key]
--- a/proposal/orders_test.go
+++ b/proposal/orders_test.go
@@ -8,6 +8,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/oriolepost/oriolepost/proposal"
+	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/script"
 )
 
@@ -23,6 +24,10 @@
 		if c.Command == "ended" {
 			return fmt.Sprint(orders.Ended(key))
 		}
-		return string(orders.Add(key, uint64(c.Int("version", 0)), uint64(c.Int("committed", 0)), c.Args["from"]))
+		var committed route.OptionalVersion
+		if c.Args["committed"] != "" {
+			committed = route.KnownVersion(uint64(c.Int("committed", 0)))
+		}
+		return string(orders.Add(key, uint64(c.Int("version", 0)), committed, c.Args["from"]))
 	}
 })
