--- a/control/announce.go
+++ b/control/announce.go
@@ -139,7 +139,7 @@
 // leader knows it as well.
 func (t *task) isRecorded(u fleet.Upstream) bool {
 	known, ok := t.state.Catalog.Upstreams[u.ID]
-	return ok && known.StartMS == u.StartMS
+	return ok && known.SameIncarnation(u)
 }
 
 // applyForwarded applies the announcements that another instance collected.
--- a/control/members.go
+++ b/control/members.go
@@ -101,7 +101,7 @@
 	t.recordAt = now.Add(housekeepingInterval)
 	var missing []fleet.Upstream
 	for id, member := range t.fleet.Members {
-		if known, ok := t.state.Catalog.Upstreams[id]; !ok || t.fleet.Services.Outranks(member.Upstream, known) || known.StartMS == member.StartMS && known.Version != member.Version {
+		if known, ok := t.state.Catalog.Upstreams[id]; !ok || t.fleet.Services.Outranks(member.Upstream, known) || known.SameIncarnation(member.Upstream) && known.Version != member.Version {
 			missing = append(missing, member.Upstream)
 		}
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -171,6 +171,8 @@
 	// Upstreams holds the known upstreams by id.
 	Upstreams map[string]*Upstream
 	Services  map[string]route.Service
+	// serviceNames are the names of Services; nil before the first configuration.
+	serviceNames fleet.Services
 	// EntryIndex and EntryCount are this entry's index among all entries and their
 	// number. ControlContactAt is the time at which the leader last reported them.
 	EntryIndex, EntryCount int
@@ -322,6 +324,10 @@
 	s.setSplits(v.Splits)
 	if v.Services != nil {
 		s.Services = v.Services
+		s.serviceNames = fleet.Services{}
+		for name := range v.Services {
+			s.serviceNames[name] = true
+		}
 	}
 	listed := map[string]bool{}
 	for _, u := range v.Upstreams {
@@ -345,16 +351,17 @@
 	s.rebuildIndex()
 }
 
-// updateUpstream adds or updates an upstream. An older incarnation than the
-// known one is ignored, and a newer one replaces it. An incarnation that drains
-// does not return to service.
+// updateUpstream adds or updates an upstream. An incarnation that the known one outranks is
+// ignored, and one that outranks it replaces it, by the same rule as at the control instances:
+// an entry that kept another incarnation than these would never use theirs. An incarnation
+// that drains does not return to service.
 func (s *State) updateUpstream(now time.Time, u fleet.Upstream) {
 	old := s.Upstreams[u.ID]
-	if old != nil && old.Info.StartMS > u.StartMS {
+	if old != nil && s.serviceNames.Outranks(old.Info, u) {
 		return
 	}
 	coldUntil := now.Add(time.Duration(u.ColdMS) * time.Millisecond)
-	if old == nil || old.Info.StartMS != u.StartMS {
+	if old == nil || !old.Info.SameIncarnation(u) {
 		if old != nil {
 			s.emit(UpstreamRemoved{KeyOf(old.Info)})
 		}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -181,7 +182,7 @@
 		id, domain, _ := strings.Cut(text, "/")
 		domain, cold, _ := strings.Cut(domain, "/")
 		cold, born, restarted := strings.Cut(cold, "/")
-		u := fleet.Upstream{ID: id, Service: "booking", Domain: domain, Slots: 6, StartMS: 1}
+		u := fleet.Upstream{ID: id, Service: cmp.Or(c.Args["service"], "booking"), Domain: domain, Slots: 6, StartMS: 1}
 		if restarted {
 			n, err := strconv.ParseInt(born, 10, 64)
 			gomega.Expect(err).NotTo(gomega.HaveOccurred())
