--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -223,7 +223,7 @@
 
 func (c *Catalog) retire(r record.Retire) {
 	c.Retired = slices.DeleteFunc(c.Retired, func(old record.Retire) bool {
-		return old.Upstream == r.Upstream && old.StartMS <= r.StartMS
+		return old.Upstream == r.Upstream && old.Service == r.Service && old.StartMS <= r.StartMS
 	})
 	c.Retired = append(c.Retired, r)
 	if over := len(c.Retired) - MaxRetiredUpstreams; over > 0 {
--- a/control/announce.go
+++ b/control/announce.go
@@ -41,6 +41,7 @@
 	upstream := message.request.Upstream
 	upstream.Sequence = message.request.Sequence
 	if message.request.Leaving {
+		upstream.Service = ""
 		if known := t.fleet.Members[upstream.ID]; known != nil && upstream.StartMS == 0 {
 			upstream.StartMS = known.StartMS
 		}
@@ -54,20 +55,15 @@
 		return nil
 	}
 	if !message.request.Leaving {
-		// That an upstream drains holds for its id forever, also for earlier
-		// incarnations. With a service that the configuration does not name, the writer
-		// may not be the upstream, so it is not committed.
 		t.applyAnnouncement(now, upstream)
-		if !t.fleet.Services.Name(upstream.Service) {
-			message.answer <- answer{response: peer.Nothing{}}
-			return nil
-		}
 	}
-	if startMS, retired := t.fleet.Retired[upstream.ID]; retired && upstream.StartMS <= startMS {
+	if t.fleet.Retired[upstream.ID].Includes(upstream) {
 		message.answer <- answer{response: peer.Nothing{}}
 		return nil
 	}
-	data, err := encode(record.Retire{Upstream: upstream.ID, StartMS: upstream.StartMS})
+	// That an upstream drains holds forever for this service of its id, also for earlier
+	// incarnations. A deregistration names no service, and holds for all of them.
+	data, err := encode(record.Retire{Upstream: upstream.ID, Service: upstream.Service, StartMS: upstream.StartMS})
 	if err != nil {
 		message.answer <- answer{err: err}
 		return nil
--- a/control/apply.go
+++ b/control/apply.go
@@ -79,8 +79,8 @@
 	case record.SetDomain:
 		fields["change"], fields["failure_domain_out"], fields["out_of_service"] = "domain", command.Domain, command.Out
 	case record.Retire:
-		t.fleet.Retire(command.Upstream, command.StartMS)
-		fields["change"], fields["upstream"], fields["start_ms"] = "retired", command.Upstream, command.StartMS
+		t.fleet.Retire(command.Upstream, command.Service, command.StartMS)
+		fields["change"], fields["upstream"], fields["service"], fields["start_ms"] = "retired", command.Upstream, command.Service, command.StartMS
 	case record.Enroll:
 		for _, u := range command.Upstreams {
 			t.fleet.Restore(time.Now(), u)
--- a/control/task.go
+++ b/control/task.go
@@ -242,7 +242,7 @@
 	t.state = restored
 	t.fleet.Services = restored.Catalog.Services()
 	for _, r := range restored.Catalog.Retired {
-		t.fleet.Retire(r.Upstream, r.StartMS)
+		t.fleet.Retire(r.Upstream, r.Service, r.StartMS)
 	}
 	now := time.Now()
 	for _, id := range slices.Sorted(maps.Keys(restored.Catalog.Upstreams)) {
--- a/control/view.go
+++ b/control/view.go
@@ -208,8 +208,8 @@
 // those that the leader does not list, and must not keep these.
 func retiredIn(table *fleet.Table, buckets []int) []string {
 	var retired []string
-	for id := range table.Retired {
-		if table.Members[id] == nil && slices.Contains(buckets, fleet.BucketOf(id)) {
+	for id, retirement := range table.Retired {
+		if table.Members[id] == nil && retirement.Concerns(table.Services) && slices.Contains(buckets, fleet.BucketOf(id)) {
 			retired = append(retired, id)
 		}
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -138,9 +138,8 @@
 	Members  map[string]*Member
 	Removals []Removal
 	Revision uint64
-	// Retired holds, by id, the start time of the newest incarnation that
-	// deregistered or announced that it drains.
-	Retired map[string]int64
+	// Retired holds, by id, the incarnations that deregistered or announced that they drain.
+	Retired map[string]Retirement
 	// Digest is the digest of the members.
 	Digest Digest
 	// Services are the services that the configuration in force names.
@@ -152,7 +151,7 @@
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{Members: map[string]*Member{}, Retired: map[string]int64{}, byAddress: map[string]string{}}
+	return &Table{Members: map[string]*Member{}, Retired: map[string]Retirement{}, byAddress: map[string]string{}}
 }
 
 // Change is the effect of an announcement on the table.
@@ -190,7 +189,7 @@
 
 // Announce applies an announcement to the table.
 func (t *Table) Announce(now time.Time, upstream Upstream) Change {
-	if startMS, retired := t.Retired[upstream.ID]; retired && upstream.StartMS <= startMS {
+	if t.Retired[upstream.ID].Includes(upstream) {
 		upstream.Draining = true
 	}
 	old := t.Members[upstream.ID]
@@ -281,11 +280,36 @@
 	}
 }
 
-// Retire marks an incarnation of an upstream, and all earlier ones, as draining
-// for good.
-func (t *Table) Retire(id string, startMS int64) {
-	t.Retired[id] = max(t.Retired[id], startMS)
-	if m := t.Members[id]; m != nil && m.StartMS <= startMS && !m.Draining {
+// Retirement holds, by service, the start time of the newest incarnation of an upstream that
+// is retired. The empty service stands for all of them.
+type Retirement map[string]int64
+
+// Includes reports whether an incarnation is retired.
+func (r Retirement) Includes(u Upstream) bool {
+	return len(r) > 0 && u.StartMS <= max(r[""], r[u.Service])
+}
+
+// Concerns reports whether incarnations of a service that the configuration names are
+// retired, or those of all services.
+func (r Retirement) Concerns(services Services) bool {
+	for service := range r {
+		if service == "" || services.Name(service) {
+			return true
+		}
+	}
+	return false
+}
+
+// Retire marks an incarnation of an upstream, and all earlier ones of the service, as
+// draining for good. An empty service stands for all of them. What an announcement says
+// holds for the service that it names only: its writer may be another one than that of
+// the upstream, and the configuration may not name either service yet.
+func (t *Table) Retire(id, service string, startMS int64) {
+	if t.Retired[id] == nil {
+		t.Retired[id] = Retirement{}
+	}
+	t.Retired[id][service] = max(t.Retired[id][service], startMS)
+	if m := t.Members[id]; m != nil && t.Retired[id].Includes(m.Upstream) && !m.Draining {
 		t.Digest.toggle(id, m.hash())
 		m.Draining = true
 		t.Digest.toggle(id, m.hash())
@@ -322,7 +346,7 @@
 	if old := t.Members[u.ID]; old != nil && !t.Services.Outranks(u, old.Upstream) || t.outrankingHolder(u) != nil {
 		return
 	}
-	if startMS, retired := t.Retired[u.ID]; retired && u.StartMS <= startMS {
+	if t.Retired[u.ID].Includes(u) {
 		u.Draining = true
 	}
 	t.put(&Member{Upstream: u, LastContact: now, ColdUntil: now})
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -47,7 +47,7 @@
 		}
 		return ""
 	case "retire":
-		b.table.Retire(upstream.ID, upstream.StartMS)
+		b.table.Retire(upstream.ID, testCase.Args["service"], upstream.StartMS)
 		return fmt.Sprintf("revision=%d", b.table.Revision)
 	case "restore":
 		b.table.Restore(b.now, upstream)
--- a/record/record.go
+++ b/record/record.go
@@ -69,6 +69,9 @@
 // that it drains. It applies to all older incarnations as well.
 type Retire struct {
 	Upstream string `json:"upstream"`
+	// Service limits it to the incarnations of a service. It is empty for a deregistration,
+	// and in logs of earlier versions, which then apply to all services.
+	Service string `json:"service,omitempty"`
 	// StartMS is the start time of the incarnation in Unix milliseconds.
 	StartMS int64 `json:"born_ms"`
 }
