ingress: a drain does not cut a streamed body after its request has waited

What callers saw: 502. A request with a streamed body waits for the first configuration, or behind another request, and the entry drains while the rest of the body arrives.

Cause: the wait makes reads interruptible and leaves them so; the streamed body is read by the attempt, which sets no deadline.

Change: watchUntil ends with reads that a drain does not interrupt. Why it works: it is the only wait before a dispatch, and every other reader sets its own deadline.

--- a/ingress/await.go
+++ b/ingress/await.go
@@ -170,7 +170,8 @@
 
 // watchUntil waits until done is closed. It returns the error of the connection if the caller
 // disconnects before. What the caller sends meanwhile stays in the buffer; a disconnect behind
-// more than fits there goes unnoticed.
+// more than fits there goes unnoticed. The rest of a body may be read after it, so a drain
+// interrupts the reads only until it returns.
 func (c *conn) watchUntil(done <-chan struct{}) error {
 	stop, interrupterDone := make(chan struct{}), make(chan struct{})
 	go func() {
@@ -184,6 +185,7 @@
 	defer func() {
 		close(stop)
 		<-interrupterDone
+		_ = c.source.setDeadline(time.Time{})
 	}()
 	for c.reader.Buffered() < c.reader.Size() {
 		if err := c.source.setInterruptibleDeadline(time.Time{}); err != nil {
