node, proofs: a replacement is over when the lost voter is no longer listed

After a voter was removed for good and its successor was listed, the next one was removed, and the two that were left of four had no majority.

Cause: the scenario took the successor's vote for the end of the replacement. The log shows the promotion at the leader, then the SIGTERM of the next voter, before the removal.

Change: joined also waits for the number of voters, so the scenario removes the next voter at the same stage as before. node takes the steps of a replacement without a pause, as control does.

--- a/node/voterlead.go
+++ b/node/voterlead.go
@@ -104,9 +104,10 @@
 	m.result <- nil
 }
 
-// replaceVoters takes the next step towards the planned set of voters.
+// replaceVoters takes the next step towards the planned set of voters. The steps follow one
+// another without a pause: a group in which a lost voter still counts tolerates no other loss.
 func (t *voterTask) replaceVoters(now time.Time) error {
-	if now.Before(t.replaceVotersAt) {
+	if now.Before(t.replaceVotersAt) || t.replica.ChangingMembers() {
 		return nil
 	}
 	t.replaceVotersAt = now.Add(joinInterval / 4)
@@ -121,6 +122,7 @@
 	if !due {
 		return nil
 	}
+	t.replaceVotersAt = time.Time{}
 	t.log.WithFields(log.Fields{
 		"change": "members", "from": t.replica.Members, "to": members,
 	}).Info("changing the replicas of the log")
--- a/proofs/verbs_test.go
+++ b/proofs/verbs_test.go
@@ -270,24 +270,26 @@
 	return r.Runs
 }
 
-// joined INSTANCE OPERATOR waits until the replica that the instance's data
-// folder names is a voter. It asks the operator address OPERATOR, which may be that
-// of another instance.
+// joined INSTANCE OPERATOR VOTERS waits until the replica that the instance's data folder
+// names is one of so many voters. With more of them, the voter that it replaces still counts.
+// It asks the operator address OPERATOR, which may be that of another instance.
 func awaitVoter(ts *testscript.TestScript, _ bool, args []string) {
 	var identity disk.Identity
 	ts.Check(json.Unmarshal([]byte(ts.ReadFile("data-"+args[0]+"/identity.json")), &identity))
 	want := replica.ID(identity.Instance, identity.ReplicaID)
 	client := operator.Client{Address: args[1]}
+	voters, err := strconv.Atoi(args[2])
+	ts.Check(err)
 	deadline := time.Now().Add(awaitTimeout)
 	var status peer.StatusResponse
 	for time.Now().Before(deadline) {
 		var err error
-		if status, err = client.Status(context.Background()); err == nil && slices.Contains(status.Members.Voters, want) {
+		if status, err = client.Status(context.Background()); err == nil && len(status.Members.Voters) == voters && slices.Contains(status.Members.Voters, want) {
 			return
 		}
 		waitPollInterval()
 	}
-	ts.Fatalf("%s did not become a voter within 25 s; members: %+v", want, status.Members)
+	ts.Fatalf("%s did not become one of %d voters within 25 s; members: %+v", want, voters, status.Members)
 }
 
 // changes N OPERATOR... applies N versions of a document through the instances
