--- a/replica/replacement_test.go
+++ b/replica/replacement_test.go
@@ -25,7 +25,7 @@
 }
 
 // maxMoments limits the moments at which the disks are lost.
-const maxMoments = 400
+const maxMoments = 1000
 
 var _ = script.Describe("replacement of voters", "testdata/replacement/*.txt", func() script.Handler {
 	return func(c script.Case) string {
@@ -66,7 +66,7 @@
 			return fmt.Sprintf("losing %v at moment %d: %s", r.lost, moment, failure)
 		}
 	}
-	return ""
+	return fmt.Sprintf("losing %v: more than %d moments", r.lost, maxMoments)
 }
 
 type replacedGroup struct {
@@ -84,7 +84,8 @@
 	// moments counts from the first change of the members. After stopAt of them the run stops.
 	moments, stopAt int
 	leaveAt         time.Time
-	endedCalmly     int
+	// stepsReplaced counts the steps after the end of the replacement.
+	stepsReplaced int
 }
 
 type replacedPacket struct {
@@ -149,25 +150,31 @@
 	for end := g.now.Add(10 * time.Second); g.now.Before(end) && g.moments < moment; {
 		g.advance(time.Millisecond)
 		if g.replaced() {
-			g.endedCalmly++
+			g.stepsReplaced++
 		}
-		if g.endedCalmly > 100 {
+		if g.stepsReplaced > 60 {
 			return false
 		}
 	}
 	return g.moments >= moment
 }
 
-// replaced reports whether a leader has committed members without those that were to go.
+// replaced reports whether a leader has committed members without those that were to go, as
+// far as there are standbys for them.
 func (g *replacedGroup) replaced() bool {
 	leader := g.leader()
 	if leader == nil {
 		return false
 	}
 	members, _ := leader.replica.CommittedMembers()
-	return len(members.Voters) == g.target && !slices.ContainsFunc(append(append(slices.Clone(g.silent), g.leaving...), g.wiped...), func(name string) bool {
-		return slices.Contains(members.Voters, name+"/1")
-	})
+	going := append(append(slices.Clone(g.silent), g.leaving...), g.wiped...)
+	left := 0
+	for _, name := range going {
+		if slices.Contains(members.Voters, name+"/1") {
+			left++
+		}
+	}
+	return len(members.Voters) == g.target && left <= max(0, len(going)-len(g.standbys)-len(g.wiped))
 }
 
 // loseAndRecover lets disks be lost, and everybody else return. It returns what is lost.
@@ -246,7 +253,7 @@
 			if node.replica.Role != replica.RoleLeader {
 				continue
 			}
-			if g.now.UnixMilli()%10 == 0 && (g.replacing() || g.now.UnixMilli()%200 == 0) {
+			if ms := g.now.UnixMilli(); ms%200 == 0 || ms%50 == 0 && g.replacing() {
 				g.proposed++
 				g.step(node, replica.Propose{Data: fmt.Appendf(nil, "command %d", g.proposed)})
 			}
