--- a/control/apply.go
+++ b/control/apply.go
@@ -74,6 +74,7 @@
 	switch command := command.(type) {
 	case record.PutConfiguration:
 		t.fleet.Services = t.state.Catalog.Services()
+		t.restoreOutranking()
 		fields["change"], fields["version"] = "configuration", command.Configuration.Version
 		fields["in_force"] = t.state.Catalog.Configuration.Version
 	case record.SetDomain:
@@ -104,6 +105,17 @@
 	t.log.WithFields(fields).Info("command committed")
 }
 
+// restoreOutranking puts the recorded incarnations back that outrank those in the fleet now
+// that other services are named. Otherwise an instance that knows the recorded one forwards
+// its announcements as renewals of the id, and this one would renew the other incarnation.
+func (t *task) restoreOutranking() {
+	for id, recorded := range t.state.Catalog.Upstreams {
+		if member := t.fleet.Members[id]; member != nil && t.fleet.Services.Outranks(recorded, member.Upstream) {
+			t.fleet.Restore(time.Now(), recorded)
+		}
+	}
+}
+
 // compact replaces the log by a snapshot once it holds enough entries or bytes.
 func (t *task) compact(index uint64) error {
 	minEntries := snapshotAfterEntries + uint64(len(t.fleet.Members))
