replica: a former voter does not make voters start elections

Cause: a voter that lacks entries and asks for a pre-vote makes a voter that has them start an election at once. A former voter asks for ever, every 45 ms, and makes all voters start elections at the same time, so that their votes are split.

Change: only a candidate that is a voter does. Evidence: former_voter.txt failed before ("starts an election: true" for a former voter).

--- a/replica/election.go
+++ b/replica/election.go
@@ -195,9 +195,10 @@
 	switch {
 	case r.leaseBlocksVote(now, request) || !upToDate || request.Term < r.Term:
 		r.send(from, VoteReply{Term: r.Term, Pre: request.Pre})
-		if request.Pre && !upToDate && r.Leader == "" && r.Role == RoleFollower && !r.leaseBlocksVote(now, request) {
+		if request.Pre && !upToDate && r.isVoter(from) && r.Leader == "" && r.Role == RoleFollower && !r.leaseBlocksVote(now, request) {
 			// The candidate can't be elected by this voter, which has more entries, whereas
-			// this voter can be elected by the candidate.
+			// this voter can be elected by the candidate. A former voter, which may ask for
+			// ever, must not make all voters start elections at the same time.
 			r.electionAt = now
 		}
 	case request.Pre:
--- a/replica/follower_test.go
+++ b/replica/follower_test.go
@@ -26,6 +26,11 @@
 		entryTerm := uint64(c.Int("entry_term", int(term)))
 		var message replica.Message
 		switch c.Command {
+		case "pre_vote":
+			// The candidate has no entries.
+			now = now.Add(time.Duration(c.Int("after_ms", 0)) * time.Millisecond)
+			r.Step(now, replica.Receive{From: c.Args["from"], Message: replica.VoteRequest{Term: r.Term + 1, Pre: true}})
+			return fmt.Sprintf("starts an election: %v", !r.NextWake().After(now))
 		case "entries":
 			message = appendRequestOf(c, term, entryTerm)
 		case "snapshot":
