replica, control: when a voter may stop is decided in the core

Cause: the decision stood in the control task, where only tests with sockets reach it. Change: replica.Departures, with its load pattern, and replica/testdata/plan/departure.txt, which steps through a planned replacement, a new leader, a standby that stops as well, a leader without a quorum and a restart. The control task keeps the messages; the list of standbys is made in one place.

--- a/control/leave.go
+++ b/control/leave.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/oriolepost/oriolepost/peer"
@@ -16,8 +15,7 @@
 	leaveInterval = 50 * time.Millisecond
 	// leaveTimeout limits one leave request.
 	leaveTimeout = 500 * time.Millisecond
-	// leaveLifetime is how long a leave request is valid: several intervals and time-outs. An
-	// instance that was only restarted is then a voter like any other.
+	// leaveLifetime is how long a leave request is valid: several intervals and time-outs.
 	leaveLifetime = 1500 * time.Millisecond
 	// standbysKnownAfter is the time after an election from which a leader knows the standbys.
 	standbysKnownAfter = 2 * joinInterval
@@ -75,9 +73,8 @@
 		m.done <- true
 		return nil
 	}
-	t.leaving[t.id()] = now
-	t.replaceVotersAt = time.Time{}
-	m.done <- len(t.replica.Members.Voters) == 1 && t.mayEnd(now, t.id())
+	t.departs(now, t.id())
+	m.done <- len(t.replica.Members.Voters) == 1 && t.mayStop(now, t.id())
 	return t.replica.Step(now, replica.TransferLeadership{})
 }
 
@@ -87,40 +84,16 @@
 		m.answer <- answer{err: t.notLeaderError()}
 		return
 	}
-	t.leaving[m.replicaID] = now
-	t.replaceVotersAt = time.Time{}
-	m.answer <- answer{response: peer.LeaveResponse{Done: t.mayEnd(now, m.replicaID)}}
+	t.departs(now, m.replicaID)
+	m.answer <- answer{response: peer.LeaveResponse{Done: t.mayStop(now, m.replicaID)}}
 }
 
-// mayEnd reports whether a replica may stop: it is no voter, or nobody can take its vote. A
-// leader that no quorum has confirmed can't know.
-func (t *task) mayEnd(now time.Time, id string) bool {
-	members := t.replica.Members
-	switch {
-	case t.replica.LeaseEnd(now).IsZero() || t.replica.ChangingMembers():
-		return false
-	case !slices.Contains(members.Voters, id):
-		return true
-	case len(members.Voters) > t.plan.Target || len(members.Learners) > 0:
-		return false
-	}
-	for standby := range t.standbys {
-		if _, leaving := t.leaving[standby]; !leaving && !slices.Contains(members.Voters, standby) {
-			return false
-		}
-	}
-	return now.Sub(t.replica.LeadingSince()) >= standbysKnownAfter
+// departs records that a replica is about to stop. The plan acts on it immediately.
+func (t *task) departs(now time.Time, id string) {
+	t.departures.Request(now, id)
+	t.replaceVotersAt = time.Time{}
 }
 
-// forgetLeaving forgets the leave requests that are no longer valid, and tells the plan of the
-// others.
-func (t *task) forgetLeaving(now time.Time) {
-	clear(t.plan.Leaving)
-	for id, at := range t.leaving {
-		if now.Sub(at) > leaveLifetime {
-			delete(t.leaving, id)
-			continue
-		}
-		t.plan.Leaving[id] = true
-	}
+func (t *task) mayStop(now time.Time, id string) bool {
+	return t.departures.MayStop(now, t.replica, t.plan.Target, t.currentStandbys(now), id)
 }
--- a/control/members.go
+++ b/control/members.go
@@ -112,8 +112,19 @@
 	return t.perform(t.enroll(now, missing[:min(maxEnrolledPerCommand, len(missing))]))
 }
 
-// replaceVoters forgets expired join requests and takes the next step towards the
-// planned set of voters. While a replacement is under way, the steps follow one another
+// currentStandbys forgets expired join requests and returns the standbys, ordered by replica ID.
+func (t *task) currentStandbys(now time.Time) []replica.Identity {
+	maps.DeleteFunc(t.standbys, func(_ string, standby replica.Identity) bool {
+		return now.Sub(standby.LastContact) > standbyLifetime
+	})
+	var standbys []replica.Identity
+	for _, id := range slices.Sorted(maps.Keys(t.standbys)) {
+		standbys = append(standbys, t.standbys[id])
+	}
+	return standbys
+}
+
+// replaceVoters takes the next step towards the planned set of voters. While a replacement is under way, the steps follow one another
 // without a pause.
 func (t *task) replaceVoters(now time.Time) error {
 	if !t.leads() || now.Before(t.replaceVotersAt) {
@@ -124,17 +135,8 @@
 		t.replaceVotersAt = time.Time{}
 		return nil
 	}
-	maps.DeleteFunc(t.standbys, func(_ string, standby replica.Identity) bool {
-		return now.Sub(standby.LastContact) > standbyLifetime
-	})
-	t.forgetLeaving(now)
-	var standbys []replica.Identity
-	for _, id := range slices.Sorted(maps.Keys(t.standbys)) {
-		standby := t.standbys[id]
-		t.plan.Domains[standby.Instance] = standby.Domain
-		standbys = append(standbys, standby)
-	}
-	members, due := t.plan.Next(t.replica, standbys, now)
+	t.plan.Leaving = t.departures.Leaving(now)
+	members, due := t.plan.Next(t.replica, t.currentStandbys(now), now)
 	if !due {
 		if len(t.replica.Members.Learners) > 0 {
 			t.replaceVotersAt = now.Add(learnerCheckInterval)
--- a/control/task.go
+++ b/control/task.go
@@ -153,10 +153,10 @@
 	// standbys holds, by replica ID, the instances that sent this leader a join
 	// request.
 	standbys map[string]replica.Identity
-	// leaving holds, by replica ID, when the replicas that are about to stop last said so, and
-	// stopping is true while this instance is one of them.
-	leaving  map[string]time.Time
-	stopping bool
+	// departures decides when replicas may stop, while this instance leads. stopping is true
+	// once this instance is about to stop itself.
+	departures replica.Departures
+	stopping   bool
 	// joinAt is the earliest time of the next join request.
 	joinAt time.Time
 	// joined is true while the leader accepts this instance's join requests.
@@ -188,11 +188,12 @@
 		random:    rand.New(rand.NewPCG(rand.Uint64(), ipHash(deployment.IP))),
 		proposals: proposal.NewProposals[pendingProposal](),
 		orders:    proposal.NewOrders[chan<- answer](), decodings: map[uint64]decoding{},
-		fullViews: map[fullViewKey]encodedView{}, comparisons: map[comparison]encodedView{}, watchers: watcher.New(), roster: watcher.NewRoster(), relaysSeen: map[string]relaySeen{}, watches: map[string]watchMessage{}, differences: map[peer.WatchRequest]encodedView{}, standbys: map[string]replica.Identity{}, leaving: map[string]time.Time{},
+		fullViews: map[fullViewKey]encodedView{}, comparisons: map[comparison]encodedView{}, watchers: watcher.New(), roster: watcher.NewRoster(), relaysSeen: map[string]relaySeen{}, watches: map[string]watchMessage{}, differences: map[peer.WatchRequest]encodedView{}, standbys: map[string]replica.Identity{},
+		departures: replica.Departures{Lifetime: leaveLifetime, StandbysKnownAfter: standbysKnownAfter},
 	}
 	t.rollouts = newRollouts(deployment.Bounds)
 	t.quotas = quotas{window: deployment.Bounds.QuotaWindow, collected: map[string]quota.Usage{}}
-	t.plan = replica.MembershipPlan{Target: deployment.Voters(), ReplaceAfter: replaceVoterAfter, Domains: map[string]string{}, Leaving: map[string]bool{}}
+	t.plan = replica.MembershipPlan{Target: deployment.Voters(), ReplaceAfter: replaceVoterAfter, Domains: map[string]string{}}
 	if err := t.restore(folder.Saved.Snapshot); err != nil {
 		return nil, err
 	}
--- a/replica/plan_test.go
+++ b/replica/plan_test.go
@@ -20,6 +20,7 @@
 	config := replica.Config{ID: "a/1", HeartbeatInterval: 90 * time.Millisecond, ElectionTimeout: 450 * time.Millisecond, MaxAppendEntries: 8, VoteAtStart: true}
 	r := replica.New(config, saved, rand.New(rand.NewPCG(1, 1)), now)
 	plan := replica.MembershipPlan{Target: 5, ReplaceAfter: 2500 * time.Millisecond, Domains: map[string]string{}}
+	departures := replica.Departures{Lifetime: 1500 * time.Millisecond, StandbysKnownAfter: 1200 * time.Millisecond}
 	answered := func(from string) {
 		// The reply is to a message that was sent now.
 		r.Step(now, replica.Receive{From: from, Message: replica.AppendReply{Term: r.Term, Success: true, MatchIndex: r.LastIndex(), SentNS: now.Sub(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)).Nanoseconds()}})
@@ -50,7 +51,17 @@
 				answered(from)
 			}
 			return ""
+		case "leave":
+			departures.Request(now, c.Args["id"])
+			return ""
+		case "may_stop":
+			var standbys []replica.Identity
+			for _, id := range c.List("standbys") {
+				standbys = append(standbys, replica.Identity{ReplicaID: id, Instance: replica.InstanceOf(id), LastContact: now})
+			}
+			return fmt.Sprint(departures.MayStop(now, r, plan.Target, standbys, c.Args["id"]))
 		case "next":
+			plan.Leaving = departures.Leaving(now)
 			var standbys []replica.Identity
 			// The former standbys sent their last join requests a second ago.
 			for _, id := range c.List("former") {
