all: files with one job each; wording

Measured: go vet and the linter clean; go test ./platform ./upstream ./jsonform ./route ./workspace ./rollout ./fleet ./placement ./faultsoak ./peer green.

--- a/control/apply.go
+++ b/control/apply.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -11,6 +13,7 @@
 	"github.com/oriolepost/oriolepost/peer"
 	"github.com/oriolepost/oriolepost/record"
 	"github.com/oriolepost/oriolepost/replica"
+	"github.com/oriolepost/oriolepost/state"
 )
 
 // apply applies a committed entry, answers the caller that proposed it, and takes
@@ -133,3 +136,29 @@
 	t.metrics.GetOrCreateCounter("oriolepost_snapshots_total").Inc()
 	return t.perform(t.replica.Step(time.Now(), replica.Compact{Index: index, Data: data}))
 }
+
+// restore replaces the state of the state machine by a snapshot, and adds the
+// upstreams in it to the fleet.
+func (t *task) restore(snapshot replica.Snapshot) error {
+	restored := state.New()
+	if len(snapshot.Data) > 0 {
+		data, err := jsonform.Decompress(snapshot.Data)
+		if err == nil {
+			err = json.Unmarshal(data, restored)
+		}
+		if err != nil {
+			return fmt.Errorf("restore snapshot at index %d: %w", snapshot.Index, err)
+		}
+	}
+	t.state = restored
+	t.fleet.Services = restored.Catalog.Services()
+	for _, r := range restored.Catalog.Retired {
+		t.fleet.Retire(r.Upstream, r.Service, r.StartMS)
+	}
+	now := time.Now()
+	for _, id := range slices.Sorted(maps.Keys(restored.Catalog.Upstreams)) {
+		t.fleet.Restore(now, restored.Catalog.Upstreams[id])
+	}
+	t.committedChanges++
+	return nil
+}
--- a/control/task.go
+++ b/control/task.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"hash/fnv"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -227,32 +223,6 @@
 
 func encode(c record.Command) ([]byte, error) { return jsonform.EncodeCommand(c) }
 
-// restore replaces the state of the state machine by a snapshot, and adds the
-// upstreams in it to the fleet.
-func (t *task) restore(snapshot replica.Snapshot) error {
-	restored := state.New()
-	if len(snapshot.Data) > 0 {
-		data, err := jsonform.Decompress(snapshot.Data)
-		if err == nil {
-			err = json.Unmarshal(data, restored)
-		}
-		if err != nil {
-			return fmt.Errorf("restore snapshot at index %d: %w", snapshot.Index, err)
-		}
-	}
-	t.state = restored
-	t.fleet.Services = restored.Catalog.Services()
-	for _, r := range restored.Catalog.Retired {
-		t.fleet.Retire(r.Upstream, r.Service, r.StartMS)
-	}
-	now := time.Now()
-	for _, id := range slices.Sorted(maps.Keys(restored.Catalog.Upstreams)) {
-		t.fleet.Restore(now, restored.Catalog.Upstreams[id])
-	}
-	t.committedChanges++
-	return nil
-}
-
 // run handles messages and timers until the context ends, the disk fails, or a
 // log entry or snapshot can't be decoded. After a failed write the replica must
 // acknowledge nothing more, so the error ends the instance.
@@ -402,95 +372,4 @@
 	return nil
 }
 
-// perform saves and syncs the effects, and only then sends messages and applies
-// entries.
-func (t *task) perform(effects []replica.Effect) error {
-	if err := t.save(effects); err != nil {
-		return err
-	}
-	for _, e := range effects {
-		if err := t.performOne(e); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// diskFullRetryInterval is the interval between two attempts to write to a full
-// disk.
-const diskFullRetryInterval = 200 * time.Millisecond
-
-// save waits for space on a full disk as if the disk were slow. Nothing has
-// been acknowledged yet, and another instance can become leader meanwhile. Only
-// the sync of all effects waits. A full disk while a snapshot is saved ends the
-// instance, unless the folder can skip that snapshot.
-func (t *task) save(effects []replica.Effect) error {
-	logged := false
-	return proposal.SaveEffects(t.folder, effects, t.metrics, func(err error) bool {
-		t.metrics.GetOrCreateCounter("oriolepost_disk_full_total").Inc()
-		if !logged {
-			logged = true
-			t.log.WithError(err).WithField("change", "disk").Error("disk is full; retrying the write until there is space")
-		}
-		return timer.Pause(t.ctx, diskFullRetryInterval)
-	})
-}
-
-func (t *task) performOne(effect replica.Effect) error {
-	switch effect := effect.(type) {
-	case replica.SaveHardState, replica.SaveSnapshot:
-	case replica.SaveEntries:
-		t.decodeAhead(effect.Entries)
-	case replica.Send:
-		t.pool.Notify(PeerAddress(replica.InstanceOf(effect.To), t.settings.PeerPort),
-			peer.ReplicaMessage{From: t.id(), To: effect.To, Message: effect.Message, Large: effect.Large})
-	case replica.Apply:
-		return t.apply(effect.Entry)
-	case replica.Restore:
-		t.dropDecodings(effect.Snapshot.Index)
-		return t.restore(effect.Snapshot)
-	case replica.Appended:
-		t.proposals.Appended(effect)
-	case replica.ProposalRefused:
-		if p, ok := t.proposals.Refused(effect); ok {
-			t.completeProposal(p, t.notLeaderError(), nil)
-		}
-	case replica.RoleChanged:
-		t.roleChanged(effect)
-	}
-	return nil
-}
-
-func (t *task) lostError() error {
-	return &peer.RefusedError{
-		Code: peer.CodeLost, Reason: "the leader changed while the proposal was under way",
-		Leader: replica.InstanceOf(t.replica.Leader),
-	}
-}
-
 func (t *task) leads() bool { return t.replica.Role == replica.RoleLeader }
-
-func (t *task) roleChanged(change replica.RoleChanged) {
-	if change == t.role {
-		return
-	}
-	formerRole := t.role.Role
-	t.log.WithFields(log.Fields{
-		"change": "role", "from": string(t.role.Role), "to": string(change.Role),
-		"term": change.Term, "leader": replica.InstanceOf(change.Leader),
-		"leader_contact_age_ms": t.replica.LeaderContactAge(time.Now()).Milliseconds(), "longest_wait_ms": t.backlog.longestWait.Milliseconds(),
-	}).Info("replica role changed")
-	t.role = change
-	t.discardViews()
-	t.quarantineRoleChanged(time.Now(), formerRole, change.Role)
-	if (formerRole == replica.RoleLeader) != (change.Role == replica.RoleLeader) {
-		t.refuseWatches()
-	}
-	if change.Role == replica.RoleLeader {
-		t.fleet.RenewAll(time.Now())
-		return
-	}
-	for _, p := range t.proposals.Abandon() {
-		t.completeProposal(p, t.lostError(), nil)
-	}
-}
--- a/faultsoak/notices.go
+++ b/faultsoak/notices.go
@@ -102,7 +102,7 @@
 }
 
 // checkArrival checks a request that reaches an upstream against what the upstream has
-// told the entry that sent it.
+// announced to the entry that sent it.
 func (j *judge) checkArrival(a arrival) {
 	v, n := &j.verdict, &j.notices
 	sent, known := j.requests[a.id]
@@ -110,7 +110,7 @@
 		return
 	}
 	h := hop{sent.Entry, a.upstream}
-	if first, told := n.passedOn[h]; told && sent.At > first.at+j.bounds.Drain && !j.interruptedSince(h.entry, first.sentAt) {
+	if first, announced := n.passedOn[h]; announced && sent.At > first.at+j.bounds.Drain && !j.interruptedSince(h.entry, first.sentAt) {
 		v.add(&v.AfterNotice, "request %s, sent at %v, reached %s from %s, which had passed on at %v that it leaves",
 			a.id, sent.At, a.upstream, h.entry, first.at)
 	}
--- a/faultsoak/process.go
+++ b/faultsoak/process.go
@@ -20,7 +20,7 @@
 type message interface{ message() }
 
 // startMessage starts the process unless it is running. If the process has been
-// told to stop, the task first waits for its exit. It closes running, unless that is
+// signaled to stop, the task first waits for its exit. It closes running, unless that is
 // nil, when the process runs.
 type startMessage struct{ running chan struct{} }
 
@@ -187,7 +187,7 @@
 }
 
 // start writes the settings file and starts the process. It does nothing if the
-// process is running, and waits for the exit of one that was told to stop.
+// process is running, and waits for the exit of one that was signaled to stop.
 func (p *process) start() {
 	if p.command != nil {
 		if !p.stopRequested {
@@ -222,7 +222,7 @@
 	p.settings.FirstStart = false
 }
 
-// awaitExit waits for the exit of a process that was told to stop.
+// awaitExit waits for the exit of a process that was signaled to stop.
 func (p *process) awaitExit() {
 	for p.command != nil {
 		select {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -64,7 +64,7 @@
 	t.stepQuarantine(quarantine.Checked{})
 }
 
-// stepQuarantine steps the state that the placement reads, before the placement is told of
+// stepQuarantine steps the state that the placement reads, before the placement gets
 // the same event.
 func (t *task) stepQuarantine(event quarantine.HolderEvent) {
 	now := time.Now()
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -93,7 +93,7 @@
 	}
 }
 
-// acceptRetryDelay is the pause after a failed accept. The usual cause is a lack
+// acceptRetryDelay is the pause after a failed accept. The common cause is a lack
 // of file descriptors.
 const acceptRetryDelay = 20 * time.Millisecond
 
--- a/jsonform/strict.go
+++ b/jsonform/strict.go
@@ -1,10 +1,10 @@
 // Package jsonform encodes the types of the core as JSON: commands and results of
 // the replicated log, messages between replicas, and the documents and settings
-// that people write.
+// that are written by hand.
 //
 // The core does not depend on this encoding, so another front end can use a
 // different one. A variant of a sealed interface is written as an object with its
-// kind and its body. Files written by people are decoded strictly: unknown fields
+// kind and its body. Files written by hand are decoded strictly: unknown fields
 // and duplicate keys are errors, and the error names the field.
 //
 // # Usage
--- a/peer/server.go
+++ b/peer/server.go
@@ -77,7 +77,7 @@
 	}
 }
 
-// acceptRetryDelay is the pause after a failed accept. The usual cause is a lack of file
+// acceptRetryDelay is the pause after a failed accept. The common cause is a lack of file
 // descriptors, which lasts.
 const acceptRetryDelay = 20 * time.Millisecond
 
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -14,7 +14,6 @@
 	"github.com/onsi/gomega"
 
 	"github.com/oriolepost/oriolepost/allowance"
-	"github.com/oriolepost/oriolepost/fleet"
 	"github.com/oriolepost/oriolepost/placement"
 	"github.com/oriolepost/oriolepost/route"
 	"github.com/oriolepost/oriolepost/script"
@@ -35,81 +34,6 @@
 // request that is sent on it leaves the entry. It includes a new connection.
 const dispatchDelay = 2 * time.Millisecond
 
-// class is a kind of request. rate is in requests per second, and work is the
-// mean service time on an idle machine. deadline is the time from the first try
-// in which the caller wants a response, and retries the maximum number of
-// further tries. value is the weight of a request in the result.
-type class struct {
-	name      string
-	route     *route.Route
-	rate      float64
-	work      time.Duration
-	objective time.Duration
-	deadline  time.Duration
-	value     float64
-	retries   int
-	tally     tally
-}
-
-// tally counts the requests of a class by their result.
-type tally struct{ requests, onTime, pastObjective, refused, failed int }
-
-// machine simulates an upstream with slots, and with a queue of limited length
-// for requests that find no idle slot. noiseSlowdown and faultSlowdown multiply
-// service times; only the first is in the load report.
-type machine struct {
-	info           fleet.Upstream
-	slots          int
-	maxWaiting     int
-	noisy          bool
-	noiseSlowdown  float64
-	faultSlowdown  float64
-	noiseChangesAt time.Time
-	random         *rand.Rand
-	down           bool
-	// refusalRatio is the ratio of requests that the machine refuses whatever its
-	// load.
-	refusalRatio float64
-	// restUntil is the time until which the machine turns all requests away. Each
-	// response asks for rest for restLength, which is zero for a machine that asks for
-	// none. Its health and load are reported as good.
-	restUntil  time.Time
-	restLength time.Duration
-	// askedAt holds, by entry, when the machine last began to ask it for rest.
-	askedAt map[int]time.Time
-	// restArrivals counts the requests turned away, and restLate those from entries that
-	// it had asked for rest more than half a second before. returns counts the
-	// requests in the first 100 ms after the end.
-	restArrivals int
-	restLate     int
-	returns      int
-	limit        limitedMachine
-	// coldUntil is the time until which the machine is cold: it runs at half speed.
-	coldUntil time.Time
-	// coldStarts holds when requests arrived while it was cold.
-	coldStarts []time.Time
-	running    []*job
-	waiting    []*job
-}
-
-// job is an attempt at a machine. A dropped one is not finished, and its result
-// is not delivered.
-type job struct {
-	remaining time.Duration
-	entry     int
-	attempt   placement.AttemptID
-	dropped   bool
-}
-
-// callerRequest is a request of a caller over all its tries. work is its
-// service time on an idle machine.
-type callerRequest struct {
-	class        *class
-	firstTriedAt time.Time
-	work         time.Duration
-	tries        int
-}
-
 type scheduledEvent struct {
 	at  time.Time
 	seq int
@@ -230,25 +154,6 @@
 	return ""
 }
 
-func (r *replay) addMachines(c script.Case) string {
-	domains := c.List("domains")
-	for i := range c.Int("count", 1) {
-		id := c.Args["service"] + "-" + strconv.Itoa(c.Int("first", 0)+i)
-		m := &machine{
-			info: fleet.Upstream{
-				ID: id, Service: c.Args["service"], Domain: domains[i%len(domains)], Slots: c.Int("slots", 6), StartMS: 1,
-			},
-			slots: c.Int("slots", 6), maxWaiting: c.Int("queue", 12), noisy: c.Bool("noisy"), noiseSlowdown: 1, faultSlowdown: 1,
-			noiseChangesAt: r.now.Add(time.Duration(37*len(r.machineList)%300) * time.Millisecond),
-			random:         rand.New(rand.NewPCG(uint64(len(r.machineList)), 3)),
-		}
-		r.machines[id] = m
-		r.machineList = append(r.machineList, m)
-	}
-	r.sendViews(nil)
-	return ""
-}
-
 // sendViews sends the view to all entries.
 func (r *replay) sendViews(cold map[string]time.Duration) {
 	for i, e := range r.entries {
@@ -267,125 +172,6 @@
 	}
 }
 
-func (r *replay) addClass(c script.Case) string {
-	added := &class{
-		name: c.Args["name"], rate: number(c.Args["rate"]), work: time.Duration(c.Int("work", 0)) * time.Millisecond,
-		objective: time.Duration(c.Int("objective", 0)) * time.Millisecond,
-		deadline:  time.Duration(c.Int("deadline", 0)) * time.Millisecond,
-		value:     number(c.Args["value"]), retries: c.Int("retries", 1),
-	}
-	added.route = &route.Route{
-		Name: added.name, Idempotent: c.Bool("idempotent"), Priority: c.Int("priority", 0), MaxAttempts: 2,
-		Objective: added.objective, Timeout: time.Duration(c.Int("timeout", 0)) * time.Millisecond,
-		Services: []route.WeightedService{{Service: c.Args["service"], Weight: 1}},
-	}
-	r.classes = append(r.classes, added)
-	return ""
-}
-
-// setMachineState takes machines down or up, or sets their slowdown.
-func (r *replay) setMachineState(c script.Case) string {
-	for _, m := range r.machineList {
-		if c.Args["domain"] != "" && m.info.Domain != c.Args["domain"] || c.Args["service"] != "" && m.info.Service != c.Args["service"] {
-			continue
-		}
-		if ids := c.List("only"); ids != nil && !strings.Contains(","+c.Args["only"]+",", ","+m.info.ID+",") {
-			continue
-		}
-		switch c.Command {
-		case "down":
-			m.down = true
-			for _, j := range append(m.running, m.waiting...) {
-				if !c.Bool("no_reset") {
-					r.endJob(m, j, placement.Unknown{Reason: placement.ReasonReset})
-				}
-				j.dropped = true
-			}
-			m.running, m.waiting = nil, nil
-		case "up":
-			m.down = false
-		case "slow":
-			m.faultSlowdown = number(c.Args["times"])
-		}
-	}
-	return ""
-}
-
-// coldReturn makes the machines of a domain cold.
-func (r *replay) coldReturn(c script.Case) string {
-	cold := map[string]time.Duration{}
-	for _, m := range r.machineList {
-		if m.info.Domain == c.Args["domain"] {
-			cold[m.info.ID] = time.Duration(c.Int("ms", 0)) * time.Millisecond
-			m.coldUntil = r.now.Add(cold[m.info.ID])
-		}
-	}
-	r.sendViews(cold)
-	return ""
-}
-
-// restMachines lets machines turn requests away for a time. With former, the entries do
-// not learn that they are asked for rest, as before they knew of it.
-func (r *replay) restMachines(c script.Case) {
-	for i, m := range r.machineList {
-		if i%c.Int("every", 1) != 0 {
-			continue
-		}
-		m.restUntil = r.now.Add(time.Duration(c.Int("ms", 0)) * time.Millisecond)
-		m.restLength = time.Duration(c.Int("length", 0)) * time.Millisecond
-		m.askedAt = map[int]time.Time{}
-	}
-	r.restIgnored = c.Bool("former")
-}
-
-// turnAway answers a request at a machine that wants rest.
-func (r *replay) turnAway(m *machine, j *job) {
-	m.restArrivals++
-	asked, known := m.askedAt[j.entry]
-	since := r.now.Sub(asked)
-	switch {
-	case !known || since >= m.restLength:
-		m.askedAt[j.entry] = r.now
-	case since > 500*time.Millisecond:
-		m.restLate++
-	}
-	n := placement.Notice{}
-	if !r.restIgnored {
-		n = placement.Notice{RestAsked: true, RestSeconds: m.restLength.Seconds()}
-	}
-	r.endJobWith(m, j, placement.NotRun{Reason: placement.ReasonShed, Sent: true}, n)
-}
-
-// restCounts returns the number of requests that machines turned away, the number of
-// those that came although the entry had been asked for rest, and the most requests
-// that one machine got right after its rest.
-func (r *replay) restCounts() (arrivals, late, returns int) {
-	for _, m := range r.machineList {
-		arrivals += m.restArrivals
-		late += m.restLate
-		returns = max(returns, m.returns)
-		m.restArrivals, m.restLate, m.returns = 0, 0, 0
-	}
-	return arrivals, late, returns
-}
-
-// coldPeak returns the number of requests that reached cold machines, and the most
-// that one of them got within a second.
-func (r *replay) coldPeak() (total, peak int) {
-	for _, m := range r.machineList {
-		total += len(m.coldStarts)
-		first := 0
-		for i, at := range m.coldStarts {
-			for at.Sub(m.coldStarts[first]) >= time.Second {
-				first++
-			}
-			peak = max(peak, i-first+1)
-		}
-		m.coldStarts = nil
-	}
-	return total, peak
-}
-
 func (r *replay) schedule(after time.Duration, run func()) {
 	r.seq++
 	heap.Push(&r.events, scheduledEvent{r.now.Add(after), r.seq, run})
@@ -461,26 +247,6 @@
 	}
 }
 
-// sendTry sends one try of a request to a random entry, which receives it 8 ms
-// later.
-func (r *replay) sendTry(request *callerRequest) {
-	request.tries++
-	r.schedule(8*time.Millisecond, func() {
-		r.nextID++
-		id := r.nextID
-		i := r.entryRandom.IntN(len(r.entries))
-		r.callerRequests[id] = request
-		r.entryOf[id] = i
-		deadline := request.firstTriedAt.Add(request.class.deadline - 8*time.Millisecond)
-		if t := request.class.route.Timeout; t > 0 && r.now.Add(t).Before(deadline) {
-			deadline = r.now.Add(t)
-		}
-		r.perform(i, r.entries[i].Step(r.now, placement.Arrived{Request: placement.Request{
-			ID: id, Route: request.class.route, Service: request.class.route.Services[0].Service, ArrivedAt: r.now, FirstTriedAt: request.firstTriedAt.Add(8 * time.Millisecond), Deadline: deadline,
-		}}))
-	})
-}
-
 func (r *replay) perform(entry int, effects []placement.Effect) {
 	for _, effect := range effects {
 		switch e := effect.(type) {
@@ -521,12 +287,6 @@
 	return 1600 * time.Microsecond
 }
 
-func (m *machine) load() placement.Load {
-	return placement.Load{
-		Running: len(m.running), Waiting: len(m.waiting), Slots: m.slots, Slowdown: int(100 * m.noiseSlowdown), Known: true,
-	}
-}
-
 func (r *replay) probe(entry int, e placement.StartProbe) {
 	m := r.machines[e.Upstream.ID]
 	r.probes++
@@ -590,114 +350,3 @@
 		delete(r.jobs, attemptKey(entry, id))
 	}
 }
-
-// advance simulates one step of a machine. The service time of a request is set
-// when it starts, from the machine's slowdown and its busy slots.
-func (r *replay) advance(m *machine) {
-	if m.noisy && !r.now.Before(m.noiseChangesAt) {
-		m.noiseChangesAt = r.now.Add(300 * time.Millisecond)
-		m.noiseSlowdown = 1
-		if m.random.Float64() < 0.25 {
-			m.noiseSlowdown = 4
-		}
-	}
-	m.running = withoutDropped(m.running)
-	m.waiting = withoutDropped(m.waiting)
-	for len(m.running) < m.slots && len(m.waiting) > 0 {
-		r.startJob(m, m.waiting[0])
-		m.waiting = m.waiting[1:]
-	}
-	kept := m.running[:0]
-	for _, j := range m.running {
-		j.remaining -= replayStep
-		if j.remaining > 0 {
-			kept = append(kept, j)
-			continue
-		}
-		r.endJob(m, j, placement.Answered{})
-	}
-	m.running = kept
-}
-
-// contentionFactor is the factor by which busy slots lengthen service times.
-// Median service times are 300, 436 and 527 ms with four, five and six slots
-// busy.
-func contentionFactor(busy, slots int) float64 {
-	switch free := slots - busy; {
-	case free <= 0:
-		return 1.75
-	case free == 1:
-		return 1.45
-	}
-	return 1
-}
-
-// startJob starts a job and sets its service time.
-func (r *replay) startJob(m *machine, j *job) {
-	m.running = append(m.running, j)
-	if r.now.Before(m.coldUntil) {
-		j.remaining *= 2
-	}
-	j.remaining = time.Duration(float64(j.remaining) * m.noiseSlowdown * m.faultSlowdown * contentionFactor(len(m.running), m.slots))
-}
-
-func withoutDropped(list []*job) []*job {
-	kept := list[:0]
-	for _, j := range list {
-		if !j.dropped {
-			kept = append(kept, j)
-		}
-	}
-	return kept
-}
-
-func (r *replay) endJob(m *machine, j *job, o placement.Outcome) {
-	r.endJobWith(m, j, o, placement.Notice{})
-}
-
-func (r *replay) endJobWith(m *machine, j *job, o placement.Outcome, n placement.Notice) {
-	load := m.load()
-	limit := r.stateLimit(m, j.entry)
-	r.schedule(r.networkDelay(j.entry, m), func() {
-		if j.dropped {
-			return
-		}
-		delete(r.jobs, attemptKey(j.entry, j.attempt))
-		key := placement.KeyOf(m.info)
-		if n != (placement.Notice{}) {
-			r.perform(j.entry, r.entries[j.entry].Step(r.now, placement.NoticeReceived{Upstream: key, Notice: n}))
-		}
-		r.perform(j.entry, r.entries[j.entry].Step(r.now, placement.AttemptEnded{Attempt: j.attempt, Outcome: o, Load: load, Limit: limit}))
-	})
-}
-
-// finish handles the end of a try at the entry. The caller receives the result
-// 8 ms later and may retry.
-func (r *replay) finish(e placement.Finish) {
-	request := r.callerRequests[e.Request]
-	delete(r.callerRequests, e.Request)
-	r.schedule(8*time.Millisecond, func() {
-		took := r.now.Sub(request.firstTriedAt)
-		remaining := request.class.deadline - took
-		switch o := e.Outcome.(type) {
-		case placement.Answered:
-			if took <= request.class.objective {
-				request.class.tally.onTime++
-			} else {
-				request.class.tally.pastObjective++
-			}
-		case placement.NotRun:
-			if request.tries <= request.class.retries && o.RetryAfter > 0 && remaining > 3*o.RetryAfter {
-				r.schedule(o.RetryAfter, func() { r.sendTry(request) })
-				return
-			}
-			request.class.tally.refused++
-		case placement.Unknown:
-			if request.tries <= request.class.retries && request.class.route.Idempotent && remaining > 50*time.Millisecond {
-				r.sendTry(request)
-				return
-			}
-			request.class.tally.failed++
-		}
-	})
-}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -141,7 +141,7 @@
 	// will get after the roll-out. A version that fails under load only shows it then.
 	trialDensity = 1.25
 	// minTrialUpstreams is the smallest number of upstreams in a trial. With fewer, a
-	// single slow machine could not be told from a slow version.
+	// single slow machine could not be distinguished from a slow version.
 	minTrialUpstreams = 4
 )
 
--- a/route/lookup.go
+++ b/route/lookup.go
@@ -26,7 +26,7 @@
 // Lookup looks up the route of a request. confirmed is true when the table is known to be
 // the newest; the table may be nil.
 //
-// A caller that is told that there is no route gives up, whereas one whose request has
+// A caller gives up when the answer is that there is no route, whereas one whose request has
 // not been run asks another instance. Only a confirmed table may therefore decide that
 // there is none.
 func (t *Table) Lookup(host, path string, confirmed bool) Lookup {
--- a/settings/deployment.go
+++ b/settings/deployment.go
@@ -10,7 +10,7 @@
 
 // Deployment holds the settings of an instance that a platform starts: its own
 // identity and addresses, addresses of other instances, and the limits that it
-// must keep. The number of instances is not among them: no instance is told it.
+// must keep. The number of instances is not among them: no instance knows it.
 // Package platform decodes a Deployment from the platform's settings file.
 type Deployment struct {
 	// Instance is the instance's name.
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -45,7 +45,7 @@
 	defaultIdleTimeout = 6 * time.Second
 	// idleTimeoutRatio is the share of the upstream's Keep-Alive timeout for
 	// which an idle connection is used. The rest allows for network delay: 1.5 s
-	// of the usual 10 s.
+	// of a timeout of 10 s.
 	idleTimeoutRatio = 0.85
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 2048
@@ -96,7 +96,7 @@
 func (c *Conn) Reusable() bool { return !c.broken }
 
 // Accepts reports whether the connection may carry a request: whether its response
-// can be told from a late copy of an earlier one. It can't if a request with that ID
+// can be distinguished from a late copy of an earlier one. It can't if a request with that ID
 // was refused or failed on this connection before.
 func (c *Conn) Accepts(id string) bool {
 	return !c.used || id != "" && !slices.Contains(c.repeatable, id)
--- a/workspace/workspace.go
+++ b/workspace/workspace.go
@@ -125,7 +125,7 @@
 
 // Admit decides on a request with the digest of its key; empty if it has none.
 //
-// A caller that is told that its key is not known gives up, whereas one whose request has
+// A caller gives up when the answer is that its key is not known, whereas one whose request has
 // not been run asks another instance. Only the newest directory may therefore decide that
 // a key is not known. A missing key is never known, and needs no directory.
 func (d *Directory) Admit(key Digest, public bool, trust Trust) Admission {
