--- a/replica/starved_test.go
+++ b/replica/starved_test.go
@@ -21,6 +21,8 @@
 	inbox        []delivery
 	// absent is true until a voter that returns runs for the first time.
 	absent bool
+	// first is the snapshot that it starts with.
+	first replica.Snapshot
 }
 
 // delivery is a message that arrives at a time.
@@ -62,6 +64,9 @@
 		switch c.Command {
 		case "voters":
 			g.start(c.Int("count", 3), uint64(c.Int("seed", 1)))
+			if c.Bool("former") {
+				g.addFormer()
+			}
 			return ""
 		case "run":
 			return g.run(c)
@@ -75,16 +80,30 @@
 	for i := range count {
 		members.Voters = append(members.Voters, fmt.Sprintf("v%d", i))
 	}
-	for i, id := range members.Voters {
-		config := replica.Config{
-			ID: id, HeartbeatInterval: 90 * time.Millisecond, ElectionTimeout: 450 * time.Millisecond,
-			MaxDrift: 25 * time.Millisecond, MaxAppendEntries: 128, LargeBytes: 64 << 10, VoteAtStart: true,
-		}
-		saved := replica.PersistentState{Snapshot: replica.Snapshot{Index: 1, Term: 1, Members: members}}
-		g.nodes = append(g.nodes, &starvedNode{
-			id: id, replica: replica.New(config, saved, rand.New(rand.NewPCG(seed, uint64(i))), g.now), nextRun: g.now,
-		})
+	for _, id := range members.Voters {
+		g.add(id, replica.Snapshot{Index: 1, Term: 1, Members: members}, seed)
+	}
+}
+
+// addFormer adds a replica that was removed from the group while it was cut off: it still takes
+// itself for a voter, and lacks the last entries.
+func (g *starvedGroup) addFormer() {
+	voters := []string{"former"}
+	for _, n := range g.nodes[1:] {
+		voters = append(voters, n.id)
+	}
+	g.add("former", replica.Snapshot{Members: replica.Members{Voters: voters}}, 1)
+}
+
+func (g *starvedGroup) add(id string, first replica.Snapshot, seed uint64) {
+	config := replica.Config{
+		ID: id, HeartbeatInterval: 90 * time.Millisecond, ElectionTimeout: 450 * time.Millisecond,
+		MaxDrift: 25 * time.Millisecond, MaxAppendEntries: 128, LargeBytes: 64 << 10, VoteAtStart: true,
 	}
+	random := rand.New(rand.NewPCG(seed, uint64(len(g.nodes))))
+	g.nodes = append(g.nodes, &starvedNode{
+		id: id, replica: replica.New(config, replica.PersistentState{Snapshot: first}, random, g.now), nextRun: g.now, first: first,
+	})
 }
 
 // run lets the group run. Each node gets the processor when it is due, and then
@@ -144,7 +163,7 @@
 // returnAt starts a voter again at a time, with what it had saved. What is sent to it
 // before is lost.
 func (g *starvedGroup) returnAt(n *starvedNode, at time.Time, seed, index uint64) {
-	saved := replica.PersistentState{HardState: n.replica.HardState, Snapshot: replica.Snapshot{Index: 1, Term: 1, Members: n.replica.Members}}
+	saved := replica.PersistentState{HardState: n.replica.HardState, Snapshot: n.first}
 	n.replica = replica.New(n.replica.Config, saved, rand.New(rand.NewPCG(seed, index)), at)
 	n.inbox, n.nextRun, n.blockedUntil, n.absent = nil, at, at, true
 	g.leader = ""
